Lay out the workspace and fix the shared types

Cause: the crates are to be built side by side, so what passes between them must be fixed first. Conclusion: the crates can be filled independently.

--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Proposes, approves and applies configuration, and keeps its audit log.
--- /dev/null
+++ b/crates/core/main.rs
@@ -0,0 +1,3 @@
+//! The `foxtailhoist` binary.
+
+fn main() {}
--- /dev/null
+++ b/crates/measure/src/journal_cost.rs
@@ -0,0 +1,1 @@
+//! Store calls, added latency and recovery time of the journal.
--- /dev/null
+++ b/crates/measure/src/policy/mod.rs
@@ -0,0 +1,1 @@
+//! Cost, quality, latency and exposure of routing policies, in virtual time.
--- /dev/null
+++ b/crates/measure/src/soak.rs
@@ -0,0 +1,1 @@
+//! Long random runs over all failures, with invariants asserted.
--- /dev/null
+++ b/crates/model/src/configuration.rs
@@ -0,0 +1,171 @@
+//! What operators decide: workspaces, models, versions, services and presets.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ModelId;
+use crate::ModelVersion;
+use crate::PresetId;
+use crate::Priority;
+use crate::Revision;
+use crate::ServiceId;
+use crate::TaskClass;
+use crate::VersionRecord;
+use crate::WorkspaceId;
+
+/// The whole configuration at one revision. Exactly one preset is in force.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Configuration {
+    #[serde(default)]
+    pub revision: Revision,
+    /// The preset in force; a key of `presets`.
+    pub preset: PresetId,
+    pub presets: BTreeMap<PresetId, Preset>,
+    pub workspaces: BTreeMap<WorkspaceId, Workspace>,
+    pub models: BTreeMap<ModelId, Model>,
+    pub versions: BTreeMap<ModelVersion, VersionRecord>,
+    #[serde(default)]
+    pub services: BTreeMap<ServiceId, Service>,
+}
+
+/// A customer's tenant and what it is entitled to.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Workspace {
+    /// SHA-256 of each API key, in lower-case hex.
+    pub api_key_digests: BTreeSet<String>,
+    /// Share of a contended resource relative to other workspaces.
+    #[serde(default = "one")]
+    pub weight: f64,
+    #[serde(default)]
+    pub priority: Priority,
+    /// What an entry host does for it while its configuration is unconfirmed.
+    #[serde(default)]
+    pub when_stale: StalePolicy,
+}
+
+/// What a cut-off entry host does with a workspace's requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StalePolicy {
+    /// Goes on with settled versions.
+    #[default]
+    Settled,
+    /// Refuses.
+    Refuse,
+}
+
+/// A model and its prices.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Model {
+    /// Money per million prompt tokens.
+    pub price_in: f64,
+    /// Money per million generated tokens.
+    pub price_out: f64,
+}
+
+/// A plain service behind the router.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// First path segments whose calls may be repeated; every other call runs at most once.
+    #[serde(default)]
+    pub idempotent_paths: BTreeSet<String>,
+}
+
+/// Rules for one kind of day.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Preset {
+    /// Models that each workspace may use; a workspace that is absent may use none.
+    pub allowed: BTreeMap<WorkspaceId, BTreeSet<ModelId>>,
+    /// Task classes that may go to models cheaper than the best allowed one.
+    #[serde(default)]
+    pub cheaper_for: BTreeSet<TaskClass>,
+    pub quality: QualityTarget,
+    pub rollout: RolloutPolicy,
+    pub limits: Limits,
+}
+
+/// Quality that a cheaper model must be shown to reach.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum QualityTarget {
+    /// Share of acceptable answers, at most this far below the best allowed model's.
+    BelowBest(f64),
+    /// Share of acceptable answers, absolute.
+    AtLeast(f64),
+}
+
+/// How versions are rolled out.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RolloutPolicy {
+    pub steps: Vec<RolloutStep>,
+}
+
+/// One step of a roll-out.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RolloutStep {
+    /// Most requests of the model that go to the version, 0 to 1.
+    pub share: f64,
+    /// Most distinct callers exposed, over all entry hosts.
+    pub callers: u32,
+    /// Shortest stay at the step, in seconds.
+    pub hold_seconds: u64,
+    /// Rated answers that the step needs before the next.
+    pub rated_answers: u32,
+}
+
+/// Limits that a preset sets on the handling of requests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Retries and hedges as a share of first attempts, 0 to 1.
+    pub retry_share: f64,
+    /// Requests that wait for a place, per entry host.
+    pub queue: usize,
+    /// Deadline of a request that states none, in milliseconds.
+    pub default_deadline_ms: u64,
+    /// First token target of streamed requests, in milliseconds.
+    pub first_token_ms: u64,
+}
+
+impl Configuration {
+    /// The preset in force, if its name is known.
+    #[must_use]
+    pub fn preset_in_force(&self) -> Option<&Preset> {
+        self.presets.get(&self.preset)
+    }
+}
+
+impl Limits {
+    /// Deadline of a request that states none.
+    #[must_use]
+    pub fn default_deadline(&self) -> Duration {
+        Duration::from_millis(self.default_deadline_ms)
+    }
+
+    /// First token target of streamed requests.
+    #[must_use]
+    pub fn first_token(&self) -> Duration {
+        Duration::from_millis(self.first_token_ms)
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { retry_share: 0.1, queue: 1024, default_deadline_ms: 20_000, first_token_ms: 640 }
+    }
+}
+
+fn one() -> f64 {
+    1.0
+}
--- /dev/null
+++ b/crates/model/src/ids.rs
@@ -0,0 +1,55 @@
+//! Ids, as aliases of plain types.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// One attempt of a request at a backend server; random.
+pub type AttemptId = u128;
+/// A backend server, as the host list names it.
+pub type BackendServerId = String;
+/// Stable hash of whoever a workspace's key and user field name; exposure counts these.
+pub type CallerId = u64;
+/// A data centre, as settings name it.
+pub type DataCentreId = String;
+/// An entry host, as its settings name it.
+pub type EntryHostId = String;
+/// Grows with each holder of a lease.
+pub type FencingNumber = u64;
+/// Stable hash of workspace and content; names a request across resends.
+pub type Fingerprint = u64;
+/// Start number of an entry host: a restarted host has a higher one.
+pub type Incarnation = u64;
+/// A model, without its version.
+pub type ModelId = String;
+/// A key in the object API.
+pub type ObjectKey = String;
+/// Version of an object; grows over the whole store, 0 before the first write.
+pub type ObjectVersion = u64;
+/// An operator, as the operator key names them.
+pub type OperatorId = String;
+/// Stable hash of the part of a prompt that requests share.
+pub type PrefixHash = u64;
+/// A preset.
+pub type PresetId = String;
+/// A request; random, or derived from the caller's idempotency key.
+pub type RequestId = u128;
+/// Revision of the configuration; only grows.
+pub type Revision = u64;
+/// A plain service.
+pub type ServiceId = String;
+/// A session, as the caller names it.
+pub type SessionId = String;
+/// Kind of task that a request states, such as `tagging`.
+pub type TaskClass = String;
+/// A version of a model.
+pub type VersionId = String;
+/// A workspace.
+pub type WorkspaceId = String;
+
+/// Hash that is the same on every host and in every release; parts are kept apart by their length.
+#[must_use]
+pub fn stable_hash(seed: u64, parts: &[&[u8]]) -> u64 {
+    parts.iter().fold(seed, |hash, part| {
+        let length = part.len() as u64;
+        xxh3_64_with_seed(part, hash ^ length.rotate_left(32))
+    })
+}
--- /dev/null
+++ b/crates/model/src/server.rs
@@ -0,0 +1,53 @@
+//! Backend servers and the host list's view of them and of the entry hosts.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::BackendServerId;
+use crate::DataCentreId;
+use crate::EntryHostId;
+use crate::ModelVersion;
+use crate::ServiceId;
+
+/// Whether a host takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Presence {
+    Live,
+    Leaving,
+}
+
+/// What a backend server offers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Serves {
+    /// A model engine and the versions it has loaded.
+    Engine { loaded: BTreeSet<ModelVersion>, slots: u32 },
+    /// A plain service.
+    Service(ServiceId),
+}
+
+/// A machine that runs requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendServer {
+    pub id: BackendServerId,
+    pub address: SocketAddr,
+    pub data_centre: DataCentreId,
+    pub presence: Presence,
+    pub serves: Serves,
+    /// Whether it refuses an order with an old fencing number.
+    pub checks_fencing: bool,
+}
+
+/// An entry host as the host list shows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedHost {
+    pub id: EntryHostId,
+    /// Where its peers reach it.
+    pub address: SocketAddr,
+    pub data_centre: DataCentreId,
+    pub presence: Presence,
+}
--- /dev/null
+++ b/crates/report/src/lib.rs
@@ -0,0 +1,1 @@
+//! Service-level burn report as text, JSON and HTML.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Reads and checks settings and presets in YAML.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and the backend servers, with switchable faults.
