Add an object API in memory

Change: a pure store with versions, conditional writes, lists and watches; drivers add delay, loss and outages. Conclusion: one store serves tests, scenarios, random runs and the HTTP stand-in.

--- /dev/null
+++ b/crates/objects/src/lib.rs
@@ -0,0 +1,158 @@
+//! An object API in memory.
+//!
+//! It stands in for the platform's service wherever that cannot be had: behind the HTTP stand-in, in scenarios, in
+//! random runs and in tests. It is pure: [`MemoryStore::apply`] carries out one call at once. Whoever drives it adds
+//! delay, loss and outages, because only the driver knows about time.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use foxtailhoist_model::Condition;
+use foxtailhoist_model::Object;
+use foxtailhoist_model::ObjectKey;
+use foxtailhoist_model::ObjectVersion;
+use foxtailhoist_model::StoreError;
+use foxtailhoist_model::StoreOp;
+use foxtailhoist_model::StoreReply;
+use foxtailhoist_model::StoreResult;
+
+/// Largest value that the object API holds, in bytes.
+pub const VALUE_LIMIT_BYTES: usize = 1_000_000;
+
+/// Objects by key, and counts of the calls made.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryStore {
+    objects: BTreeMap<ObjectKey, StoredValue>,
+    version: ObjectVersion,
+    calls: CallCounts,
+}
+
+/// Calls that were carried out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallCounts {
+    /// Puts and deletes, those whose condition did not hold included.
+    pub writes: u64,
+    /// Gets, lists and watches.
+    pub reads: u64,
+}
+
+#[derive(Clone, Debug)]
+struct StoredValue {
+    version: ObjectVersion,
+    value: Bytes,
+}
+
+impl MemoryStore {
+    /// Carries out one call. A watch answers at once with what has changed so far.
+    ///
+    /// # Errors
+    ///
+    /// Refuses values over [`VALUE_LIMIT_BYTES`].
+    pub fn apply(&mut self, op: &StoreOp) -> StoreResult {
+        if op.is_write() {
+            self.calls.writes += 1;
+        } else {
+            self.calls.reads += 1;
+        }
+        match op {
+            StoreOp::Get { key } => Ok(StoreReply::Object(self.object(key))),
+            StoreOp::List { prefix, after, limit } => Ok(self.list(prefix, after.as_ref(), *limit)),
+            StoreOp::Put { key, value, condition } => self.put(key, value, *condition),
+            StoreOp::Delete { key, condition } => Ok(self.delete(key, *condition)),
+            StoreOp::Watch { prefix, after, .. } => Ok(self.changed(prefix, *after)),
+        }
+    }
+
+    /// Version of the latest write.
+    #[must_use]
+    pub fn version(&self) -> ObjectVersion {
+        self.version
+    }
+
+    /// Calls so far.
+    #[must_use]
+    pub fn calls(&self) -> CallCounts {
+        self.calls
+    }
+
+    /// Number of objects.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.objects.len()
+    }
+
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.objects.is_empty()
+    }
+
+    /// An object, without counting a call.
+    #[must_use]
+    pub fn object(&self, key: &str) -> Option<Object> {
+        let (key, stored) = self.objects.get_key_value(key)?;
+        Some(stored.to_object(key))
+    }
+
+    fn with_prefix(&self, prefix: &str) -> impl Iterator<Item = (&ObjectKey, &StoredValue)> {
+        self.objects.range(prefix.to_owned()..).take_while(move |(key, _)| key.starts_with(prefix))
+    }
+
+    fn list(&self, prefix: &str, after: Option<&ObjectKey>, limit: usize) -> StoreReply {
+        let objects = self
+            .with_prefix(prefix)
+            .filter(|(key, _)| after.is_none_or(|after| *key > after))
+            .take(limit)
+            .map(|(key, stored)| stored.to_object(key))
+            .collect();
+        StoreReply::Objects { objects, at: self.version }
+    }
+
+    fn changed(&self, prefix: &str, after: ObjectVersion) -> StoreReply {
+        let objects = self
+            .with_prefix(prefix)
+            .filter(|(_, stored)| stored.version > after)
+            .map(|(key, stored)| stored.to_object(key))
+            .collect();
+        StoreReply::Objects { objects, at: self.version }
+    }
+
+    fn put(&mut self, key: &ObjectKey, value: &Bytes, condition: Condition) -> StoreResult {
+        if value.len() > VALUE_LIMIT_BYTES {
+            let reason =
+                format!("value of {} bytes is over the limit of {VALUE_LIMIT_BYTES}", value.len());
+            return Err(StoreError::Refused { reason });
+        }
+        if !self.condition_holds(key, condition) {
+            return Ok(StoreReply::Conflict);
+        }
+        self.version += 1;
+        let stored = StoredValue { version: self.version, value: value.clone() };
+        self.objects.insert(key.clone(), stored);
+        Ok(StoreReply::Written(self.version))
+    }
+
+    fn delete(&mut self, key: &ObjectKey, condition: Condition) -> StoreReply {
+        if !self.condition_holds(key, condition) {
+            return StoreReply::Conflict;
+        }
+        if self.objects.remove(key).is_some() {
+            self.version += 1;
+        }
+        StoreReply::Deleted
+    }
+
+    fn condition_holds(&self, key: &str, condition: Condition) -> bool {
+        let version = self.objects.get(key).map(|stored| stored.version);
+        match condition {
+            Condition::Any => true,
+            Condition::Absent => version.is_none(),
+            Condition::Version(expected) => version == Some(expected),
+        }
+    }
+}
+
+impl StoredValue {
+    fn to_object(&self, key: &ObjectKey) -> Object {
+        Object { key: key.clone(), version: self.version, value: self.value.clone() }
+    }
+}
