Add HTTP clients for the edge traits

Cause: the edge traits had no implementation, so nothing could reach the platform, backend servers or peers.

--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,186 @@
+//! Settings of the HTTP clients and a pool of connections for each server.
+//!
+//! Every server has a `reqwest::Client` of its own. Retiring a server's connections is then only dropping its client:
+//! running answers keep the old connections until they end, and the next call opens new ones.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use reqwest::Client;
+
+/// Longest wait for a connection.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest wait for an answer's head, beyond the wait that a watch asks for.
+pub const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest gap between two pieces of an answer.
+pub const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest wait for a sign of life on a new connection.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Idle connections older than this are closed.
+const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Servers with a pool at the same time; the one used longest ago is dropped first.
+pub const POOLS_LIMIT: usize = 16_384;
+
+/// Time-outs of the clients; built by [`ClientSettingsBuilder`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientSettings {
+    connect_timeout: Duration,
+    head_timeout: Duration,
+    idle_timeout: Duration,
+    probe_timeout: Duration,
+}
+
+/// Builds [`ClientSettings`]; what is not stated keeps its default.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ClientSettingsBuilder {
+    settings: ClientSettings,
+}
+
+/// Clients by server address.
+#[derive(Debug)]
+pub(crate) struct ClientPools {
+    settings: ClientSettings,
+    table: Mutex<PoolTable>,
+}
+
+#[derive(Debug, Default)]
+struct PoolTable {
+    pools: BTreeMap<SocketAddr, Pool>,
+    uses: u64,
+}
+
+#[derive(Debug)]
+struct Pool {
+    client: Client,
+    last_use: u64,
+}
+
+impl ClientSettings {
+    #[must_use]
+    pub fn connect_timeout(&self) -> Duration {
+        self.connect_timeout
+    }
+
+    #[must_use]
+    pub fn head_timeout(&self) -> Duration {
+        self.head_timeout
+    }
+
+    #[must_use]
+    pub fn idle_timeout(&self) -> Duration {
+        self.idle_timeout
+    }
+
+    #[must_use]
+    pub fn probe_timeout(&self) -> Duration {
+        self.probe_timeout
+    }
+}
+
+impl Default for ClientSettings {
+    fn default() -> ClientSettings {
+        ClientSettings {
+            connect_timeout: CONNECT_TIMEOUT,
+            head_timeout: HEAD_TIMEOUT,
+            idle_timeout: IDLE_TIMEOUT,
+            probe_timeout: PROBE_TIMEOUT,
+        }
+    }
+}
+
+impl ClientSettingsBuilder {
+    #[must_use]
+    pub fn new() -> ClientSettingsBuilder {
+        ClientSettingsBuilder::default()
+    }
+
+    #[must_use]
+    pub fn connect_timeout(mut self, timeout: Duration) -> ClientSettingsBuilder {
+        self.settings.connect_timeout = timeout;
+        self
+    }
+
+    #[must_use]
+    pub fn head_timeout(mut self, timeout: Duration) -> ClientSettingsBuilder {
+        self.settings.head_timeout = timeout;
+        self
+    }
+
+    #[must_use]
+    pub fn idle_timeout(mut self, timeout: Duration) -> ClientSettingsBuilder {
+        self.settings.idle_timeout = timeout;
+        self
+    }
+
+    #[must_use]
+    pub fn probe_timeout(mut self, timeout: Duration) -> ClientSettingsBuilder {
+        self.settings.probe_timeout = timeout;
+        self
+    }
+
+    #[must_use]
+    pub fn build(self) -> ClientSettings {
+        self.settings
+    }
+}
+
+impl ClientPools {
+    pub(crate) fn new(settings: ClientSettings) -> ClientPools {
+        ClientPools { settings, table: Mutex::default() }
+    }
+
+    pub(crate) fn settings(&self) -> &ClientSettings {
+        &self.settings
+    }
+
+    /// Client of a server; a clone shares its connections.
+    pub(crate) fn client(&self, address: SocketAddr) -> Client {
+        let mut table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
+        table.uses += 1;
+        let last_use = table.uses;
+        if let Some(pool) = table.pools.get_mut(&address) {
+            pool.last_use = last_use;
+            return pool.client.clone();
+        }
+        table.make_room();
+        let client = new_client(&self.settings);
+        table.pools.insert(address, Pool { client: client.clone(), last_use });
+        client
+    }
+
+    /// Forgets a server's connections.
+    pub(crate) fn retire(&self, address: SocketAddr) {
+        let mut table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
+        table.pools.remove(&address);
+    }
+}
+
+impl PoolTable {
+    /// Drops the pool that was used longest ago when the table is full.
+    fn make_room(&mut self) {
+        if self.pools.len() < POOLS_LIMIT {
+            return;
+        }
+        let oldest = self.pools.iter().min_by_key(|(_, pool)| pool.last_use);
+        if let Some(address) = oldest.map(|(address, _)| *address) {
+            self.pools.remove(&address);
+        }
+    }
+}
+
+/// A client with no connections yet. Servers are named by IP number and speak plain HTTP, so no proxy, redirect or
+/// root certificate is looked up.
+pub(crate) fn new_client(settings: &ClientSettings) -> Client {
+    Client::builder()
+        .no_proxy()
+        .redirect(reqwest::redirect::Policy::none())
+        .tls_certs_only([])
+        .tcp_nodelay(true)
+        .connect_timeout(settings.connect_timeout)
+        .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+        .build()
+        .expect("the options above are constant and valid together")
+}
--- /dev/null
+++ b/crates/platform/src/peers.rs
@@ -0,0 +1,82 @@
+//! Messages between entry hosts over HTTP: `POST /peer` with the shared peer key and the sender's host id.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use foxtailhoist_model::EntryHostId;
+use futures::future::BoxFuture;
+use reqwest::header::CONTENT_TYPE;
+use reqwest::header::HeaderValue;
+
+use crate::call;
+use crate::call::CallError;
+use crate::client::ClientPools;
+use crate::client::ClientSettings;
+use crate::edge::PeerApi;
+use crate::edge::PeerError;
+use crate::headers;
+
+/// Content type of peer messages.
+pub const PEER_CONTENT_TYPE: &str = "application/msgpack";
+
+/// Client of the other entry hosts.
+#[derive(Clone)]
+pub struct HttpPeers {
+    host: EntryHostId,
+    key: HeaderValue,
+    pools: Arc<ClientPools>,
+}
+
+impl HttpPeers {
+    /// A client that sends as `host`. `None` if the key cannot stand in a header.
+    #[must_use]
+    pub fn new(host: EntryHostId, peer_key: &str, settings: ClientSettings) -> Option<HttpPeers> {
+        let mut key = HeaderValue::from_str(peer_key).ok()?;
+        key.set_sensitive(true);
+        Some(HttpPeers { host, key, pools: Arc::new(ClientPools::new(settings)) })
+    }
+
+    async fn deliver(&self, address: SocketAddr, message: Bytes) -> Result<Bytes, PeerError> {
+        let request = self
+            .pools
+            .client(address)
+            .post(call::url(address, "/peer"))
+            .header(CONTENT_TYPE, PEER_CONTENT_TYPE)
+            .header(headers::PEER_KEY, self.key.clone())
+            .header(headers::HOST_ID, &self.host)
+            .body(message);
+        let head_timeout = self.pools.settings().head_timeout();
+        let answer = match call::call(&self.pools, address, request, head_timeout).await {
+            Ok(answer) => answer,
+            Err(CallError::TimedOut) => return Err(PeerError::TimedOut),
+            Err(CallError::TooLarge) => return Err(PeerError::Malformed),
+            Err(CallError::NotSent(_) | CallError::Broken(_)) => {
+                return Err(PeerError::Unreachable);
+            }
+        };
+        match answer.status {
+            200 | 204 => Ok(answer.body),
+            401 | 403 => Err(PeerError::Unauthenticated),
+            503 => Err(PeerError::Unreachable),
+            _ => Err(PeerError::Malformed),
+        }
+    }
+}
+
+impl PeerApi for HttpPeers {
+    fn send(&self, address: SocketAddr, message: Bytes) -> BoxFuture<'_, Result<Bytes, PeerError>> {
+        Box::pin(self.deliver(address, message))
+    }
+
+    fn retire(&self, address: SocketAddr) {
+        self.pools.retire(address);
+    }
+}
+
+impl fmt::Debug for HttpPeers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("HttpPeers").field("host", &self.host).finish_non_exhaustive()
+    }
+}
