Route a request from arrival to its one end

This one permits, claims, places, dispatches, retries, bills and completes requests along charts/request.yaml; it queues fairly, keeps limits, budgets, poison marks and rating samples, and asserts its invariants. A dispatch carries its permit, which no other module can build.

--- /dev/null
+++ b/crates/route/src/entry.rs
@@ -0,0 +1,157 @@
+//! One request under way and its attempts.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use foxtailhoist_model::AttemptId;
+use foxtailhoist_model::ModelVersion;
+use foxtailhoist_model::Refusal;
+use foxtailhoist_model::Request;
+use foxtailhoist_model::Target;
+use foxtailhoist_model::TaskClass;
+
+use crate::destination::Destination;
+use crate::event::AnswerSummary;
+use crate::life::State;
+use crate::servers::Chosen;
+use crate::servers::Work;
+
+/// Output tokens that are expected of a request that states no bound.
+const DEFAULT_OUTPUT_TOKENS: u32 = 200;
+
+/// A request that has not ended.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) request: Box<Request>,
+    pub(crate) state: State,
+    pub(crate) arrived: Instant,
+    /// Attempts that have not ended.
+    pub(crate) live: Vec<Attempt>,
+    /// Attempts started so far.
+    pub(crate) attempts: u32,
+    pub(crate) retries: u32,
+    /// An attempt that has ended may have run.
+    pub(crate) may_have_run: bool,
+    /// Attempt whose output goes to the caller.
+    pub(crate) delivered: Option<AttemptId>,
+    /// Version of which the caller has part of an answer.
+    pub(crate) resumes: Option<ModelVersion>,
+    /// Tokens that the caller has.
+    pub(crate) delivered_tokens: u32,
+    /// From arrival to the first byte delivered.
+    pub(crate) first_byte: Option<Duration>,
+    /// Servers at which an attempt failed.
+    pub(crate) avoided: Vec<usize>,
+    /// Not before then, after a failure.
+    pub(crate) retry_at: Option<Instant>,
+    pub(crate) whole: Option<Whole>,
+    pub(crate) refusal: Option<Refusal>,
+    /// The session's version could not be kept.
+    pub(crate) session_moved: bool,
+}
+
+/// An attempt under way.
+#[derive(Clone, Debug)]
+pub(crate) struct Attempt {
+    pub(crate) id: AttemptId,
+    pub(crate) destination: Destination,
+    pub(crate) revision: u64,
+    pub(crate) chosen: Chosen,
+    pub(crate) started: Instant,
+    pub(crate) sent: bool,
+    pub(crate) first_byte: Option<Instant>,
+}
+
+/// The whole answer that the caller gets.
+#[derive(Clone, Debug)]
+pub(crate) struct Whole {
+    pub(crate) attempt: Attempt,
+    pub(crate) summary: AnswerSummary,
+}
+
+impl Entry {
+    pub(crate) fn new(request: Box<Request>, state: State, now: Instant) -> Entry {
+        Entry {
+            request,
+            state,
+            arrived: now,
+            live: Vec::new(),
+            attempts: 0,
+            retries: 0,
+            may_have_run: false,
+            delivered: None,
+            resumes: None,
+            delivered_tokens: 0,
+            first_byte: None,
+            avoided: Vec::new(),
+            retry_at: None,
+            whole: None,
+            refusal: None,
+            session_moved: false,
+        }
+    }
+
+    pub(crate) fn attempt(&mut self, id: AttemptId) -> Option<&mut Attempt> {
+        self.live.iter_mut().find(|attempt| attempt.id == id)
+    }
+
+    pub(crate) fn take_attempt(&mut self, id: AttemptId) -> Option<Attempt> {
+        let index = self.live.iter().position(|attempt| attempt.id == id)?;
+        Some(self.live.remove(index))
+    }
+
+    /// Whether it cannot be excluded that the request ran somewhere.
+    pub(crate) fn ran_somewhere(&self) -> bool {
+        self.may_have_run || !self.live.is_empty()
+    }
+
+    pub(crate) fn remaining(&self, now: Instant) -> Duration {
+        self.request.deadline.saturating_duration_since(now)
+    }
+
+    /// Work of the next attempt.
+    pub(crate) fn work(&self) -> Work {
+        match &self.request.target {
+            Target::Chat {
+                prompt_tokens,
+                max_output_tokens,
+                prefix,
+                prefix_tokens,
+                streamed,
+                ..
+            } => Work {
+                prompt_tokens: *prompt_tokens,
+                output_tokens: match *max_output_tokens {
+                    0 => DEFAULT_OUTPUT_TOKENS,
+                    bound => bound,
+                },
+                prefix: Some(*prefix).filter(|_| *prefix_tokens > 0),
+                prefix_tokens: *prefix_tokens,
+                streamed: *streamed,
+            },
+            Target::Service { .. } => Work {
+                prompt_tokens: 0,
+                output_tokens: 0,
+                prefix: None,
+                prefix_tokens: 0,
+                streamed: false,
+            },
+        }
+    }
+
+    /// Task class; `None` for a plain service.
+    pub(crate) fn class(&self) -> Option<&TaskClass> {
+        match &self.request.target {
+            Target::Chat { class, .. } => Some(class),
+            Target::Service { .. } => None,
+        }
+    }
+
+    /// Version that the request's session keeps.
+    pub(crate) fn pinned(&self) -> Option<&ModelVersion> {
+        match &self.request.target {
+            Target::Chat { session: Some(session), .. } => session.version.as_ref(),
+            _ => None,
+        }
+    }
+}
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -25,6 +25,8 @@
 use foxtailhoist_model::Usage;
 use foxtailhoist_model::WorkspaceId;
 
+use crate::permit::Permit;
+
 /// Something that happened to a request or to the world.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -188,6 +190,8 @@
     pub priority: Priority,
     /// Tokens that the caller already has; the engine resumes after them.
     pub resume_after: u32,
+    /// Leave to run the attempt; only the router's checks make one.
+    pub permit: Permit,
 }
 
 /// How a request ended well.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -2,6 +2,27 @@
 //!
 //! The router is a plain state machine. [`event::Event`]s and the present time go in, [`event::Effect`]s come out; it
 //! owns no socket, task, clock or global source of randomness, so production, tests and measurements run the same
-//! code.
+//! code. Each mechanism has a module of its own and can be switched off in [`RouterConfig`], so that a measurement
+//! can show what it is worth.
 
+mod budget;
+mod config;
+mod destination;
+mod entry;
 pub mod event;
+mod life;
+mod limit;
+mod permit;
+mod poison;
+mod queue;
+mod router;
+mod sampling;
+mod servers;
+pub mod session;
+mod stats;
+
+pub use config::Mechanisms;
+pub use config::RouterConfig;
+pub use permit::Permit;
+pub use router::Router;
+pub use stats::Stats;
--- /dev/null
+++ b/crates/route/src/router/retry.rs
@@ -0,0 +1,194 @@
+//! What comes after a failed attempt.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use foxtailhoist_model::AttemptId;
+use foxtailhoist_model::ErrorKind;
+use foxtailhoist_model::Invariant;
+use foxtailhoist_model::Refusal;
+use foxtailhoist_model::RequestId;
+use rand::RngExt;
+
+use super::Router;
+use super::TimerKind;
+use super::arrive::quarantined;
+use super::arrive::stream_broken;
+use crate::entry::Attempt;
+use crate::event::AttemptFailure;
+use crate::event::Effect;
+use crate::event::EvidenceKind;
+use crate::life::State;
+use crate::life::Step;
+use crate::poison::Standing;
+
+const BACKOFF_BASE: Duration = Duration::from_millis(20);
+const BACKOFF_MAX: Duration = Duration::from_secs(1);
+/// Repeats of one request, whatever its budget.
+const MAX_RETRIES: u32 = 3;
+
+impl Router {
+    pub(super) fn failed(
+        &mut self,
+        attempt: AttemptId,
+        failure: AttemptFailure,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some((id, ended)) = self.end_attempt(attempt, now) else {
+            return;
+        };
+        self.blame(id, &ended, failure, now, out);
+        let quarantined_now = self.suspect(id, &ended, failure, now, out);
+        let Some(entry) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if failure != AttemptFailure::SilentConnection {
+            entry.avoided.push(ended.chosen.slot);
+        }
+        let not_run = surely_not_run(&ended, failure);
+        entry.may_have_run |= !not_run;
+        if quarantined_now {
+            self.refuse(id, quarantined(), now, out);
+            return;
+        }
+        if !entry.live.is_empty() || entry.state == State::Billed {
+            return;
+        }
+        if entry.request.at_most_once() && entry.may_have_run {
+            let message =
+                "the request was sent and its answer was lost; ask again with the same key";
+            self.refuse(id, Refusal::new(ErrorKind::OutcomeUnknown, message), now, out);
+            return;
+        }
+        if entry.delivered == Some(ended.id) && entry.delivered_tokens > 0 {
+            entry.resumes = ended.destination.model_version().cloned();
+        }
+        entry.delivered = None;
+        self.retry(id, now, out);
+    }
+
+    pub(super) fn retry_due(&mut self, id: RequestId, now: Instant, out: &mut Vec<Effect>) {
+        let entry = self.requests.get(&id);
+        let due = entry.is_some_and(|entry| {
+            entry.state == State::Queued && entry.retry_at.is_some_and(|at| at <= now)
+        });
+        if due {
+            self.place(id, now, out);
+        }
+    }
+
+    /// Tries again after a pause, or refuses where budget, number or deadline forbid it.
+    fn retry(&mut self, id: RequestId, now: Instant, out: &mut Vec<Effect>) {
+        let Some(entry) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let full_pause = BACKOFF_BASE.saturating_mul(1 << entry.retries.min(6)).min(BACKOFF_MAX);
+        let pause = full_pause.mul_f64(self.rng.random_range(0.5..1.0));
+        let in_time = now + pause < entry.request.deadline;
+        let retries = self.cfg.mechanisms.retries && entry.retries < MAX_RETRIES;
+        if !retries || !in_time || !self.budget.spend(&entry.request.workspace) {
+            let refusal = given_up(entry.resumes.is_some(), entry.may_have_run);
+            self.refuse(id, refusal, now, out);
+            return;
+        }
+        let kept = self.budget.kept();
+        self.invariants.check(Invariant::RetryBudget, kept, || format!("{id:x}"));
+        self.stats.retries += 1;
+        entry.retries += 1;
+        entry.retry_at = Some(now + pause);
+        self.advance(id, Step::AttemptLost, now, out);
+        self.set_timer(now + pause, TimerKind::Retry, id);
+    }
+
+    /// Takes in what the failure says of the server and its version.
+    fn blame(
+        &mut self,
+        id: RequestId,
+        ended: &Attempt,
+        failure: AttemptFailure,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        let slot = ended.chosen.slot;
+        let Some(server) = self.servers.server_mut(slot) else {
+            return;
+        };
+        match failure {
+            AttemptFailure::ServerDied | AttemptFailure::Refused => {
+                let until = server.fail(now);
+                self.set_timer(until, TimerKind::Probe, 0);
+            }
+            AttemptFailure::Rejected | AttemptFailure::TimedOut => {
+                if let Some(lane) = server.lanes.get_mut(&ended.destination) {
+                    lane.limiter.decrease();
+                }
+            }
+            AttemptFailure::SilentConnection | AttemptFailure::WrongAttempt => {
+                let server = server.listed.id.clone();
+                out.push(Effect::RetireConnections(server));
+            }
+            AttemptFailure::ConnectionLost
+            | AttemptFailure::ServerError
+            | AttemptFailure::Cancelled => {}
+        }
+        let by_version = matches!(
+            failure,
+            AttemptFailure::ServerDied | AttemptFailure::ServerError | AttemptFailure::TimedOut
+        );
+        if by_version {
+            self.evidence(id, ended, EvidenceKind::Ended { failed: true }, out);
+        }
+    }
+
+    /// Marks the content of a request whose server died; whether it is quarantined now.
+    fn suspect(
+        &mut self,
+        id: RequestId,
+        ended: &Attempt,
+        failure: AttemptFailure,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        let entry = self.requests.get(&id).filter(|_| ended.sent);
+        let Some(entry) = entry.filter(|_| failure == AttemptFailure::ServerDied) else {
+            return false;
+        };
+        let content = entry.request.fingerprint;
+        match self.poison.died(content, now) {
+            Standing::Suspect => {
+                out.push(Effect::Suspect(content));
+                false
+            }
+            Standing::Quarantined => {
+                out.push(Effect::Quarantine(content));
+                true
+            }
+        }
+    }
+}
+
+/// Whether a failed attempt cannot have run.
+fn surely_not_run(ended: &Attempt, failure: AttemptFailure) -> bool {
+    match failure {
+        AttemptFailure::Refused | AttemptFailure::Rejected => true,
+        AttemptFailure::ServerError | AttemptFailure::WrongAttempt => false,
+        AttemptFailure::ServerDied
+        | AttemptFailure::ConnectionLost
+        | AttemptFailure::SilentConnection
+        | AttemptFailure::TimedOut
+        | AttemptFailure::Cancelled => !ended.sent,
+    }
+}
+
+fn given_up(stream_begun: bool, may_have_run: bool) -> Refusal {
+    if stream_begun {
+        return stream_broken();
+    }
+    let refusal =
+        Refusal::new(ErrorKind::BackendFailed, "the backend server failed; send the request again");
+    if may_have_run {
+        return refusal;
+    }
+    refusal.with_ran(foxtailhoist_model::Ran::NotRun)
+}
--- /dev/null
+++ b/crates/route/src/router/world.rs
@@ -0,0 +1,58 @@
+//! What is known of servers, versions and peers.
+
+use std::time::Instant;
+
+use foxtailhoist_model::Invariant;
+use foxtailhoist_model::Rating;
+
+use super::Router;
+use crate::event::Effect;
+use crate::event::Event;
+use crate::event::Evidence;
+use crate::event::EvidenceKind;
+
+impl Router {
+    /// Takes in an event that belongs to no single request.
+    pub(super) fn take_in(&mut self, event: Event, now: Instant, out: &mut Vec<Effect>) {
+        self.pump_due = !matches!(event, Event::Load(_) | Event::Cache(_) | Event::Rated(_));
+        match event {
+            Event::Configured(configuration) => {
+                let revision = configuration.revision;
+                let taken = self.permissions.configure(configuration);
+                let present = self.permissions.revision();
+                let holds = !taken || present == revision;
+                self.invariants.check(Invariant::RevisionNeverFalls, holds, || {
+                    format!("{present} after {revision}")
+                });
+            }
+            Event::Confirmed(confirmed) => self.permissions.confirm(confirmed),
+            Event::Servers(listed) => self.servers.list(listed),
+            Event::Leaving(server) => {
+                self.servers.leave(&server);
+            }
+            Event::Load(report) => self.servers.report(&report, now),
+            Event::Cache(event) => self.servers.cache(&event, now),
+            Event::Vetoed(model_version) => self.permissions.veto(model_version),
+            Event::VetoCleared(model_version) => self.permissions.clear_veto(&model_version),
+            Event::Quarantined(content) => self.poison.quarantine(content, now),
+            Event::Suspected(content) => self.poison.suspect(content, now),
+            Event::Rated(rating) => self.rated(&rating, out),
+            Event::Hosts { alive } => self.sampling.share_with(alive + 1),
+            Event::Stopping => self.stopping = true,
+            _ => {}
+        }
+    }
+
+    fn rated(&mut self, rating: &Rating, out: &mut Vec<Effect>) {
+        let Some(sample) = self.sampling.take(rating.request) else {
+            return;
+        };
+        self.stats.ratings += 1;
+        out.push(Effect::Evidence(Evidence {
+            model_version: sample.model_version,
+            caller: sample.caller,
+            class: sample.class,
+            kind: EvidenceKind::Rated { acceptable: rating.acceptable },
+        }));
+    }
+}
--- /dev/null
+++ b/crates/route/src/servers/prefixes.rs
@@ -0,0 +1,91 @@
+//! Which servers hold which prompt prefixes, from cache events and from own dispatches.
+//!
+//! The knowledge is late and has gaps, so it only steers; an entry expires when nothing renews it.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use foxtailhoist_model::PrefixHash;
+
+/// Prefixes that are remembered; the one noted first is evicted.
+const MAX_PREFIXES: usize = 8192;
+/// Servers remembered for a prefix.
+const MAX_HOLDERS: usize = 8;
+const HOLD_TTL: Duration = Duration::from_secs(300);
+
+/// Holders of prefixes.
+#[derive(Debug, Default)]
+pub(crate) struct Prefixes {
+    holders: BTreeMap<PrefixHash, Vec<Holder>>,
+    order: VecDeque<PrefixHash>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    slot: usize,
+    tokens: u32,
+    noted: Instant,
+}
+
+impl Prefixes {
+    /// Notes that a server holds a prefix.
+    pub(crate) fn note(&mut self, prefix: PrefixHash, slot: usize, tokens: u32, now: Instant) {
+        if !self.holders.contains_key(&prefix) {
+            if self.order.len() >= MAX_PREFIXES {
+                let oldest = self.order.pop_front();
+                oldest.and_then(|oldest| self.holders.remove(&oldest));
+            }
+            self.order.push_back(prefix);
+        }
+        let holders = self.holders.entry(prefix).or_default();
+        holders.retain(|holder| holder.slot != slot);
+        if holders.len() >= MAX_HOLDERS {
+            holders.remove(0);
+        }
+        holders.push(Holder { slot, tokens, noted: now });
+    }
+
+    /// Notes that a server evicted a prefix.
+    pub(crate) fn forget(&mut self, prefix: PrefixHash, slot: usize) {
+        if let Some(holders) = self.holders.get_mut(&prefix) {
+            holders.retain(|holder| holder.slot != slot);
+        }
+    }
+
+    /// Forgets all that a server held.
+    pub(crate) fn forget_server(&mut self, slot: usize) {
+        for holders in self.holders.values_mut() {
+            holders.retain(|holder| holder.slot != slot);
+        }
+    }
+
+    /// Servers that probably hold a prefix, the latest last.
+    pub(crate) fn holders(
+        &self,
+        prefix: PrefixHash,
+        now: Instant,
+    ) -> impl Iterator<Item = usize> + '_ {
+        let holders = self.holders.get(&prefix).into_iter().flatten();
+        let fresh = move |holder: &&Holder| now.saturating_duration_since(holder.noted) < HOLD_TTL;
+        holders.filter(fresh).map(|holder| holder.slot)
+    }
+
+    /// Tokens of the prefix that a server probably holds.
+    pub(crate) fn tokens(&self, prefix: PrefixHash, slot: usize, now: Instant) -> u32 {
+        let holders = self.holders.get(&prefix).into_iter().flatten();
+        let mut holders = holders.filter(|holder| holder.slot == slot);
+        let fresh = |holder: &Holder| now.saturating_duration_since(holder.noted) < HOLD_TTL;
+        holders.find(|holder| fresh(holder)).map_or(0, |holder| holder.tokens)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.holders.len()
+    }
+
+    /// Most prefixes that are remembered.
+    pub(crate) fn capacity() -> usize {
+        MAX_PREFIXES
+    }
+}
--- /dev/null
+++ b/crates/route/src/servers/speed.rs
@@ -0,0 +1,49 @@
+//! Learned speeds of prefill and decode.
+
+/// Weight of a new sample.
+const SAMPLE_WEIGHT: f64 = 0.1;
+/// Tokens that every prefill is taken to have besides its prompt's.
+const BASE_TOKENS: f64 = 64.0;
+/// Seconds for each prompt token before anything is known.
+const INITIAL_PREFILL: f64 = 1.0 / 8000.0;
+/// Seconds for each generated token before anything is known.
+const INITIAL_DECODE: f64 = 0.02;
+
+/// Moving averages of seconds for each token; `None` until a sample came.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Speed {
+    prefill: Option<f64>,
+    decode: Option<f64>,
+}
+
+impl Speed {
+    /// Takes in a first byte, in seconds, for the prompt tokens that had to be computed before it.
+    pub(crate) fn observe_prefill(&mut self, first_byte: f64, tokens: f64) {
+        let sample = first_byte / (tokens + BASE_TOKENS);
+        self.prefill = Some(average(self.prefill, sample));
+    }
+
+    /// Takes in the time of the whole answer after its first byte, in seconds.
+    pub(crate) fn observe_decode(&mut self, seconds: f64, tokens: f64) {
+        let sample = seconds.max(0.0) / tokens.max(1.0);
+        self.decode = Some(average(self.decode, sample));
+    }
+
+    /// Seconds for a number of prompt tokens, from this speed or else from a more general one.
+    pub(crate) fn prefill(&self, general: &Speed, tokens: f64) -> f64 {
+        let per_token = self.prefill.or(general.prefill).unwrap_or(INITIAL_PREFILL);
+        per_token * (tokens + BASE_TOKENS)
+    }
+
+    /// Seconds for a number of generated tokens, from this speed or else from a more general one.
+    pub(crate) fn decode(&self, general: &Speed, tokens: f64) -> f64 {
+        self.decode.or(general.decode).unwrap_or(INITIAL_DECODE) * tokens
+    }
+}
+
+fn average(present: Option<f64>, sample: f64) -> f64 {
+    match present {
+        Some(present) => present + SAMPLE_WEIGHT * (sample - present),
+        None => sample,
+    }
+}
