Add configuration changes and their adoption

Cause: operators need to propose, approve and apply configuration, and every host has to keep to the newest revision whatever the store shows.

--- /dev/null
+++ b/crates/config/src/adopter/mod.rs
@@ -0,0 +1,301 @@
+//! Keeps a host on the newest configuration.
+//!
+//! A watcher holds a watch on `config/active`; any other host hears of changes from its peers and polls the store
+//! only when neither store nor peers have confirmed its configuration for a while. A configuration comes into force
+//! only when its revision is above the one in force, whatever the store shows, so a store that falls back after an
+//! outage cannot revert a host. A configuration counts as confirmed while the store, or a peer that spoke for it,
+//! showed its revision as the newest within `stale_after`.
+
+mod calls;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::Active;
+use crate::CallId;
+use foxtailhoist_model::Configuration;
+use foxtailhoist_model::Enforcement;
+use foxtailhoist_model::Invariant;
+use foxtailhoist_model::Invariants;
+use foxtailhoist_model::ObjectVersion;
+use foxtailhoist_model::PresetId;
+use foxtailhoist_model::Revision;
+use foxtailhoist_model::StoreOp;
+use foxtailhoist_model::StoreResult;
+
+/// Longest wait of one watch.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Shortest time between two watches, for stores whose watches do not wait.
+const WATCH_SPACING: Duration = Duration::from_millis(200);
+/// A call without a result for this long counts as lost.
+const CALL_TIMEOUT: Duration = Duration::from_secs(25);
+/// Time between polls of a host that is no watcher and that nothing has confirmed.
+const POLL_INTERVAL: Duration = Duration::from_secs(15);
+/// Time for peers to deliver a revision that one of them announced, before the store is asked.
+const PEER_DELIVERY: Duration = Duration::from_secs(2);
+/// First and longest wait after a failed call.
+const BACKOFF_FIRST: Duration = Duration::from_millis(250);
+const BACKOFF_LONGEST: Duration = Duration::from_secs(15);
+/// Spread of the first call of hosts that start together.
+const START_SPREAD: Duration = Duration::from_millis(200);
+/// Wait before a watcher writes an audit record that the changing host may have failed to write.
+const AUDIT_REPAIR_DELAY: Duration = Duration::from_secs(10);
+/// Revisions whose preset is remembered.
+const REVISIONS_REMEMBERED: usize = 64;
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// This host is a watcher of its data centre, or no longer.
+    Watcher(bool),
+    /// A peer delivered a configuration.
+    FromPeer(Arc<Configuration>),
+    /// A peer has this revision in force.
+    PeerRevision(Revision),
+    /// A peer's revision was the store's newest `age` ago.
+    PeerConfirmed { revision: Revision, age: Duration },
+    /// A store call ended.
+    Store { call: CallId, result: StoreResult },
+    /// The time named by [`Adopter::next_wake`] has come.
+    Tick,
+}
+
+/// Something to be done.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    Store {
+        call: CallId,
+        op: StoreOp,
+    },
+    /// Put the configuration in force; its revision is above the one before.
+    Adopt(Arc<Configuration>),
+    /// Whether the configuration in force was confirmed within `stale_after`; sent on change, false at start.
+    Confirmed(bool),
+    /// The store confirmed the revision in force `age` ago: tell the peers.
+    StoreConfirmed {
+        revision: Revision,
+        age: Duration,
+    },
+    /// The store shows a revision below the one in force; it is ignored.
+    StoreFellBack {
+        store: Revision,
+        in_force: Revision,
+    },
+    /// The store's newest configuration cannot be used; the one in force stays.
+    BodyRefused {
+        revision: Revision,
+        reason: String,
+    },
+}
+
+/// Settings of an adopter.
+#[derive(Clone, Copy, Debug)]
+pub struct AdopterConfig {
+    /// Age from which a confirmation no longer counts.
+    pub stale_after: Duration,
+    pub enforcement: Enforcement,
+}
+
+/// State of one host's configuration.
+#[derive(Clone, Debug)]
+pub struct Adopter {
+    cfg: AdopterConfig,
+    rng: ChaCha8Rng,
+    invariants: Invariants,
+    watcher: bool,
+    in_force: Option<Arc<Configuration>>,
+    presets_seen: BTreeMap<Revision, PresetId>,
+    confirmed_at: Option<Instant>,
+    confirmed: bool,
+    pending: Option<Pending>,
+    next_call: CallId,
+    call_at: Option<Instant>,
+    failures: u32,
+    seen: Option<SeenActive>,
+    fell_back: Option<Revision>,
+    repair: Option<Repair>,
+}
+
+/// `config/active` as last read.
+#[derive(Clone, Copy, Debug)]
+struct SeenActive {
+    version: ObjectVersion,
+    revision: Revision,
+}
+
+/// An audit record that may be missing.
+#[derive(Clone, Debug)]
+struct Repair {
+    at: Instant,
+    active: Box<Active>,
+}
+
+#[derive(Clone, Debug)]
+struct Pending {
+    call: CallId,
+    sent: Instant,
+    kind: PendingKind,
+}
+
+#[derive(Clone, Debug)]
+enum PendingKind {
+    Watch,
+    Get,
+    /// Body of an active object that was asked for at `asked`.
+    Body {
+        active: Box<Active>,
+        asked: Instant,
+    },
+    Audit,
+}
+
+impl Default for AdopterConfig {
+    fn default() -> AdopterConfig {
+        AdopterConfig { stale_after: Duration::from_secs(30), enforcement: Enforcement::default() }
+    }
+}
+
+impl Adopter {
+    /// A host that has no configuration yet; its first call is due shortly after `now`.
+    #[must_use]
+    pub fn new(cfg: AdopterConfig, seed: u64, now: Instant) -> Adopter {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let call_at = Some(now + START_SPREAD.mul_f64(rng.random::<f64>()));
+        Adopter {
+            cfg,
+            rng,
+            invariants: Invariants::new(cfg.enforcement),
+            watcher: false,
+            in_force: None,
+            presets_seen: BTreeMap::new(),
+            confirmed_at: None,
+            confirmed: false,
+            pending: None,
+            next_call: 0,
+            call_at,
+            failures: 0,
+            seen: None,
+            fell_back: None,
+            repair: None,
+        }
+    }
+
+    /// Takes one event at `now`.
+    pub fn handle(&mut self, event: Event, now: Instant) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            Event::Watcher(watcher) => self.set_watcher(watcher, now),
+            Event::FromPeer(configuration) => self.adopt(configuration, &mut effects),
+            Event::PeerRevision(revision) => self.expect_revision(revision, now),
+            Event::PeerConfirmed { revision, age } => {
+                if revision > 0 && revision == self.revision() {
+                    self.confirm(now.checked_sub(age));
+                }
+            }
+            Event::Store { call, result } => self.finish_call(call, result, now, &mut effects),
+            Event::Tick => {}
+        }
+        self.expire_call(now);
+        self.start_call(now, &mut effects);
+        self.update_confirmed(now, &mut effects);
+        effects
+    }
+
+    /// Time of the next tick that is needed.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<Instant> {
+        let call_due = match &self.pending {
+            Some(pending) => Some(pending.sent + CALL_TIMEOUT),
+            None => self.call_at,
+        };
+        let stale_at = self
+            .confirmed_at
+            .filter(|_| self.confirmed)
+            .map(|confirmed_at| confirmed_at + self.cfg.stale_after);
+        [call_due, stale_at].into_iter().flatten().min()
+    }
+
+    /// Revision in force, 0 before the first.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.in_force.as_ref().map_or(0, |configuration| configuration.revision)
+    }
+
+    /// Configuration in force.
+    #[must_use]
+    pub fn in_force(&self) -> Option<&Arc<Configuration>> {
+        self.in_force.as_ref()
+    }
+
+    /// Whether the configuration in force was confirmed recently enough.
+    #[must_use]
+    pub fn confirmed(&self) -> bool {
+        self.confirmed
+    }
+
+    #[must_use]
+    pub fn invariants(&self) -> &Invariants {
+        &self.invariants
+    }
+
+    fn set_watcher(&mut self, watcher: bool, now: Instant) {
+        let starts = watcher && !self.watcher;
+        self.watcher = watcher;
+        if starts {
+            self.call_at = Some(now);
+        }
+    }
+
+    fn expect_revision(&mut self, revision: Revision, now: Instant) {
+        if revision <= self.revision() || self.failures > 0 {
+            return;
+        }
+        let spread = PEER_DELIVERY.mul_f64(self.rng.random::<f64>());
+        let ask_at = now + PEER_DELIVERY + spread;
+        self.call_at = Some(self.call_at.map_or(ask_at, |at| at.min(ask_at)));
+    }
+
+    fn adopt(&mut self, configuration: Arc<Configuration>, effects: &mut Vec<Effect>) {
+        let before = self.revision();
+        self.check_preset(configuration.revision, &configuration.preset);
+        if configuration.revision <= before {
+            return;
+        }
+        self.in_force = Some(Arc::clone(&configuration));
+        let after = self.revision();
+        self.invariants.check(Invariant::RevisionNeverFalls, after > before, || {
+            format!("revision {before} was replaced by {after}")
+        });
+        effects.push(Effect::Adopt(configuration));
+    }
+
+    fn check_preset(&mut self, revision: Revision, preset: &PresetId) {
+        let known = self.presets_seen.entry(revision).or_insert_with(|| preset.clone());
+        let same = known == preset;
+        let detail = format!("revision {revision} has presets {known} and {preset}");
+        self.invariants.check(Invariant::OnePresetPerRevision, same, || detail);
+        while self.presets_seen.len() > REVISIONS_REMEMBERED {
+            self.presets_seen.pop_first();
+        }
+    }
+
+    fn confirm(&mut self, at: Option<Instant>) {
+        self.confirmed_at = self.confirmed_at.max(at);
+    }
+
+    fn update_confirmed(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let fresh =
+            self.confirmed_at.is_some_and(|at| now.duration_since(at) < self.cfg.stale_after);
+        let confirmed = fresh && self.in_force.is_some();
+        if confirmed != self.confirmed {
+            self.confirmed = confirmed;
+            effects.push(Effect::Confirmed(confirmed));
+        }
+    }
+}
