--- /dev/null
+++ b/crates/journal/src/cx.rs
@@ -0,0 +1,89 @@
+//! What every part of the journal works with while one event is handled.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use foxtailhoist_model::EntryHostId;
+use foxtailhoist_model::Invariants;
+use foxtailhoist_model::StoreOp;
+use rand_chacha::ChaCha8Rng;
+
+use crate::config::JournalConfig;
+use crate::entry::EntryId;
+use crate::entry::ShardId;
+use crate::event::CallId;
+use crate::event::Effect;
+use crate::gate::StoreGate;
+use crate::message::Verdict;
+use crate::stats::JournalStats;
+
+/// Who waits for an entry's verdict.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Waiter {
+    Own,
+    Peer(EntryHostId),
+}
+
+/// An entry that a shard decided.
+#[derive(Clone, Debug)]
+pub struct Decided {
+    pub id: EntryId,
+    pub verdict: Verdict,
+    pub waiters: Vec<Waiter>,
+}
+
+/// How entries that may wait are gathered for one write.
+#[derive(Clone, Copy, Debug)]
+pub struct Grouping {
+    /// Longest wait of an entry.
+    pub window: Duration,
+    /// Number of entries that are written without a wait.
+    pub batch: usize,
+}
+
+/// Store calls under way and the shards that made them.
+#[derive(Clone, Debug, Default)]
+pub struct CallTable {
+    next: CallId,
+    shards: BTreeMap<CallId, ShardId>,
+}
+
+/// Borrowed state of the journal, the present time and the outputs.
+pub struct Cx<'a> {
+    pub cfg: &'a JournalConfig,
+    pub now: Instant,
+    pub gate: &'a mut StoreGate,
+    pub rng: &'a mut ChaCha8Rng,
+    pub invariants: &'a mut Invariants,
+    pub stats: &'a mut JournalStats,
+    pub calls: &'a mut CallTable,
+    pub effects: &'a mut Vec<Effect>,
+    pub decided: &'a mut Vec<Decided>,
+    pub grouping: Grouping,
+    /// This host is the shard's home.
+    pub is_home: bool,
+}
+
+impl CallTable {
+    /// Shard that made a call, which has ended.
+    pub fn finish(&mut self, call: CallId) -> Option<ShardId> {
+        self.shards.remove(&call)
+    }
+}
+
+impl Cx<'_> {
+    /// Makes a store call for a shard, if the gate admits one now.
+    pub fn call(&mut self, shard: ShardId, op: impl FnOnce() -> StoreOp) -> Option<CallId> {
+        if !self.gate.try_take(self.now) {
+            return None;
+        }
+        let op = op();
+        self.stats.calls.count(&op);
+        self.calls.next += 1;
+        let call = self.calls.next;
+        self.calls.shards.insert(call, shard);
+        self.effects.push(Effect::Store { call, op });
+        Some(call)
+    }
+}
--- /dev/null
+++ b/crates/journal/src/journal.rs
@@ -0,0 +1,322 @@
+//! The state machine: hands each event to the part it concerns and gathers the effects.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use foxtailhoist_model::Bill;
+use foxtailhoist_model::Claim;
+use foxtailhoist_model::ClaimKey;
+use foxtailhoist_model::ClaimOutcome;
+use foxtailhoist_model::ClaimResult;
+use foxtailhoist_model::EntryHostId;
+use foxtailhoist_model::Invariant;
+use foxtailhoist_model::Invariants;
+use foxtailhoist_model::RequestId;
+use foxtailhoist_model::StoreResult;
+use foxtailhoist_model::stable_hash;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::config::JournalConfig;
+use crate::config::OUTCOME_BODY_BYTES;
+use crate::config::OWN_ENTRIES;
+use crate::config::PARKED_ENTRIES;
+use crate::cx::CallTable;
+use crate::cx::Cx;
+use crate::cx::Decided;
+use crate::cx::Grouping;
+use crate::entry::ClaimTag;
+use crate::entry::Entry;
+use crate::entry::EntryId;
+use crate::entry::Seq;
+use crate::entry::ShardId;
+use crate::event::CallId;
+use crate::event::Effect;
+use crate::event::Event;
+use crate::gate::StoreGate;
+use crate::ledger::Retention;
+use crate::outbox::Outbox;
+use crate::own::Origin;
+use crate::own::OwnEntry;
+use crate::own::OwnTable;
+use crate::parked::ParkedTable;
+use crate::places::Places;
+use crate::shard::Shard;
+use crate::stats::JournalStats;
+
+const TAG_SEED: u64 = 0x7a6;
+
+/// Claims and bills of one entry host.
+#[derive(Debug)]
+pub struct Journal {
+    pub(crate) cfg: JournalConfig,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) gate: StoreGate,
+    pub(crate) invariants: Invariants,
+    pub(crate) stats: JournalStats,
+    pub(crate) calls: CallTable,
+    pub(crate) places: Places,
+    pub(crate) shards: Vec<Shard>,
+    pub(crate) own: OwnTable,
+    pub(crate) parked: ParkedTable,
+    /// Granted claims of this host whose outcome is not known.
+    pub(crate) running: BTreeMap<ClaimKey, ClaimTag>,
+    pub(crate) heads: BTreeMap<ShardId, KnownHead>,
+    /// Peers that asked for a shard's head before it was loaded.
+    pub(crate) head_waiters: BTreeMap<ShardId, BTreeSet<EntryHostId>>,
+    pub(crate) outbox: Outbox,
+    pub(crate) effects: Vec<Effect>,
+    pub(crate) decided: Vec<Decided>,
+    pub(crate) stopping: Option<Stopping>,
+    tag_base: u64,
+    next_tag: u64,
+    /// Time of the latest event.
+    last_event: Option<Instant>,
+}
+
+/// End of a shard's log as its home told it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KnownHead {
+    pub head: Option<(Seq, Instant)>,
+    pub asked_at: Option<Instant>,
+}
+
+/// A stop under way.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Stopping {
+    pub deadline: Instant,
+    pub done: bool,
+}
+
+impl Journal {
+    /// Journal that knows no other host yet; `seed` differs between hosts and starts.
+    #[must_use]
+    pub fn new(cfg: JournalConfig, seed: u64) -> Journal {
+        let retention = Retention { claims: cfg.claim_retention, bills: cfg.bill_retention };
+        Journal {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            gate: StoreGate::new(cfg.store_calls_per_second, cfg.store_burst),
+            invariants: Invariants::new(cfg.enforcement),
+            stats: JournalStats::default(),
+            calls: CallTable::default(),
+            places: Places::new(&cfg.host, &cfg.data_centre),
+            shards: (0..cfg.shards).map(|shard| Shard::new(shard, retention)).collect(),
+            own: OwnTable::default(),
+            parked: ParkedTable::default(),
+            running: BTreeMap::new(),
+            heads: BTreeMap::new(),
+            head_waiters: BTreeMap::new(),
+            outbox: Outbox::default(),
+            effects: Vec::new(),
+            decided: Vec::new(),
+            stopping: None,
+            tag_base: stable_hash(TAG_SEED, &[cfg.host.as_bytes(), &cfg.incarnation.to_le_bytes()]),
+            next_tag: 0,
+            last_event: None,
+            cfg,
+        }
+    }
+
+    /// Handles one event.
+    #[must_use]
+    pub fn handle(&mut self, event: Event, now: Instant) -> Vec<Effect> {
+        self.last_event = Some(now);
+        match event {
+            Event::Claim(claim) => self.claim(claim, now),
+            Event::Outcome { key, request, outcome } => self.outcome(key, request, outcome, now),
+            Event::Bill(bill) => self.bill(bill, now),
+            Event::Store { call, result } => self.finish_call(call, &result, now),
+            Event::Message { from, message } => self.receive(from, message, now),
+            Event::SendFailed { to } => self.bypass(&to, now),
+            Event::Hosts(hosts) => {
+                self.places.replace(hosts);
+                self.own.review_all(now);
+                self.parked.review_all(now);
+            }
+            Event::Stop => self.stop(now),
+            Event::Tick { .. } => {}
+        }
+        self.advance(now);
+        self.outbox.flush(&mut self.effects);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// When `Event::Tick` is due.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<Instant> {
+        let now = self.last_event?;
+        let grouping = self.grouping(now);
+        let shards = self.shards.iter().filter_map(|shard| shard.next_wake(grouping));
+        let wants_call = self.shards.iter().any(|shard| shard.wants_call(now, grouping));
+        let gate = wants_call.then(|| self.gate.next_at(now)).flatten();
+        let stop =
+            self.stopping.filter(|stopping| !stopping.done).map(|stopping| stopping.deadline);
+        shards
+            .chain(self.own.next_review())
+            .chain(self.parked.next_review())
+            .chain(stop)
+            .filter(|at| *at > now)
+            .chain(gate)
+            .min()
+    }
+
+    /// Invariants and their violations.
+    #[must_use]
+    pub fn invariants(&self) -> &Invariants {
+        &self.invariants
+    }
+
+    /// Counters.
+    #[must_use]
+    pub fn stats(&self) -> JournalStats {
+        JournalStats {
+            entries_held: self.own.len(),
+            parked: self.parked.len(),
+            pending: self.shards.iter().map(|shard| shard.pending().len()).sum(),
+            ..self.stats
+        }
+    }
+
+    /// Whether another claim or bill can be held; a request that would need one is refused before it runs.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        self.own.len() < OWN_ENTRIES
+    }
+
+    fn claim(&mut self, claim: Claim, now: Instant) {
+        let request = claim.request;
+        let key = claim.key.clone();
+        if !self.has_room() || self.stopping.is_some() {
+            let result = ClaimResult::Unavailable;
+            self.effects.push(Effect::Claimed { request, key, result });
+            return;
+        }
+        let tag = u128::from(self.tag_base) << 64 | u128::from(self.next_tag);
+        self.next_tag += 1;
+        self.hold(Entry::Claim { claim, tag }, Origin::Claim { request, key }, now);
+    }
+
+    fn outcome(&mut self, key: ClaimKey, request: RequestId, outcome: ClaimOutcome, now: Instant) {
+        let Some(tag) = self.running.remove(&key) else {
+            self.effects.push(Effect::OutcomeSafe { request });
+            return;
+        };
+        let outcome = bounded(outcome);
+        self.hold(Entry::Outcome { key, tag, outcome }, Origin::Outcome { request }, now);
+    }
+
+    fn bill(&mut self, bill: Bill, now: Instant) {
+        let request = bill.request;
+        self.hold(Entry::Bill(bill), Origin::Bill { request }, now);
+    }
+
+    /// Takes charge of an entry till it is in the log.
+    pub(crate) fn hold(&mut self, entry: Entry, origin: Origin, now: Instant) {
+        let shard = entry.shard(self.cfg.shards);
+        self.own.insert(OwnEntry::new(entry, shard, origin, now));
+    }
+
+    fn finish_call(&mut self, call: CallId, result: &StoreResult, now: Instant) {
+        let Some(shard) = self.calls.finish(call) else { return };
+        self.gate.finish(result, now, &mut self.rng);
+        let mut head = None;
+        self.with_shard(shard, now, |shard, cx| {
+            let was_loaded = shard.ledger().is_some();
+            shard.finish(call, result, cx);
+            head = shard.ledger().filter(|_| !was_loaded).map(|ledger| ledger.next_seq());
+        });
+        if let Some(head) = head {
+            self.tell_head(shard, head, now);
+        }
+    }
+
+    fn stop(&mut self, now: Instant) {
+        let deadline = now + self.cfg.stop_timeout;
+        self.stopping.get_or_insert(Stopping { deadline, done: false });
+        self.own.review_all(now);
+    }
+
+    /// Carries on with everything that is due.
+    fn advance(&mut self, now: Instant) {
+        loop {
+            self.review_due(now);
+            for shard in 0..self.cfg.shards {
+                self.with_shard(shard, now, Shard::advance);
+            }
+            if self.decided.is_empty() {
+                break;
+            }
+            self.deliver_decided(now);
+        }
+        self.check_bounds();
+        self.finish_stop(now);
+    }
+
+    fn check_bounds(&mut self) {
+        let stats = self.stats();
+        let within = stats.entries_held <= 2 * OWN_ENTRIES && stats.parked <= PARKED_ENTRIES;
+        self.invariants.check(Invariant::TablesBounded, within, || format!("{stats:?}"));
+    }
+
+    fn finish_stop(&mut self, now: Instant) {
+        let Some(stopping) = self.stopping.filter(|stopping| !stopping.done) else { return };
+        let copies_wanted = self.copies_wanted(now);
+        let is_safe = |own: &OwnEntry| copies_wanted > 0 && own.copies() >= copies_wanted;
+        let all_safe = self.own.iter().all(is_safe) && self.stats().pending == 0;
+        if all_safe || now >= stopping.deadline {
+            self.stopping = Some(Stopping { done: true, ..stopping });
+            self.effects.push(Effect::Stopped);
+        }
+    }
+
+    /// How entries are gathered: not at all when no peer can keep them meanwhile.
+    fn grouping(&self, now: Instant) -> Grouping {
+        let may_wait = self.places.can_park(now) && self.stopping.is_none();
+        let window = if may_wait { self.cfg.bill_window } else { Duration::ZERO };
+        Grouping { window, batch: self.cfg.bill_batch }
+    }
+
+    /// Runs a shard's step with the journal's state lent to it.
+    pub(crate) fn with_shard(
+        &mut self,
+        shard: ShardId,
+        now: Instant,
+        step: impl FnOnce(&mut Shard, &mut Cx<'_>),
+    ) {
+        let grouping = self.grouping(now);
+        let mut cx = Cx {
+            cfg: &self.cfg,
+            now,
+            gate: &mut self.gate,
+            rng: &mut self.rng,
+            invariants: &mut self.invariants,
+            stats: &mut self.stats,
+            calls: &mut self.calls,
+            effects: &mut self.effects,
+            decided: &mut self.decided,
+            grouping,
+            is_home: self.places.is_home(shard),
+        };
+        if let Some(shard) = self.shards.get_mut(shard as usize) {
+            step(shard, &mut cx);
+        }
+    }
+
+    /// Whether an entry of this host is known here.
+    #[must_use]
+    pub fn holds(&self, id: EntryId) -> bool {
+        self.own.find(id).is_some()
+    }
+}
+
+fn bounded(outcome: ClaimOutcome) -> ClaimOutcome {
+    match outcome {
+        ClaimOutcome::Ran { status, mut body } => {
+            body.truncate(OUTCOME_BODY_BYTES);
+            ClaimOutcome::Ran { status, body }
+        }
+        ClaimOutcome::NotRun => ClaimOutcome::NotRun,
+    }
+}
--- /dev/null
+++ b/crates/journal/src/ledger.rs
@@ -0,0 +1,337 @@
+//! What one shard's log says: claims and recent bills, folded from its segments in order.
+//!
+//! A ledger is a pure function of the segments below `next_seq`. Positive facts stay true when it falls behind (a bill
+//! that was committed, a key that was claimed), so they may be answered at once; everything else has to be written,
+//! and the conditional create shows whether the ledger was up to date.
+//!
+//! Retention is counted in log time, which each segment carries: the writer adds the time since it learned of the
+//! segment before, on its own monotonic clock and at most `LOG_GAP_LIMIT`. So log time never runs ahead of real time,
+//! needs no synchronised clocks, and hardly moves while the store is down.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use foxtailhoist_model::ClaimOutcome;
+use foxtailhoist_model::ClaimResult;
+use foxtailhoist_model::Invariant;
+use foxtailhoist_model::Invariants;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::config::BILLS_PER_SHARD;
+use crate::config::CLAIMS_PER_SHARD;
+use crate::config::ENTRIES_PER_SEGMENT;
+use crate::config::LOG_GAP_LIMIT;
+use crate::entry::BillHash;
+use crate::entry::ClaimHash;
+use crate::entry::ClaimTag;
+use crate::entry::Entry;
+use crate::entry::Segment;
+use crate::entry::Seq;
+use crate::entry::bill_hash;
+use crate::entry::claim_hash;
+use crate::message::HeldEntry;
+use crate::message::Verdict;
+
+/// How long a ledger keeps what it folded, in log time.
+#[derive(Clone, Copy, Debug)]
+pub struct Retention {
+    pub claims: Duration,
+    pub bills: Duration,
+}
+
+/// A claim that won its key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimRecord {
+    pub tag: ClaimTag,
+    pub content: u64,
+    pub outcome: Option<ClaimOutcome>,
+    /// Log time of the claim, in milliseconds.
+    pub log_time: u64,
+}
+
+/// A bill in a segment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BillRecord {
+    pub id: BillHash,
+    pub seq: Seq,
+    /// Log time of the segment, in milliseconds.
+    pub log_time: u64,
+}
+
+/// What a ledger says about an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    Decided(Verdict),
+    /// The log has to be asked by a write.
+    Write,
+    /// The ledger reaches back less far than the entry: load it from `since` on first.
+    LoadFrom(Seq),
+}
+
+/// Fold of a shard's segments.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    retention: Retention,
+    next_seq: Seq,
+    log_time: u64,
+    learned_at: Option<Instant>,
+    claims: BTreeMap<ClaimHash, ClaimRecord>,
+    claim_order: VecDeque<(u64, ClaimHash)>,
+    bills: BTreeSet<BillHash>,
+    bill_order: VecDeque<BillRecord>,
+    /// Bills of every segment from this one on are known.
+    bills_from: Seq,
+    /// Bills of segments from this one on are kept past their retention.
+    keep_bills_from: Option<Seq>,
+    floor: Seq,
+}
+
+impl ClaimRecord {
+    /// Length of the answer's head that is kept, in bytes.
+    #[must_use]
+    pub fn body_length(&self) -> usize {
+        match &self.outcome {
+            Some(ClaimOutcome::Ran { body, .. }) => body.len(),
+            Some(ClaimOutcome::NotRun) | None => 0,
+        }
+    }
+}
+
+impl Ledger {
+    /// Fold of no segments.
+    #[must_use]
+    pub fn new(retention: Retention) -> Ledger {
+        Ledger {
+            retention,
+            next_seq: 0,
+            log_time: 0,
+            learned_at: None,
+            claims: BTreeMap::new(),
+            claim_order: VecDeque::new(),
+            bills: BTreeSet::new(),
+            bill_order: VecDeque::new(),
+            bills_from: 0,
+            keep_bills_from: None,
+            floor: 0,
+        }
+    }
+
+    /// Fold up to `next_seq`, from a snapshot's parts.
+    #[must_use]
+    pub fn restore(
+        retention: Retention,
+        next_seq: Seq,
+        log_time: u64,
+        bills_from: Seq,
+        claims: Vec<(ClaimHash, ClaimRecord)>,
+        bills: Vec<BillRecord>,
+    ) -> Ledger {
+        let mut claim_order: Vec<(u64, ClaimHash)> =
+            claims.iter().map(|(hash, record)| (record.log_time, *hash)).collect();
+        claim_order.sort_unstable();
+        Ledger {
+            next_seq,
+            log_time,
+            bills_from,
+            claims: claims.into_iter().collect(),
+            claim_order: claim_order.into(),
+            bills: bills.iter().map(|bill| bill.id).collect(),
+            bill_order: bills.into(),
+            ..Ledger::new(retention)
+        }
+    }
+
+    /// Place of the first segment that is not folded in.
+    #[must_use]
+    pub fn next_seq(&self) -> Seq {
+        self.next_seq
+    }
+
+    /// Log time of the last segment, in milliseconds.
+    #[must_use]
+    pub fn log_time(&self) -> u64 {
+        self.log_time
+    }
+
+    /// Bills of every segment from this one on are known.
+    #[must_use]
+    pub fn bills_from(&self) -> Seq {
+        self.bills_from
+    }
+
+    /// Highest floor that was read.
+    #[must_use]
+    pub fn floor(&self) -> Seq {
+        self.floor
+    }
+
+    /// Claims that are kept.
+    pub fn claims(&self) -> impl Iterator<Item = (ClaimHash, &ClaimRecord)> {
+        self.claims.iter().map(|(hash, record)| (*hash, record))
+    }
+
+    /// Bills that are kept, oldest first.
+    pub fn bills(&self) -> impl Iterator<Item = &BillRecord> {
+        self.bill_order.iter()
+    }
+
+    /// Takes note of a floor that was read.
+    pub fn raise_floor(&mut self, floor: Seq) {
+        self.floor = self.floor.max(floor);
+    }
+
+    /// Takes note that the log was read up to `next_seq` by now.
+    pub fn learn(&mut self, now: Instant) {
+        self.learned_at = Some(now);
+    }
+
+    /// Log time for a segment that is written now.
+    #[must_use]
+    pub fn log_time_at(&self, now: Instant) -> u64 {
+        let gap = self.learned_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.log_time + gap.min(LOG_GAP_LIMIT).as_millis() as u64
+    }
+
+    /// What the log says about an entry.
+    #[must_use]
+    pub fn decide(&self, held: &HeldEntry) -> Decision {
+        match &held.entry {
+            Entry::Claim { claim, tag } => {
+                self.decide_claim(claim_hash(&claim.key), claim.content, *tag)
+            }
+            Entry::Outcome { key, tag, .. } => {
+                let record = self.claims.get(&claim_hash(key));
+                let recorded =
+                    record.is_some_and(|record| record.tag == *tag && record.outcome.is_some());
+                if recorded { Decision::Decided(Verdict::Committed) } else { Decision::Write }
+            }
+            Entry::Bill(bill) if self.bills.contains(&bill_hash(bill)) => {
+                Decision::Decided(Verdict::Committed)
+            }
+            Entry::Bill(_) if held.since >= self.bills_from => Decision::Write,
+            Entry::Bill(_) if held.since >= self.floor => Decision::LoadFrom(held.since),
+            Entry::Bill(_) => Decision::Decided(Verdict::Expired),
+        }
+    }
+
+    /// Folds in the segment at `next_seq`.
+    pub fn absorb(&mut self, segment: &Segment, now: Instant, invariants: &mut Invariants) {
+        let seq = self.next_seq;
+        self.next_seq += 1;
+        self.log_time = self.log_time.max(segment.log_time);
+        self.learned_at = Some(now);
+        for entry in &segment.entries {
+            self.absorb_entry(seq, entry, invariants);
+        }
+        self.evict();
+        let (claims, bills) = (self.claims.len(), self.bills.len());
+        let within = claims <= CLAIMS_PER_SHARD + ENTRIES_PER_SEGMENT && bills <= BILLS_PER_SHARD;
+        invariants.check(Invariant::TablesBounded, within, || {
+            format!("a shard keeps {claims} claims and {bills} bills")
+        });
+    }
+
+    /// Adds the bills of segments from `from` on that are below `next_seq`, and keeps them past their retention.
+    pub fn extend_bills(&mut self, from: Seq, segments: &[(Seq, Segment)]) {
+        let wanted = from..self.next_seq;
+        for (seq, segment) in segments.iter().filter(|(seq, _)| wanted.contains(seq)) {
+            for entry in &segment.entries {
+                if let Entry::Bill(bill) = entry {
+                    self.insert_bill(*seq, segment.log_time, bill_hash(bill));
+                }
+            }
+        }
+        self.bill_order.make_contiguous().sort_by_key(|bill| bill.seq);
+        self.bills_from = self.bills_from.min(from);
+        self.keep_bills_from = Some(from);
+    }
+
+    /// Lets the bills that `extend_bills` added pass at the next segment.
+    pub fn end_extension(&mut self) {
+        self.keep_bills_from = None;
+    }
+
+    fn decide_claim(&self, hash: ClaimHash, content: u64, tag: ClaimTag) -> Decision {
+        let Some(record) = self.claims.get(&hash) else {
+            if self.claims.len() >= CLAIMS_PER_SHARD {
+                return Decision::Decided(Verdict::Claim(ClaimResult::Unavailable));
+            }
+            return Decision::Write;
+        };
+        let result = match &record.outcome {
+            None if record.tag == tag => ClaimResult::Granted,
+            Some(outcome) if record.tag == tag => ClaimResult::Recorded(outcome.clone()),
+            Some(ClaimOutcome::NotRun) => return Decision::Write,
+            _ if record.content != content => ClaimResult::ContentDiffers,
+            Some(outcome) => ClaimResult::Recorded(outcome.clone()),
+            None => ClaimResult::Undecided,
+        };
+        Decision::Decided(Verdict::Claim(result))
+    }
+
+    fn absorb_entry(&mut self, seq: Seq, entry: &Entry, invariants: &mut Invariants) {
+        match entry {
+            Entry::Claim { claim, tag } => {
+                let hash = claim_hash(&claim.key);
+                let free = self
+                    .claims
+                    .get(&hash)
+                    .is_none_or(|record| record.outcome == Some(ClaimOutcome::NotRun));
+                invariants.check(Invariant::AtMostOneRunPerKey, free, || {
+                    format!("segment {seq} claims {:?} a second time", claim.key)
+                });
+                let record = ClaimRecord {
+                    tag: *tag,
+                    content: claim.content,
+                    outcome: None,
+                    log_time: self.log_time,
+                };
+                self.claims.insert(hash, record);
+                self.claim_order.push_back((self.log_time, hash));
+            }
+            Entry::Outcome { key, tag, outcome } => {
+                let record = self.claims.get_mut(&claim_hash(key));
+                if let Some(record) = record.filter(|record| record.tag == *tag) {
+                    record.outcome.get_or_insert_with(|| outcome.clone());
+                }
+            }
+            Entry::Bill(bill) => {
+                let hash = bill_hash(bill);
+                invariants.check(Invariant::OneBillPerAnswer, !self.bills.contains(&hash), || {
+                    format!("segment {seq} bills request {} a second time", bill.request)
+                });
+                self.insert_bill(seq, self.log_time, hash);
+            }
+        }
+    }
+
+    fn insert_bill(&mut self, seq: Seq, log_time: u64, id: BillHash) {
+        if self.bills.insert(id) {
+            self.bill_order.push_back(BillRecord { id, seq, log_time });
+        }
+    }
+
+    /// Evicts claims and bills that are past their retention.
+    fn evict(&mut self) {
+        let oldest_claim = self.log_time.saturating_sub(self.retention.claims.as_millis() as u64);
+        while let Some((log_time, hash)) =
+            self.claim_order.pop_front_if(|(at, _)| *at < oldest_claim)
+        {
+            let same = self.claims.get(&hash).is_some_and(|record| record.log_time == log_time);
+            if same {
+                self.claims.remove(&hash);
+            }
+        }
+        let oldest_bill = self.log_time.saturating_sub(self.retention.bills.as_millis() as u64);
+        let keep_from = self.keep_bills_from.unwrap_or(Seq::MAX);
+        let expired = |bill: &mut BillRecord| bill.log_time < oldest_bill && bill.seq < keep_from;
+        while let Some(bill) = self.bill_order.pop_front_if(expired) {
+            self.bills.remove(&bill.id);
+            self.bills_from = self.bills_from.max(bill.seq + 1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/journal/src/outbox.rs
@@ -0,0 +1,69 @@
+//! Messages to peers, gathered while one event is handled and sent in bounded batches.
+
+use std::collections::BTreeMap;
+
+use foxtailhoist_model::EntryHostId;
+
+use crate::config::BATCH_ENTRIES;
+use crate::entry::EntryId;
+use crate::event::Effect;
+use crate::message::EntryResult;
+use crate::message::HeldEntry;
+use crate::message::JournalMessage;
+
+/// What is to be sent, by receiver.
+#[derive(Clone, Debug, Default)]
+pub struct Outbox {
+    letters: BTreeMap<EntryHostId, Letters>,
+}
+
+/// What one receiver gets.
+#[derive(Clone, Debug, Default)]
+pub struct Letters {
+    pub append: Vec<HeldEntry>,
+    pub accepted: Vec<EntryId>,
+    pub declined: Vec<EntryId>,
+    pub appended: Vec<EntryResult>,
+    pub park: Vec<HeldEntry>,
+    pub parked: Vec<EntryId>,
+    pub release: Vec<EntryId>,
+    pub single: Vec<JournalMessage>,
+}
+
+impl Outbox {
+    /// What a receiver gets.
+    pub fn to(&mut self, host: &EntryHostId) -> &mut Letters {
+        self.letters.entry(host.clone()).or_default()
+    }
+
+    /// Empties the outbox into effects.
+    pub fn flush(&mut self, effects: &mut Vec<Effect>) {
+        for (to, letters) in std::mem::take(&mut self.letters) {
+            for message in letters.into_messages() {
+                effects.push(Effect::Send { to: to.clone(), message });
+            }
+        }
+    }
+}
+
+impl Letters {
+    fn into_messages(self) -> Vec<JournalMessage> {
+        let mut messages = self.single;
+        messages.extend(batches(self.append).map(|entries| JournalMessage::Append { entries }));
+        messages.extend(batches(self.park).map(|entries| JournalMessage::Park { entries }));
+        messages.extend(batches(self.accepted).map(|ids| JournalMessage::Accepted { ids }));
+        messages.extend(batches(self.declined).map(|ids| JournalMessage::Declined { ids }));
+        messages.extend(batches(self.appended).map(|results| JournalMessage::Appended { results }));
+        messages.extend(batches(self.parked).map(|ids| JournalMessage::Parked { ids }));
+        messages.extend(batches(self.release).map(|ids| JournalMessage::Release { ids }));
+        messages
+    }
+}
+
+fn batches<T>(items: Vec<T>) -> impl Iterator<Item = Vec<T>> {
+    let mut rest = items.into_iter();
+    std::iter::from_fn(move || {
+        let batch: Vec<T> = rest.by_ref().take(BATCH_ENTRIES).collect();
+        (!batch.is_empty()).then_some(batch)
+    })
+}
--- /dev/null
+++ b/crates/journal/src/pending.rs
@@ -0,0 +1,86 @@
+//! Entries that wait in a shard's writer, in order of arrival.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use crate::cx::Waiter;
+use crate::entry::EntryId;
+use crate::message::HeldEntry;
+
+/// An entry that is not decided.
+#[derive(Clone, Debug)]
+pub struct PendingEntry {
+    pub held: HeldEntry,
+    pub waiters: BTreeSet<Waiter>,
+    pub at: Instant,
+    arrival: u64,
+}
+
+/// Entries by id and by arrival.
+#[derive(Clone, Debug, Default)]
+pub struct Pending {
+    entries: BTreeMap<EntryId, PendingEntry>,
+    arrivals: BTreeMap<u64, EntryId>,
+    next_arrival: u64,
+    urgent: usize,
+}
+
+impl Pending {
+    /// Adds an entry, or a waiter to one that is there.
+    pub fn add(&mut self, held: HeldEntry, waiter: Waiter, now: Instant) {
+        let id = held.entry.id();
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.held.since = entry.held.since.max(held.since);
+            entry.waiters.insert(waiter);
+            return;
+        }
+        self.urgent += usize::from(held.entry.is_urgent());
+        let arrival = self.next_arrival;
+        self.next_arrival += 1;
+        self.arrivals.insert(arrival, id);
+        let waiters = BTreeSet::from([waiter]);
+        self.entries.insert(id, PendingEntry { held, waiters, at: now, arrival });
+    }
+
+    /// Removes an entry.
+    pub fn remove(&mut self, id: EntryId) -> Option<PendingEntry> {
+        let entry = self.entries.remove(&id)?;
+        self.arrivals.remove(&entry.arrival);
+        self.urgent -= usize::from(entry.held.entry.is_urgent());
+        Some(entry)
+    }
+
+    #[must_use]
+    pub fn find(&self, id: EntryId) -> Option<&PendingEntry> {
+        self.entries.get(&id)
+    }
+
+    /// Ids in order of arrival.
+    pub fn ids(&self) -> impl Iterator<Item = EntryId> {
+        self.arrivals.values().copied()
+    }
+
+    /// Arrival of the oldest entry.
+    #[must_use]
+    pub fn oldest(&self) -> Option<Instant> {
+        let id = self.arrivals.values().next()?;
+        self.entries.get(id).map(|entry| entry.at)
+    }
+
+    /// Whether a request waits for an entry's commit.
+    #[must_use]
+    pub fn has_urgent(&self) -> bool {
+        self.urgent > 0
+    }
+
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/journal/src/serving.rs
@@ -0,0 +1,153 @@
+//! What the journal does for its peers: commits for them where it is home, keeps entries, answers.
+
+use std::time::Instant;
+
+use foxtailhoist_model::EntryHostId;
+
+use crate::cx::Waiter;
+use crate::entry::EntryId;
+use crate::entry::Seq;
+use crate::entry::ShardId;
+use crate::journal::Journal;
+use crate::journal::KnownHead;
+use crate::message::EntryResult;
+use crate::message::HeldEntry;
+use crate::message::JournalMessage;
+use crate::own::Origin;
+use crate::own::OwnEntry;
+use crate::own::Route;
+
+impl Journal {
+    pub(crate) fn receive(&mut self, from: EntryHostId, message: JournalMessage, now: Instant) {
+        match message {
+            JournalMessage::Append { entries } => self.append(&from, entries, now),
+            JournalMessage::Accepted { ids } => self.accepted(&from, &ids, now),
+            JournalMessage::Declined { ids } => self.declined(&from, &ids, now),
+            JournalMessage::Appended { results } => {
+                for result in results {
+                    self.settle(result.id, result.verdict, now);
+                }
+            }
+            JournalMessage::HeadQuery { shard } => self.answer_head_query(&from, shard),
+            JournalMessage::Head { shard, head } => self.learn_head(shard, head, now),
+            JournalMessage::Park { entries } => self.park(&from, entries, now),
+            JournalMessage::Parked { ids } => self.parked(&from, &ids, now),
+            JournalMessage::Release { ids } => {
+                ids.into_iter().for_each(|id| self.parked.remove(id))
+            }
+        }
+    }
+
+    /// Takes over parked entries whose owner is gone or has taken long.
+    pub(crate) fn review_parked(&mut self, id: EntryId, now: Instant) {
+        let Some(parked) = self.parked.find(id) else { return };
+        let owner_gone = !self.places.is_alive(&parked.owner);
+        let adopt = owner_gone || self.parked.is_overdue(id, now);
+        let held = parked.held.clone();
+        self.parked.review_at(id, now + self.cfg.adopt_after);
+        if !adopt {
+            return;
+        }
+        let shard = held.entry.shard(self.cfg.shards);
+        let mut own = OwnEntry::new(held.entry, shard, Origin::Unattended, now);
+        own.since = Some(held.since);
+        self.own.insert(own);
+    }
+
+    /// Tells whoever waits what was decided.
+    pub(crate) fn deliver_decided(&mut self, now: Instant) {
+        for decided in std::mem::take(&mut self.decided) {
+            for waiter in decided.waiters {
+                match waiter {
+                    Waiter::Own => self.settle(decided.id, decided.verdict.clone(), now),
+                    Waiter::Peer(host) => {
+                        let result =
+                            EntryResult { id: decided.id, verdict: decided.verdict.clone() };
+                        self.outbox.to(&host).appended.push(result);
+                    }
+                }
+            }
+        }
+    }
+
+    fn append(&mut self, from: &EntryHostId, entries: Vec<HeldEntry>, now: Instant) {
+        for held in entries {
+            let id = held.entry.id();
+            let shard = held.entry.shard(self.cfg.shards);
+            let has_room = self.shards.get(shard as usize).is_some_and(|shard| shard.has_room());
+            if !has_room || self.gate.is_failing() || self.stopping.is_some() {
+                self.outbox.to(from).declined.push(id);
+                continue;
+            }
+            self.outbox.to(from).accepted.push(id);
+            let waiter = Waiter::Peer(from.clone());
+            self.with_shard(shard, now, |shard, cx| shard.add(held, waiter, cx));
+        }
+    }
+
+    fn accepted(&mut self, from: &EntryHostId, ids: &[EntryId], now: Instant) {
+        for id in ids {
+            let Some(own) = self.own.find_mut(*id) else { continue };
+            if let Route::Home { home, accepted, .. } = &mut own.route {
+                *accepted |= home == from;
+            }
+            self.own.review_at(*id, now);
+        }
+    }
+
+    fn declined(&mut self, from: &EntryHostId, ids: &[EntryId], now: Instant) {
+        self.places.bypass(from, now);
+        for id in ids {
+            self.own.review_at(*id, now);
+        }
+    }
+
+    fn answer_head_query(&mut self, from: &EntryHostId, shard: ShardId) {
+        let Some(state) = self.shards.get_mut(shard as usize) else { return };
+        match state.ledger() {
+            Some(ledger) => {
+                let head = ledger.next_seq();
+                self.outbox.to(from).single.push(JournalMessage::Head { shard, head });
+            }
+            None => {
+                state.want();
+                self.head_waiters.entry(shard).or_default().insert(from.clone());
+            }
+        }
+    }
+
+    /// Answers those who waited for the shard to be loaded here.
+    pub(crate) fn tell_head(&mut self, shard: ShardId, head: Seq, now: Instant) {
+        for host in self.head_waiters.remove(&shard).unwrap_or_default() {
+            self.outbox.to(&host).single.push(JournalMessage::Head { shard, head });
+        }
+        self.own.review_waiting(shard, now);
+    }
+
+    fn learn_head(&mut self, shard: ShardId, head: Seq, now: Instant) {
+        self.heads.insert(shard, KnownHead { head: Some((head, now)), asked_at: None });
+        self.own.review_waiting(shard, now);
+    }
+
+    fn park(&mut self, from: &EntryHostId, entries: Vec<HeldEntry>, now: Instant) {
+        for held in entries {
+            let id = held.entry.id();
+            let review_at = now + self.cfg.adopt_after;
+            if self.stopping.is_none() && self.parked.insert(held, from.clone(), review_at) {
+                self.outbox.to(from).parked.push(id);
+            }
+        }
+    }
+
+    fn parked(&mut self, from: &EntryHostId, ids: &[EntryId], now: Instant) {
+        for id in ids {
+            match self.own.find_mut(*id) {
+                Some(own) => {
+                    own.holders.insert(from.clone());
+                    self.own.review_at(*id, now);
+                }
+                None => self.outbox.to(from).release.push(*id),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/journal/src/shard.rs
@@ -0,0 +1,322 @@
+//! One shard: loads its ledger when something waits, and writes what waits in groups, one write at a time.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use foxtailhoist_model::StoreResult;
+use rand::RngExt;
+
+use crate::attempt::Attempt;
+use crate::attempt::AttemptEnd;
+use crate::config::ENTRIES_PER_SEGMENT;
+use crate::config::PENDING_PER_SHARD;
+use crate::config::SEGMENT_BYTES;
+use crate::config::WRITE_INTERVAL;
+use crate::cx::Cx;
+use crate::cx::Decided;
+use crate::cx::Grouping;
+use crate::cx::Waiter;
+use crate::entry::ClaimHash;
+use crate::entry::Entry;
+use crate::entry::EntryId;
+use crate::entry::Segment;
+use crate::entry::Seq;
+use crate::entry::ShardId;
+use crate::entry::Writer;
+use crate::entry::claim_hash;
+use crate::event::CallId;
+use crate::ledger::Decision;
+use crate::ledger::Ledger;
+use crate::ledger::Retention;
+use crate::load::Load;
+use crate::message::HeldEntry;
+use crate::message::Verdict;
+use crate::pending::Pending;
+use crate::upkeep::Upkeep;
+
+/// State of one shard on this host.
+#[derive(Clone, Debug)]
+pub struct Shard {
+    id: ShardId,
+    retention: Retention,
+    phase: Phase,
+    /// `None` until the first load.
+    ledger: Option<Ledger>,
+    pending: Pending,
+    upkeep: Upkeep,
+    wanted: bool,
+    last_write: Option<Instant>,
+    /// No segment from the ledger's end on existed at this time.
+    end_known_at: Option<Instant>,
+}
+
+#[derive(Clone, Debug)]
+enum Phase {
+    Unloaded,
+    Loading(Box<Load>),
+    Ready,
+    Writing(Box<Attempt>),
+}
+
+/// What a write would hold.
+enum Group {
+    Nothing,
+    LoadFrom(Seq),
+    Entries(Vec<EntryId>),
+}
+
+impl Shard {
+    #[must_use]
+    pub fn new(id: ShardId, retention: Retention) -> Shard {
+        Shard {
+            id,
+            retention,
+            phase: Phase::Unloaded,
+            ledger: None,
+            pending: Pending::default(),
+            upkeep: Upkeep::new(id),
+            wanted: false,
+            last_write: None,
+            end_known_at: None,
+        }
+    }
+
+    /// Fold of the log, once loaded.
+    #[must_use]
+    pub fn ledger(&self) -> Option<&Ledger> {
+        self.ledger.as_ref()
+    }
+
+    /// Entries that wait.
+    #[must_use]
+    pub fn pending(&self) -> &Pending {
+        &self.pending
+    }
+
+    /// Whether another entry can be taken.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        self.pending.len() < PENDING_PER_SHARD
+    }
+
+    /// Asks for the ledger to be loaded.
+    pub fn want(&mut self) {
+        self.wanted = true;
+    }
+
+    /// Takes an entry to be committed.
+    pub fn add(&mut self, held: HeldEntry, waiter: Waiter, cx: &mut Cx<'_>) {
+        let decision = self.ledger.as_ref().map(|ledger| ledger.decide(&held));
+        let id = held.entry.id();
+        let in_flight = self.pending.find(id).is_some();
+        match decision {
+            Some(Decision::Decided(verdict)) if !in_flight => {
+                cx.decided.push(Decided { id, verdict, waiters: vec![waiter] });
+            }
+            _ => self.pending.add(held, waiter, cx.now),
+        }
+    }
+
+    /// Removes an entry that is in no write under way; false when it may be written.
+    pub fn withdraw(&mut self, id: EntryId) -> bool {
+        let in_flight = match &self.phase {
+            Phase::Writing(attempt) => attempt.ids().contains(&id),
+            Phase::Unloaded | Phase::Loading(_) | Phase::Ready => false,
+        };
+        let shared = self.pending.find(id).is_some_and(|entry| entry.waiters.len() > 1);
+        if in_flight || shared {
+            return false;
+        }
+        self.pending.remove(id).is_some()
+    }
+
+    /// Starts whatever is due.
+    pub fn advance(&mut self, cx: &mut Cx<'_>) {
+        if matches!(self.phase, Phase::Unloaded) && self.is_wanted() {
+            cx.stats.loads += 1;
+            self.phase = Phase::Loading(Box::new(Load::new(self.id, self.retention, None)));
+        }
+        let is_due = self.due_at(cx.grouping).is_some_and(|at| at <= cx.now);
+        if matches!(self.phase, Phase::Ready) && is_due {
+            self.start_write(cx);
+        }
+        match &mut self.phase {
+            Phase::Loading(load) => load.advance(cx),
+            Phase::Writing(attempt) => attempt.advance(cx),
+            Phase::Unloaded | Phase::Ready => {}
+        }
+        if let (Some(ledger), Phase::Ready | Phase::Writing(_)) = (&self.ledger, &self.phase) {
+            self.upkeep.advance(ledger, cx);
+        }
+    }
+
+    /// Takes the result of a call.
+    pub fn finish(&mut self, call: CallId, result: &StoreResult, cx: &mut Cx<'_>) {
+        let is_fresh = self.is_fresh(cx);
+        let floor = self.upkeep.finish(call, result, cx);
+        if let (Some(floor), Some(ledger)) = (floor, &mut self.ledger) {
+            ledger.raise_floor(floor);
+        }
+        match &mut self.phase {
+            Phase::Loading(load) => {
+                if let Some(loaded) = load.finish(call, result, cx.now, cx.invariants) {
+                    self.upkeep.found(loaded.snapshot, loaded.snapshot_parts);
+                    self.ledger = Some(loaded.ledger);
+                    self.end_known_at = None;
+                    self.phase = Phase::Ready;
+                    self.decide_pending(cx);
+                }
+            }
+            Phase::Writing(attempt) => {
+                if let Some(end) = attempt.finish(call, result, cx.now, is_fresh) {
+                    self.end_attempt(end, cx);
+                }
+            }
+            Phase::Unloaded | Phase::Ready => {}
+        }
+    }
+
+    /// When something is due; `None` when only a result or a new entry can change anything.
+    #[must_use]
+    pub fn next_wake(&self, grouping: Grouping) -> Option<Instant> {
+        let write = match &self.phase {
+            Phase::Loading(load) => load.retry_at(),
+            Phase::Writing(attempt) => attempt.retry_at(),
+            Phase::Ready => self.due_at(grouping),
+            Phase::Unloaded => None,
+        };
+        write.into_iter().chain(self.upkeep.next_wake()).min()
+    }
+
+    /// Whether a call is to be made as soon as the gate admits one.
+    #[must_use]
+    pub fn wants_call(&self, now: Instant, grouping: Grouping) -> bool {
+        let write = match &self.phase {
+            Phase::Unloaded => self.is_wanted(),
+            Phase::Loading(load) => load.wants_call(now),
+            Phase::Writing(attempt) => attempt.wants_call(now),
+            Phase::Ready => self.due_at(grouping).is_some_and(|at| at <= now),
+        };
+        write || self.upkeep.wants_call(now)
+    }
+
+    fn is_wanted(&self) -> bool {
+        self.wanted || !self.pending.is_empty()
+    }
+
+    fn due_at(&self, grouping: Grouping) -> Option<Instant> {
+        let oldest = self.pending.oldest()?;
+        let at_once = self.pending.has_urgent() || self.pending.len() >= grouping.batch;
+        let due = if at_once { oldest } else { oldest + grouping.window };
+        Some(self.last_write.map_or(due, |at| due.max(at + WRITE_INTERVAL)))
+    }
+
+    /// Whether a segment at the ledger's end can't have been deleted: its age is far below the retention.
+    fn is_fresh(&self, cx: &Cx<'_>) -> bool {
+        self.end_known_at
+            .is_some_and(|at| cx.now.saturating_duration_since(at) < cx.cfg.fresh_bound)
+    }
+
+    fn start_write(&mut self, cx: &mut Cx<'_>) {
+        self.decide_pending(cx);
+        match self.group() {
+            Group::Nothing => {}
+            Group::LoadFrom(seq) => {
+                cx.stats.loads += 1;
+                self.phase =
+                    Phase::Loading(Box::new(Load::new(self.id, self.retention, Some(seq))));
+            }
+            Group::Entries(ids) => {
+                let Some(attempt) = self.attempt(ids, cx) else { return };
+                self.last_write = Some(cx.now);
+                self.phase = Phase::Writing(Box::new(attempt));
+            }
+        }
+    }
+
+    fn attempt(&self, ids: Vec<EntryId>, cx: &mut Cx<'_>) -> Option<Attempt> {
+        let ledger = self.ledger.as_ref()?;
+        let writer = Writer {
+            host: cx.cfg.host.clone(),
+            incarnation: cx.cfg.incarnation,
+            nonce: cx.rng.random(),
+        };
+        let entry_of = |id: &EntryId| self.pending.find(*id).map(|entry| entry.held.entry.clone());
+        let entries = ids.iter().filter_map(entry_of).collect();
+        let segment = Segment { writer, log_time: ledger.log_time_at(cx.now), entries };
+        Some(Attempt::new(self.id, ledger.next_seq(), segment, ids))
+    }
+
+    /// Entries for the next segment: the first claim on a key only, since the second depends on it.
+    fn group(&self) -> Group {
+        let Some(ledger) = &self.ledger else { return Group::Nothing };
+        let mut ids = Vec::new();
+        let mut bytes = 0;
+        let mut keys: BTreeSet<ClaimHash> = BTreeSet::new();
+        for id in self.pending.ids() {
+            let Some(entry) = self.pending.find(id) else { continue };
+            if let Decision::LoadFrom(seq) = ledger.decide(&entry.held) {
+                return Group::LoadFrom(seq);
+            }
+            let is_first = match &entry.held.entry {
+                Entry::Claim { claim, .. } => keys.insert(claim_hash(&claim.key)),
+                Entry::Outcome { key, .. } => keys.insert(claim_hash(key)),
+                Entry::Bill(_) => true,
+            };
+            bytes += entry.held.entry.encoded_estimate();
+            if ids.len() >= ENTRIES_PER_SEGMENT || bytes > SEGMENT_BYTES {
+                break;
+            }
+            if is_first {
+                ids.push(id);
+            }
+        }
+        if ids.is_empty() { Group::Nothing } else { Group::Entries(ids) }
+    }
+
+    fn end_attempt(&mut self, end: AttemptEnd, cx: &mut Cx<'_>) {
+        let phase = std::mem::replace(&mut self.phase, Phase::Ready);
+        let (Phase::Writing(attempt), Some(ledger)) = (phase, &mut self.ledger) else { return };
+        match end {
+            AttemptEnd::Found { segments, floor } => {
+                ledger.raise_floor(floor.unwrap_or_default());
+                for segment in &segments {
+                    ledger.absorb(segment, cx.now, cx.invariants);
+                }
+                if segments.first().is_some_and(|segment| attempt.is_own(segment)) {
+                    ledger.end_extension();
+                    self.end_known_at = attempt.sent_at();
+                    cx.stats.segments += 1;
+                    cx.stats.entries_committed += attempt.ids().len() as u64;
+                } else {
+                    cx.stats.collisions += 1;
+                    self.last_write = None;
+                }
+                self.decide_pending(cx);
+            }
+            AttemptEnd::NotWritten => {}
+            AttemptEnd::Void { floor } => {
+                ledger.raise_floor(floor.unwrap_or_default());
+                cx.stats.void_creates += 1;
+                self.end_known_at = None;
+                self.phase = Phase::Unloaded;
+            }
+        }
+    }
+
+    /// Answers the waiting entries that the ledger decides.
+    fn decide_pending(&mut self, cx: &mut Cx<'_>) {
+        let Some(ledger) = &self.ledger else { return };
+        let ids: Vec<EntryId> = self.pending.ids().collect();
+        for id in ids {
+            let Some(entry) = self.pending.find(id) else { continue };
+            let Decision::Decided(verdict) = ledger.decide(&entry.held) else { continue };
+            let Some(entry) = self.pending.remove(id) else { continue };
+            if verdict == Verdict::Expired {
+                cx.stats.expired += 1;
+            }
+            let waiters = entry.waiters.into_iter().collect();
+            cx.decided.push(Decided { id, verdict, waiters });
+        }
+    }
+}
