--- a/crates/config/src/adopter/calls.rs
+++ b/crates/config/src/adopter/calls.rs
@@ -68,7 +68,7 @@
 
     /// Later time for a poll, when a confirmation has made the present one needless.
     fn poll_not_before(&self, now: Instant) -> Option<Instant> {
-        self.in_force.as_ref()?;
+        self.in_force.as_ref().filter(|_| self.announced <= self.revision())?;
         let at = self.confirmed_at? + POLL_INTERVAL;
         (at > now).then_some(at)
     }
--- a/crates/config/src/adopter/mod.rs
+++ b/crates/config/src/adopter/mod.rs
@@ -110,6 +110,8 @@
     invariants: Invariants,
     watcher: bool,
     in_force: Option<Arc<Configuration>>,
+    /// Highest revision that a peer said to have.
+    announced: Revision,
     presets_seen: BTreeMap<Revision, PresetId>,
     confirmed_at: Option<Instant>,
     confirmed: bool,
@@ -173,6 +175,7 @@
             invariants: Invariants::new(cfg.enforcement),
             watcher: false,
             in_force: None,
+            announced: 0,
             presets_seen: BTreeMap::new(),
             confirmed_at: None,
             confirmed: false,
@@ -253,7 +256,11 @@
     }
 
     fn expect_revision(&mut self, revision: Revision, now: Instant) {
-        if revision <= self.revision() || self.failures > 0 {
+        if revision <= self.revision() || revision <= self.announced {
+            return;
+        }
+        self.announced = revision;
+        if self.failures > 0 {
             return;
         }
         let spread = PEER_DELIVERY.mul_f64(self.rng.random::<f64>());
