Choose models and cascades within the quality target

Every chat request went to the safe model. Answers' confidences and sampled ratings are now fitted together by expectation maximisation, with the rating's error as an unknown; plans share the preset's slack between a workspace's classes so that the expected cost is least. Exploration spends a bounded number of acceptable answers.

--- a/crates/route/src/entry.rs
+++ b/crates/route/src/entry.rs
@@ -13,6 +13,9 @@
 use crate::destination::Destination;
 use crate::event::AnswerSummary;
 use crate::life::State;
+use crate::quality::Kept;
+use crate::quality::Plan;
+use crate::quality::Stage;
 use crate::servers::Chosen;
 use crate::servers::Work;
 
@@ -45,6 +48,14 @@
     /// Not before then, after a failure.
     pub(crate) retry_at: Option<Instant>,
     pub(crate) whole: Option<Whole>,
+    /// Model or cascade that answers.
+    pub(crate) plan: Option<Plan>,
+    /// Stage of the plan that is next or under way.
+    pub(crate) stage: usize,
+    /// Whole answer of an earlier stage, which the caller gets if no better one comes in time.
+    pub(crate) fallback: Option<Whole>,
+    /// Doubt in the earlier stages' answers; `None` in the first stage.
+    pub(crate) doubt: Option<f64>,
     pub(crate) refusal: Option<Refusal>,
     /// The session's version could not be kept.
     pub(crate) session_moved: bool,
@@ -67,6 +78,8 @@
 pub(crate) struct Whole {
     pub(crate) attempt: Attempt,
     pub(crate) summary: AnswerSummary,
+    /// Where the answer is kept for its rating; `None` for a plain service.
+    pub(crate) kept: Option<Kept>,
 }
 
 impl Entry {
@@ -86,6 +99,10 @@
             avoided: Vec::new(),
             retry_at: None,
             whole: None,
+            plan: None,
+            stage: 0,
+            fallback: None,
+            doubt: None,
             refusal: None,
             session_moved: false,
         }
@@ -139,6 +156,11 @@
         }
     }
 
+    /// Stage of the plan that is next or under way.
+    pub(crate) fn present_stage(&self) -> Option<&Stage> {
+        self.plan.as_ref()?.stages.get(self.stage)
+    }
+
     /// Task class; `None` for a plain service.
     pub(crate) fn class(&self) -> Option<&TaskClass> {
         match &self.request.target {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -14,6 +14,7 @@
 mod limit;
 mod permit;
 mod poison;
+mod quality;
 mod queue;
 mod router;
 mod sampling;
--- /dev/null
+++ b/crates/route/src/quality/explore.rs
@@ -0,0 +1,85 @@
+//! Bounded exploration of cheaper models.
+//!
+//! Every request earns a share of the slack that the quality target leaves. An exploration spends the acceptable
+//! answers that it is expected to cost, so their sum stays within what was earned. Where the answer is withheld until
+//! whole, a cheap answer can be looked at and replaced: that costs money but no quality.
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use super::Asked;
+use super::plan::Candidate;
+use super::plan::Plan;
+use super::plan::Stage;
+
+/// Share of the slack that exploration earns with each request.
+const SLACK_SHARE: f64 = 0.15;
+/// Acceptable answers that may be lost before any request was made.
+const INITIAL_BALANCE: f64 = 2.0;
+const MAX_BALANCE: f64 = 5.0;
+/// Answers whose truth is known after which a model is not explored further.
+const WELL_KNOWN: f64 = 300.0;
+/// Most of the requests that explore.
+const MAX_SHARE: f64 = 0.2;
+/// Share of requests that go to the best model to keep its estimate fresh.
+const REFERENCE_SHARE: f64 = 0.01;
+/// Answers of the best model, whose truth is known, before anything else is tried.
+const MIN_REFERENCE: f64 = 20.0;
+/// Requests that follow the first of a session, and keep its version.
+const SESSION_TURNS: f64 = 4.0;
+/// Least that an exploration is taken to cost.
+const MIN_PRICE: f64 = 0.005;
+
+/// Balance of acceptable answers that exploration may lose.
+#[derive(Debug)]
+pub(crate) struct Explorer {
+    balance: f64,
+}
+
+impl Default for Explorer {
+    fn default() -> Explorer {
+        Explorer { balance: INITIAL_BALANCE }
+    }
+}
+
+impl Explorer {
+    /// A plan that explores, if the balance allows one; `candidates` are in order of price, the best last.
+    pub(crate) fn choose(
+        &mut self,
+        planned: &Plan,
+        candidates: &[Candidate],
+        asked: Asked<'_>,
+        may_withhold: bool,
+        slack: f64,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<Plan> {
+        self.balance = (self.balance + slack * SLACK_SHARE).min(MAX_BALANCE);
+        let roll: f64 = rng.random();
+        let (best, cheaper) = candidates.split_last()?;
+        let reference = Plan::direct(best.model_version.clone());
+        if roll < REFERENCE_SHARE {
+            return Some(reference).filter(|reference| reference != planned);
+        }
+        if roll > MAX_SHARE || best.estimate.worth < MIN_REFERENCE {
+            return None;
+        }
+        let unknown = cheaper.iter().filter(|candidate| candidate.estimate.worth < WELL_KNOWN);
+        let explored = unknown.min_by(|a, b| a.estimate.worth.total_cmp(&b.estimate.worth))?;
+        if may_withhold {
+            let first = Stage {
+                model_version: explored.model_version.clone(),
+                accept_from: Some(f64::INFINITY),
+            };
+            let last = Stage { model_version: best.model_version.clone(), accept_from: None };
+            return Some(Plan { stages: vec![first, last] });
+        }
+        let loss = best.estimate.share - explored.estimate.share + explored.estimate.standard_error;
+        let turns = if asked.starts_session { SESSION_TURNS } else { 1.0 };
+        let price = turns * loss.max(MIN_PRICE);
+        if price > self.balance {
+            return None;
+        }
+        self.balance -= price;
+        Some(Plan::direct(explored.model_version.clone()))
+    }
+}
--- /dev/null
+++ b/crates/route/src/quality/window.rs
@@ -0,0 +1,154 @@
+//! The latest answers of one version to one class, rated or not.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use super::mixture::Mixture;
+use super::mixture::Moments;
+
+/// Answers that are kept; older ones are forgotten, so that a change is noticed.
+const MAX_ANSWERS: usize = 2000;
+/// Acceptable share before anything is known, and the answers that this counts as.
+const PRIOR_SHARE: f64 = 0.7;
+const PRIOR_ANSWERS: f64 = 4.0;
+/// Answers that a class's share counts as where a workspace's own is estimated.
+const CLASS_ANSWERS: f64 = 150.0;
+/// Worth of a rated answer and of one with a confidence alone, in answers whose truth is known.
+const RATED_WORTH: f64 = 0.8;
+const UNRATED_WORTH: f64 = 0.3;
+
+/// Answers and what follows from them.
+#[derive(Debug)]
+pub(crate) struct Window {
+    answers: VecDeque<Answer>,
+    /// Number of the first answer kept.
+    first: u64,
+    share: f64,
+    /// Answers whose truth is known that the estimate is worth.
+    worth: f64,
+    workspaces: BTreeMap<u32, Own>,
+}
+
+/// One answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Answer {
+    pub(crate) workspace: u32,
+    pub(crate) confidence: Option<f32>,
+    pub(crate) acceptable: Option<bool>,
+    /// Doubt that made a cheaper model's answer be replaced by this one: how far its probability of being acceptable
+    /// lay below that model's share.
+    pub(crate) doubt: f32,
+}
+
+/// Estimate of a share of acceptable answers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Estimate {
+    pub(crate) share: f64,
+    pub(crate) standard_error: f64,
+    /// Answers whose truth is known that it is worth.
+    pub(crate) worth: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Own {
+    sum: f64,
+    count: f64,
+    worth: f64,
+}
+
+impl Window {
+    pub(crate) fn new() -> Window {
+        Window {
+            answers: VecDeque::new(),
+            first: 0,
+            share: PRIOR_SHARE,
+            worth: 0.0,
+            workspaces: BTreeMap::new(),
+        }
+    }
+
+    /// Adds an answer and returns its number.
+    pub(crate) fn push(&mut self, answer: Answer) -> u64 {
+        if self.answers.len() >= MAX_ANSWERS {
+            self.answers.pop_front();
+            self.first += 1;
+        }
+        self.answers.push_back(answer);
+        self.first + self.answers.len() as u64 - 1
+    }
+
+    /// Notes the rating of an answer that may have been forgotten.
+    pub(crate) fn rate(&mut self, number: u64, acceptable: bool) {
+        let index = number.checked_sub(self.first).and_then(|index| usize::try_from(index).ok());
+        if let Some(answer) = index.and_then(|index| self.answers.get_mut(index)) {
+            answer.acceptable = Some(acceptable);
+        }
+    }
+
+    pub(crate) fn answers(&self) -> impl Iterator<Item = &Answer> {
+        self.answers.iter()
+    }
+
+    /// Estimates the share anew and adds to the sums for the next mixture.
+    pub(crate) fn fit(
+        &mut self,
+        mixture: Option<&Mixture>,
+        dependence: f64,
+        moments: &mut Moments,
+    ) {
+        let mut sum = 0.0;
+        let mut count = 0.0;
+        let mut worth = 0.0;
+        let plain = Mixture::start(0.0, 1.0);
+        self.workspaces.clear();
+        for answer in &self.answers {
+            let confidence = answer.confidence.map(f64::from).filter(|_| mixture.is_some());
+            if confidence.is_none() && answer.acceptable.is_none() {
+                continue;
+            }
+            let harder = dependence * f64::from(answer.doubt);
+            let share = (self.share - harder).max(0.01);
+            let mixture = mixture.unwrap_or(&plain);
+            let probability = mixture.posterior(share, confidence, answer.acceptable);
+            moments.add(probability, confidence, answer.acceptable);
+            let value = if answer.acceptable.is_some() { RATED_WORTH } else { UNRATED_WORTH };
+            // The request was harder than the class at large by what made it come here.
+            let corrected = probability + harder;
+            // Which answers are rated depends on their confidence, so all count alike in the mean.
+            sum += corrected;
+            count += 1.0;
+            worth += value;
+            let own = self.workspaces.entry(answer.workspace).or_default();
+            own.sum += corrected;
+            own.count += 1.0;
+            own.worth += value;
+        }
+        self.worth = worth;
+        let share = (sum + PRIOR_SHARE * PRIOR_ANSWERS) / (count + PRIOR_ANSWERS);
+        self.share = share.clamp(0.01, 0.999);
+    }
+
+    /// Estimate for the class at large.
+    pub(crate) fn estimate(&self) -> Estimate {
+        estimate(self.share, self.worth)
+    }
+
+    /// Estimate for a workspace, which is drawn towards the class's.
+    pub(crate) fn estimate_for(&self, workspace: u32) -> Estimate {
+        let own = self.workspaces.get(&workspace).copied().unwrap_or_default();
+        let share = (own.sum + self.share * CLASS_ANSWERS) / (own.count + CLASS_ANSWERS);
+        estimate(share.clamp(0.01, 0.999), self.worth)
+    }
+
+    /// Answers of a workspace, in answers whose truth is known.
+    pub(crate) fn own_worth(&self, workspace: u32) -> f64 {
+        self.workspaces.get(&workspace).map_or(0.0, |own| own.worth)
+    }
+}
+
+fn estimate(share: f64, worth: f64) -> Estimate {
+    let standard_error = (share * (1.0 - share) / (worth + 1.0)).sqrt();
+    // Few answers without a fault do not prove that there are none.
+    let standard_error = standard_error.max(0.5 / (worth + 1.0));
+    Estimate { share, standard_error, worth }
+}
--- a/crates/route/src/router/arrive.rs
+++ b/crates/route/src/router/arrive.rs
@@ -10,6 +10,7 @@
 use foxtailhoist_model::Idempotency;
 use foxtailhoist_model::Invariant;
 use foxtailhoist_model::Limits;
+use foxtailhoist_model::ModelVersion;
 use foxtailhoist_model::Refusal;
 use foxtailhoist_model::Request;
 use foxtailhoist_model::RequestId;
@@ -26,6 +27,7 @@
 use crate::life::State;
 use crate::life::Step;
 use crate::permit::Permit;
+use crate::quality::Asked;
 use crate::queue::Pushed;
 use crate::servers::Chosen;
 use crate::servers::NoPlace;
@@ -41,9 +43,9 @@
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// A place for a request's next attempt.
-struct Place {
+pub(super) struct Place {
     destination: Destination,
-    chosen: Chosen,
+    pub(super) chosen: Chosen,
 }
 
 impl Router {
@@ -177,7 +179,7 @@
         }
     }
 
-    fn find_place(&mut self, id: RequestId, now: Instant) -> Result<Place, Unplaced> {
+    pub(super) fn find_place(&mut self, id: RequestId, now: Instant) -> Result<Place, Unplaced> {
         let Some(entry) = self.requests.get(&id) else {
             return Err(Unplaced::Full);
         };
@@ -187,7 +189,10 @@
         if entry.request.deadline <= now {
             return Err(Unplaced::Refused(deadline_passed(entry.ran_somewhere())));
         }
-        let destinations = self.destinations(entry).map_err(Unplaced::Refused)?;
+        let destinations = self.destinations(id, now).map_err(Unplaced::Refused)?;
+        let Some(entry) = self.requests.get(&id) else {
+            return Err(Unplaced::Full);
+        };
         let work = entry.work();
         let mut full = false;
         for destination in destinations {
@@ -208,30 +213,60 @@
     }
 
     /// Destinations for a request, the preferred first.
-    fn destinations(&self, entry: &Entry) -> Result<Vec<Destination>, Refusal> {
-        match &entry.request.target {
+    fn destinations(&mut self, id: RequestId, now: Instant) -> Result<Vec<Destination>, Refusal> {
+        let Some(entry) = self.requests.get_mut(&id) else {
+            return Ok(Vec::new());
+        };
+        let (class, streamed, session) = match &entry.request.target {
             Target::Service { service } => {
                 self.permissions.usable(&entry.request).map_err(not_permitted)?;
-                Ok(vec![Destination::Service(service.clone())])
-            }
-            Target::Chat { .. } => {
-                let allowed = self.permissions.allowed(&entry.request).map_err(not_permitted)?;
-                if let Some(resumed) = &entry.resumes {
-                    let kept = allowed.iter().any(|allowed| allowed.model_version == *resumed);
-                    return if kept {
-                        Ok(vec![Destination::Version(resumed.clone())])
-                    } else {
-                        Err(stream_broken())
-                    };
-                }
-                let safe = allowed.last().map_or(0.0, |allowed| allowed.price_out);
-                let safe = allowed.into_iter().filter(|allowed| allowed.price_out >= safe);
-                Ok(safe.map(|allowed| Destination::Version(allowed.model_version)).collect())
+                return Ok(vec![Destination::Service(service.clone())]);
             }
+            Target::Chat { class, streamed, session, .. } => (class, *streamed, session),
+        };
+        let allowed = self.permissions.allowed(&entry.request).map_err(not_permitted)?;
+        let is_allowed = |wanted: &ModelVersion| allowed.iter().any(|a| a.model_version == *wanted);
+        if let Some(resumed) = &entry.resumes {
+            return if is_allowed(resumed) {
+                Ok(vec![Destination::Version(resumed.clone())])
+            } else {
+                Err(stream_broken())
+            };
         }
+        // What was planned earlier may be withdrawn by now.
+        let current = entry.present_stage().is_some_and(|stage| is_allowed(&stage.model_version));
+        if !current && let Some(preset) = self.permissions.preset() {
+            let asked = Asked {
+                workspace: &entry.request.workspace,
+                class,
+                streamed: streamed || entry.request.at_most_once(),
+                starts_session: session.as_ref().is_some_and(|pin| pin.version.is_none()),
+            };
+            let planned = self.quality.plan(asked, &allowed, preset, now, &mut self.rng);
+            self.stats.explorations += u64::from(planned.explores);
+            entry.plan = Some(planned.plan);
+            entry.stage = 0;
+        }
+        let Some(stage) = entry.present_stage() else {
+            return Err(not_permitted(ErrorKind::NoVersionAllowed));
+        };
+        let planned = allowed.iter().find(|a| a.model_version == stage.model_version);
+        let price = planned.map_or(0.0, |planned| planned.price_out);
+        // A dearer model stands in for one whose servers have no room.
+        let others = allowed
+            .iter()
+            .filter(|other| other.price_out >= price && other.model_version != stage.model_version);
+        let versions = planned.into_iter().chain(others);
+        Ok(versions.map(|a| Destination::Version(a.model_version.clone())).collect())
     }
 
-    fn start(&mut self, id: RequestId, place: Place, now: Instant, out: &mut Vec<Effect>) {
+    pub(super) fn start(
+        &mut self,
+        id: RequestId,
+        place: Place,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
         let Some(entry) = self.requests.get(&id) else {
             return;
         };
@@ -362,7 +397,7 @@
 }
 
 /// Why a request has no place yet.
-enum Unplaced {
+pub(super) enum Unplaced {
     /// Servers have no room; it waits.
     Full,
     Refused(Refusal),
--- a/crates/route/src/router/attempts.rs
+++ b/crates/route/src/router/attempts.rs
@@ -81,10 +81,32 @@
         self.servers.whole(&ended.chosen, &ended.destination, seconds, tokens);
         self.evidence_of_whole(id, &ended, &summary, now, out);
         self.cancel_others(id, attempt, now, out);
-        self.choose_delivered(id, attempt, now);
+        let kept = self.keep_answer(id, &ended, &summary);
         if let Some(entry) = self.requests.get_mut(&id) {
             entry.may_have_run = true;
-            entry.whole = Some(Whole { attempt: ended, summary });
+        }
+        let whole = Whole { attempt: ended, summary, kept };
+        if self.falls_short(id, &whole, now) {
+            self.escalate(id, whole, now, out);
+            return;
+        }
+        let cascades = self.requests.get(&id).and_then(|entry| entry.present_stage());
+        self.stats.accepted += u64::from(cascades.is_some_and(|stage| stage.accept_from.is_some()));
+        self.answer(id, whole, now, out);
+    }
+
+    /// Gives the caller a whole answer, once its bill is safe.
+    pub(super) fn answer(
+        &mut self,
+        id: RequestId,
+        whole: Whole,
+        now: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        self.choose_delivered(id, whole.attempt.id, now);
+        if let Some(entry) = self.requests.get_mut(&id) {
+            entry.whole = Some(whole);
+            entry.fallback = None;
         }
         self.advance(id, Step::AnswerWhole, now, out);
     }
--- a/crates/route/src/router/finish.rs
+++ b/crates/route/src/router/finish.rs
@@ -44,6 +44,10 @@
         if entry.state == State::Billed {
             return;
         }
+        if entry.fallback.is_some() && refusal.kind != ErrorKind::CallerGone {
+            self.deliver_fallback(id, now, out);
+            return;
+        }
         let ran = match (entry.ran_somewhere(), refusal.ran) {
             (false, _) => Ran::NotRun,
             (true, Ran::NotRun) => Ran::Unknown,
@@ -129,12 +133,17 @@
         let Some(model_version) = whole.attempt.destination.model_version() else {
             return;
         };
+        let Some(kept) = whole.kept.clone() else {
+            return;
+        };
+        let worth = 0.5 + 0.5 * self.quality.uncertainty(class, model_version);
         let sample = Sample {
             caller: entry.request.caller,
             class: class.clone(),
             model_version: model_version.clone(),
+            kept,
         };
-        if self.sampling.offer(id, sample, 1.0, now) {
+        if self.sampling.offer(id, sample, worth, now) {
             self.stats.ratings_asked += 1;
             out.push(Effect::Rate { request: id });
         }
--- a/crates/route/src/router/mod.rs
+++ b/crates/route/src/router/mod.rs
@@ -6,6 +6,7 @@
 
 mod arrive;
 mod attempts;
+mod cascade;
 mod finish;
 mod retry;
 mod world;
@@ -33,6 +34,7 @@
 use crate::life::life;
 use crate::permit::Permissions;
 use crate::poison::Poison;
+use crate::quality::Quality;
 use crate::queue::WaitQueue;
 use crate::sampling::Sampling;
 use crate::servers::Servers;
@@ -56,6 +58,7 @@
     budget: RetryBudget,
     poison: Poison,
     sampling: Sampling,
+    quality: Quality,
     stopping: bool,
     /// Something changed that may have made room for waiting requests.
     pump_due: bool,
@@ -73,6 +76,8 @@
 enum TimerKind {
     Deadline,
     Retry,
+    /// The caller gets the answer of an earlier stage, if no better one came.
+    Fallback,
     /// A server may be probed: waiting requests are tried again.
     Probe,
 }
@@ -104,6 +109,7 @@
             budget: RetryBudget::new(),
             poison: Poison::default(),
             sampling: Sampling::new(cfg.ratings_per_second),
+            quality: Quality::new(cfg.mechanisms),
             stopping: false,
             pump_due: false,
             cfg,
@@ -168,6 +174,7 @@
             match timer.kind {
                 TimerKind::Deadline => self.deadline_passed(timer.request, now, out),
                 TimerKind::Retry => self.retry_due(timer.request, now, out),
+                TimerKind::Fallback => self.fallback_due(timer.request, now, out),
                 TimerKind::Probe => self.pump_due = true,
             }
         }
@@ -222,7 +229,11 @@
     }
 
     fn check_tables(&mut self) {
+        let [windows, plans, workspaces] = self.quality.tables();
         let bounds = [
+            windows,
+            plans,
+            workspaces,
             (self.poison.len(), Poison::capacity()),
             (self.budget.workspaces(), RetryBudget::capacity()),
             (self.sampling.len(), Sampling::capacity()),
--- a/crates/route/src/router/world.rs
+++ b/crates/route/src/router/world.rs
@@ -48,6 +48,7 @@
             return;
         };
         self.stats.ratings += 1;
+        self.quality.rate(&sample.kept, rating.acceptable);
         out.push(Effect::Evidence(Evidence {
             model_version: sample.model_version,
             caller: sample.caller,
--- a/crates/route/src/sampling.rs
+++ b/crates/route/src/sampling.rs
@@ -10,6 +10,8 @@
 use foxtailhoist_model::RequestId;
 use foxtailhoist_model::TaskClass;
 
+use crate::quality::Kept;
+
 /// Ratings that may be asked for at once.
 const BURST: f64 = 5.0;
 /// Answers whose verdict is awaited; the oldest is given up first.
@@ -34,6 +36,7 @@
     pub(crate) caller: CallerId,
     pub(crate) class: TaskClass,
     pub(crate) model_version: ModelVersion,
+    pub(crate) kept: Kept,
 }
 
 impl Sampling {
