--- /dev/null
+++ b/crates/measure/src/policy/clock.rs
@@ -0,0 +1,96 @@
+//! Virtual time and the queue of what happens when.
+
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Time since the start of a run.
+pub type Time = Duration;
+
+/// Occurrences in order of time, and of insertion where times are equal.
+#[derive(Debug)]
+pub struct Agenda<T> {
+    heap: BinaryHeap<Entry<T>>,
+    sequence: u64,
+    now: Time,
+    base: Instant,
+}
+
+#[derive(Debug)]
+struct Entry<T> {
+    at: Time,
+    sequence: u64,
+    what: T,
+}
+
+impl<T> Agenda<T> {
+    #[must_use]
+    pub fn new() -> Agenda<T> {
+        Agenda { heap: BinaryHeap::new(), sequence: 0, now: Time::ZERO, base: Instant::now() }
+    }
+
+    #[must_use]
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
+    /// Present virtual time as the decision crates see it.
+    #[must_use]
+    pub fn instant(&self) -> Instant {
+        self.base + self.now
+    }
+
+    #[must_use]
+    pub fn to_instant(&self, at: Time) -> Instant {
+        self.base + at
+    }
+
+    #[must_use]
+    pub fn to_time(&self, instant: Instant) -> Time {
+        instant.saturating_duration_since(self.base)
+    }
+
+    /// Enters something; what lies in the past happens at once.
+    pub fn push(&mut self, at: Time, what: T) {
+        self.sequence += 1;
+        self.heap.push(Entry { at: at.max(self.now), sequence: self.sequence, what });
+    }
+
+    pub fn push_after(&mut self, delay: Duration, what: T) {
+        self.push(self.now + delay, what);
+    }
+
+    /// Takes what comes next and moves time forward to it.
+    pub fn pop(&mut self) -> Option<T> {
+        let entry = self.heap.pop()?;
+        self.now = entry.at;
+        Some(entry.what)
+    }
+}
+
+impl<T> Default for Agenda<T> {
+    fn default() -> Agenda<T> {
+        Agenda::new()
+    }
+}
+
+impl<T> PartialEq for Entry<T> {
+    fn eq(&self, other: &Entry<T>) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl<T> Eq for Entry<T> {}
+
+impl<T> PartialOrd for Entry<T> {
+    fn partial_cmp(&self, other: &Entry<T>) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<T> Ord for Entry<T> {
+    fn cmp(&self, other: &Entry<T>) -> Ordering {
+        (other.at, other.sequence).cmp(&(self.at, self.sequence))
+    }
+}
--- /dev/null
+++ b/crates/measure/src/policy/trace.rs
@@ -0,0 +1,232 @@
+//! Arrivals of a run and the outcomes that each model would have, drawn in advance.
+//!
+//! All policies of a run meet the same arrivals with the same outcomes, so that their figures may be paired.
+
+use std::time::Duration;
+
+use foxtailhoist_model::CallerId;
+use foxtailhoist_model::Fingerprint;
+use foxtailhoist_model::PrefixHash;
+use foxtailhoist_model::stable_hash;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::policy::clock::Time;
+use crate::policy::random::Weighted;
+use crate::policy::random::exponential;
+use crate::policy::random::geometric;
+use crate::policy::random::normal;
+use crate::policy::random::normal_cdf;
+use crate::policy::random::tokens;
+use crate::policy::site::Site;
+use crate::policy::workload::ConfidenceByOutcome;
+use crate::policy::workload::Workloads;
+
+/// Callers of each workspace.
+pub const CALLERS_PER_WORKSPACE: usize = 320;
+
+/// One request, and what any model would answer.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When the client sends it.
+    pub at: Time,
+    pub workspace: usize,
+    pub caller: CallerId,
+    pub class: usize,
+    /// Number of its session.
+    pub session: Option<u32>,
+    pub prefix: PrefixHash,
+    pub prefix_tokens: u32,
+    pub prompt_tokens: u32,
+    pub output_tokens: u32,
+    pub fingerprint: Fingerprint,
+    /// Crashes every engine that runs it.
+    pub poison: bool,
+    outcomes: Vec<ModelOutcome>,
+    /// Uniform draw that decides whether the rating service errs.
+    rating_error: f64,
+}
+
+/// Draws for one model's answer.
+#[derive(Clone, Copy, Debug)]
+struct ModelOutcome {
+    /// Uniform; the answer is acceptable when this is below the chance.
+    difficulty: f64,
+    /// Standard normal.
+    confidence: f64,
+}
+
+/// What a run's arrivals are made of.
+#[derive(Clone, Copy, Debug)]
+pub struct TraceSpec {
+    pub seed: u64,
+    pub rate_per_s: f64,
+    pub duration: Duration,
+}
+
+/// Stand-in content that crashes engines, resent by its caller.
+#[derive(Clone, Copy, Debug)]
+pub struct PoisonSpec {
+    pub first: Time,
+    pub every: Duration,
+    pub times: u32,
+}
+
+impl Arrival {
+    /// Whether a model's answer is acceptable, given its chance.
+    #[must_use]
+    pub fn acceptable(&self, model: usize, chance: f64) -> bool {
+        self.outcomes[model].difficulty < chance
+    }
+
+    /// Confidence that the engine reports.
+    #[must_use]
+    pub fn confidence(&self, model: usize, acceptable: bool, by: &ConfidenceByOutcome) -> f64 {
+        let spec = if acceptable { by.acceptable } else { by.unacceptable };
+        spec.mean + spec.sd * self.outcomes[model].confidence
+    }
+
+    /// Verdict of the rating service.
+    #[must_use]
+    pub fn rating(&self, acceptable: bool, wrong_share: f64) -> bool {
+        acceptable != (self.rating_error < wrong_share)
+    }
+}
+
+/// Draws the arrivals of a run, in order of time.
+#[must_use]
+pub fn generate(site: &Site, workloads: &Workloads, spec: TraceSpec) -> Vec<Arrival> {
+    let mut generator = Generator::new(site, workloads, spec.seed);
+    let sessions = site.deployment.sessions;
+    let mut arrivals = Vec::new();
+    let single_rate = spec.rate_per_s * (1.0 - sessions.share);
+    generator.starts(single_rate, spec.duration, |generator, at| {
+        arrivals.push(generator.arrival(at, None));
+    });
+    let session_rate = spec.rate_per_s * sessions.share / sessions.turns_mean;
+    let mut number = 0;
+    generator.starts(session_rate, spec.duration, |generator, at| {
+        number += 1;
+        generator.session(number, at, spec.duration, &mut arrivals);
+    });
+    arrivals.sort_by_key(|arrival| arrival.at);
+    arrivals
+}
+
+/// Adds a request that crashes engines and its resends.
+pub fn add_poison(arrivals: &mut Vec<Arrival>, spec: PoisonSpec) {
+    let Some(model) = arrivals.iter().find(|arrival| arrival.session.is_none()).cloned() else {
+        return;
+    };
+    for number in 0..spec.times {
+        let at = spec.first + spec.every * number;
+        arrivals.push(Arrival { at, poison: true, fingerprint: 0xDEAD, ..model.clone() });
+    }
+    arrivals.sort_by_key(|arrival| arrival.at);
+}
+
+struct Generator<'a> {
+    site: &'a Site,
+    rho: f64,
+    rng: ChaCha8Rng,
+    workspaces: Weighted,
+    classes: Weighted,
+    prefixes: Weighted,
+}
+
+impl<'a> Generator<'a> {
+    fn new(site: &'a Site, workloads: &Workloads, seed: u64) -> Generator<'a> {
+        let deployment = &site.deployment;
+        Generator {
+            site,
+            rho: workloads.difficulty_rho,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            workspaces: Weighted::zipf(deployment.workspaces.count, deployment.workspaces.zipf),
+            classes: Weighted::new(site.classes.iter().map(|class| class.spec.share)),
+            prefixes: Weighted::zipf(deployment.prefixes.groups, deployment.prefixes.zipf),
+        }
+    }
+
+    fn starts(&mut self, rate: f64, duration: Duration, mut start: impl FnMut(&mut Self, Time)) {
+        let mut at_s = 0.0;
+        loop {
+            at_s += exponential(&mut self.rng, 1.0 / rate);
+            if at_s >= duration.as_secs_f64() {
+                return;
+            }
+            start(self, Duration::from_secs_f64(at_s));
+        }
+    }
+
+    /// A session keeps caller, class and prefix; its turns follow each other whatever became of the one before.
+    fn session(&mut self, number: u32, at: Time, end: Duration, arrivals: &mut Vec<Arrival>) {
+        let spec = self.site.deployment.sessions;
+        let turns = geometric(&mut self.rng, spec.turns_mean);
+        let mut first: Option<Arrival> = None;
+        let mut at = at;
+        for _ in 0..turns {
+            if at >= end {
+                return;
+            }
+            let mut turn = self.arrival(at, Some(number));
+            if let Some(first) = &first {
+                turn = self.follow(first, turn);
+            } else {
+                first = Some(turn.clone());
+            }
+            arrivals.push(turn);
+            let gap_s = spec.gap_s * (0.5 + self.rng.random::<f64>());
+            at += Duration::from_secs_f64(gap_s);
+        }
+    }
+
+    fn follow(&mut self, first: &Arrival, turn: Arrival) -> Arrival {
+        let spec = &self.site.classes[first.class].spec;
+        Arrival {
+            workspace: first.workspace,
+            caller: first.caller,
+            class: first.class,
+            prefix: first.prefix,
+            prefix_tokens: first.prefix_tokens,
+            prompt_tokens: spec.prefix_tok + tokens(&mut self.rng, spec.prompt_tok),
+            output_tokens: tokens(&mut self.rng, spec.output_tok),
+            ..turn
+        }
+    }
+
+    fn arrival(&mut self, at: Time, session: Option<u32>) -> Arrival {
+        let workspace = self.workspaces.draw(&mut self.rng);
+        let class = self.classes.draw(&mut self.rng);
+        let group = self.prefixes.draw(&mut self.rng);
+        let spec = &self.site.classes[class].spec;
+        let caller = self.rng.random_range(0..CALLERS_PER_WORKSPACE);
+        let hash = |kind: u64, number: usize| stable_hash(kind, &[&number.to_le_bytes()]);
+        Arrival {
+            at,
+            workspace,
+            caller: hash(1, workspace * CALLERS_PER_WORKSPACE + caller),
+            class,
+            session,
+            prefix: hash(2, class * self.site.deployment.prefixes.groups + group),
+            prefix_tokens: spec.prefix_tok,
+            prompt_tokens: spec.prefix_tok + tokens(&mut self.rng, spec.prompt_tok),
+            output_tokens: tokens(&mut self.rng, spec.output_tok),
+            fingerprint: self.rng.random(),
+            poison: false,
+            outcomes: self.outcomes(),
+            rating_error: self.rng.random(),
+        }
+    }
+
+    /// Gaussian copula: one shared draw a request and one a model.
+    fn outcomes(&mut self) -> Vec<ModelOutcome> {
+        let shared = normal(&mut self.rng);
+        let outcome = |_| {
+            let own = normal(&mut self.rng);
+            let value = self.rho.sqrt() * shared + (1.0 - self.rho).sqrt() * own;
+            ModelOutcome { difficulty: normal_cdf(value), confidence: normal(&mut self.rng) }
+        };
+        (0..self.site.models.len()).map(outcome).collect()
+    }
+}
--- /dev/null
+++ b/crates/measure/src/policy/workload.rs
@@ -0,0 +1,165 @@
+//! The stand-ins' inputs, read from YAML. Policies never see these figures.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+
+use crate::policy::PolicyError;
+
+/// Workload that ships with the crate.
+pub const DEFAULT_WORKLOAD: &str = include_str!("../../workloads.yaml");
+
+/// The whole file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Workloads {
+    pub confidence: ConfidenceByOutcome,
+    /// Correlation of two models' outcomes on one request.
+    pub difficulty_rho: f64,
+    pub rating: RatingService,
+    pub load_report: LoadFeed,
+    pub cache_events: CacheFeed,
+    pub deployments: BTreeMap<String, Deployment>,
+}
+
+/// Distribution of an engine's confidence, by whether its answer is acceptable.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConfidenceByOutcome {
+    pub acceptable: NormalSpec,
+    pub unacceptable: NormalSpec,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NormalSpec {
+    pub mean: f64,
+    pub sd: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RatingService {
+    pub per_second: f64,
+    pub delay_s: f64,
+    pub wrong_share: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoadFeed {
+    pub every_s: f64,
+    pub lag_s: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CacheFeed {
+    pub lag_s: f64,
+    pub lost_share: f64,
+}
+
+/// One customer's site.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Deployment {
+    pub data_centres: Vec<String>,
+    /// One-way delay between data centres, in milliseconds.
+    pub between_ms: f64,
+    /// One-way delay to clients, in milliseconds.
+    pub clients_ms: f64,
+    pub rate_per_s: Rates,
+    pub quality_target_slack: f64,
+    pub deadline_s: f64,
+    pub workspaces: ZipfSpec,
+    pub sessions: SessionSpec,
+    pub prefixes: PrefixSpec,
+    pub engines: BTreeMap<String, EngineSpec>,
+    pub classes: BTreeMap<String, ClassSpec>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rates {
+    pub ordinary: f64,
+    pub peak: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ZipfSpec {
+    pub count: usize,
+    pub zipf: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SessionSpec {
+    /// Share of requests that belong to a session.
+    pub share: f64,
+    pub turns_mean: f64,
+    pub gap_s: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PrefixSpec {
+    pub groups: usize,
+    pub zipf: f64,
+}
+
+/// Engines of one model.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineSpec {
+    pub count: usize,
+    pub price_in: f64,
+    pub price_out: f64,
+    pub prefill_tok_s: f64,
+    pub decode_ms: f64,
+    pub decode_ms_per_extra: f64,
+    pub slots: u32,
+    pub cache_tokens: u32,
+}
+
+/// Requests of one task class.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClassSpec {
+    pub streamed: bool,
+    pub share: f64,
+    pub prefix_tok: u32,
+    pub prompt_tok: u32,
+    pub output_tok: u32,
+    pub acceptable: BTreeMap<String, f64>,
+}
+
+impl Workloads {
+    /// Reads the file.
+    ///
+    /// # Errors
+    ///
+    /// Returns what could not be read, and class figures for models without engines.
+    pub fn parse(yaml: &str) -> Result<Workloads, PolicyError> {
+        let workloads: Workloads =
+            serde_saphyr::from_str(yaml).map_err(|e| PolicyError::Workload(e.to_string()))?;
+        for (name, deployment) in &workloads.deployments {
+            deployment.check(name)?;
+        }
+        Ok(workloads)
+    }
+}
+
+impl Deployment {
+    fn check(&self, name: &str) -> Result<(), PolicyError> {
+        for (class, spec) in &self.classes {
+            let complete = self.engines.keys().all(|model| spec.acceptable.contains_key(model));
+            if !complete || spec.acceptable.len() != self.engines.len() {
+                return Err(PolicyError::Workload(format!(
+                    "deployment {name}, class {class}: 'acceptable' must name exactly the models under 'engines'"
+                )));
+            }
+        }
+        Ok(())
+    }
+}
