Keep a silent connection open while the server is asked about its attempt

Cause: the first client dropped the attempt's connection at the time-out and then asked the engine; the engine had taken the closing for a cancel, so a slow engine was reported as a silent connection. Change: the request is held until the probe has answered, and an answer that comes meanwhile is taken. The part of the chat-completions convention that routers and engines share gets its types, with the prefix hash.

--- a/crates/platform/src/backend.rs
+++ b/crates/platform/src/backend.rs
@@ -1,6 +1,7 @@
 //! Backend servers over HTTP: attempts, feeds, orders and probes.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 
 use foxtailhoist_model::EngineOrder;
@@ -11,10 +12,10 @@
 use reqwest::RequestBuilder;
 use reqwest::Response;
 use reqwest::header::CONTENT_TYPE;
+use tokio::time::timeout;
 
 use crate::answer::AnswerReader;
 use crate::call;
-use crate::call::CallError;
 use crate::client::ClientPools;
 use crate::client::ClientSettings;
 use crate::diagnosis;
@@ -48,17 +49,7 @@
             attempt: attempt.attempt,
             is_engine: attempt.model_version.is_some(),
         };
-        let response = match call::send(request, attempt.first_byte_timeout).await {
-            Ok(response) => response,
-            Err(CallError::NotSent(_)) => return Err(AttemptFailure::Refused),
-            Err(CallError::TimedOut) => {
-                let received = received_before_head(&attempt);
-                return Err(destination.after_silence(received).await);
-            }
-            Err(CallError::Broken(_) | CallError::TooLarge) => {
-                return Err(destination.after_break().await);
-            }
-        };
+        let response = wait_for_head(request, &attempt, &destination).await?;
         check_head(&response, &destination)?;
         let answer = AnswerReader::new(response, destination);
         Ok(AttemptStart {
@@ -147,6 +138,30 @@
     }
 }
 
+/// Waits for an answer's head. After the time-out the connection stays open while the server is asked about the attempt,
+/// and an answer that comes meanwhile is taken.
+async fn wait_for_head(
+    request: RequestBuilder,
+    attempt: &AttemptRequest,
+    destination: &Destination,
+) -> Result<Response, AttemptFailure> {
+    let mut sent = pin!(request.send());
+    let result = match timeout(attempt.first_byte_timeout, sent.as_mut()).await {
+        Ok(result) => result,
+        Err(_elapsed) => tokio::select! {
+            result = sent.as_mut() => result,
+            failure = destination.after_silence(received_before_head(attempt)) => {
+                return Err(failure);
+            }
+        },
+    };
+    match result {
+        Ok(response) => Ok(response),
+        Err(e) if e.is_connect() => Err(AttemptFailure::Refused),
+        Err(_broken) => Err(destination.after_break().await),
+    }
+}
+
 /// A streamed answer's head comes with its first token; another's only when it is whole.
 fn received_before_head(attempt: &AttemptRequest) -> Received {
     if attempt.streamed { Received::Tokens(attempt.resume_after) } else { Received::Nothing }
--- a/crates/platform/src/completion.rs
+++ b/crates/platform/src/completion.rs
@@ -2,7 +2,9 @@
 //!
 //! Fields beyond these pass through unread. `confidence` is the engine's own, an addition to the convention.
 
+use foxtailhoist_model::PrefixHash;
 use foxtailhoist_model::Usage;
+use foxtailhoist_model::stable_hash;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -88,3 +90,77 @@
         Usage { prompt_tokens: usage.prompt_tokens, output_tokens: usage.completion_tokens }
     }
 }
+
+/// Part of a chat completion's request that the router and the stand-in engines read.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct CompletionRequest {
+    pub model: String,
+    pub messages: Vec<Message>,
+    pub stream: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub max_tokens: Option<u32>,
+}
+
+/// The part of a prompt that requests are likely to share.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SharedPrefix {
+    pub hash: PrefixHash,
+    pub tokens: u32,
+}
+
+/// Bytes of text to a token, on average.
+const BYTES_PER_TOKEN: usize = 4;
+/// Seed of the prefix hash; the same on routers and engines.
+const PREFIX_SEED: u64 = 0;
+
+/// Estimate of the tokens in a text, at least one for a text that is not empty.
+#[must_use]
+pub fn estimated_tokens(text: &str) -> u32 {
+    u32::try_from(text.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX)
+}
+
+impl CompletionRequest {
+    /// Estimate of the tokens in all messages.
+    #[must_use]
+    pub fn prompt_tokens(&self) -> u32 {
+        self.messages.iter().map(Message::tokens).fold(0, u32::saturating_add)
+    }
+
+    /// The messages before the last: the system prompt, and the turns that a session repeats.
+    #[must_use]
+    pub fn shared_prefix(&self) -> SharedPrefix {
+        let Some((_last, shared)) = self.messages.split_last() else {
+            return SharedPrefix::default();
+        };
+        let parts: Vec<&[u8]> = shared.iter().map(|message| message.text().as_bytes()).collect();
+        SharedPrefix {
+            hash: stable_hash(PREFIX_SEED, &parts),
+            tokens: shared.iter().map(Message::tokens).fold(0, u32::saturating_add),
+        }
+    }
+
+    /// Whether a text stands in any message.
+    #[must_use]
+    pub fn contains(&self, text: &str) -> bool {
+        self.messages.iter().any(|message| message.text().contains(text))
+    }
+}
+
+impl Message {
+    /// A message with a role and a text.
+    #[must_use]
+    pub fn new(role: &str, text: &str) -> Message {
+        Message { role: Some(role.to_owned()), content: Some(text.to_owned()) }
+    }
+
+    /// The text, empty if there is none.
+    #[must_use]
+    pub fn text(&self) -> &str {
+        self.content.as_deref().unwrap_or_default()
+    }
+
+    fn tokens(&self) -> u32 {
+        estimated_tokens(self.text())
+    }
+}
--- a/crates/platform/src/diagnosis.rs
+++ b/crates/platform/src/diagnosis.rs
@@ -49,7 +49,8 @@
 pub enum AttemptState {
     Waiting,
     Running,
-    Finished,
+    /// Whole, failed or cancelled: nothing more will be sent.
+    Ended,
 }
 
 /// What has arrived of an attempt's answer.
@@ -75,7 +76,8 @@
         }
     }
 
-    /// Nothing came over the attempt's connection for too long. The pool is retired in every case: its other
+    /// Nothing came over the attempt's connection for too long. That connection must be kept open meanwhile, else the
+    /// server takes the attempt for cancelled. The pool is retired in every case: its other
     /// connections take the same way, and new ones cost little.
     pub(crate) async fn after_silence(&self, received: Received) -> AttemptFailure {
         self.retire();
@@ -95,7 +97,7 @@
             return echoed_attempt(&answer.headers) == Some(self.attempt);
         }
         match (answer.json::<AttemptStatus>(), received) {
-            (Ok(status), _) if status.state == AttemptState::Finished => true,
+            (Ok(status), _) if status.state == AttemptState::Ended => true,
             (Ok(status), Received::Tokens(tokens)) => status.output_tokens > tokens,
             (Ok(_), Received::Nothing) | (Err(_), _) => false,
         }
