Add stand-ins with switchable faults and tests of each through the clients

Cause: development and tests need a platform and backend servers that fail on demand. Change: object API with waiting watches, host list, rating service, weight store, model engine and plain service on loopback, each with faults over HTTP, and deployments of both customers' sizes. The crash of a stand-in is a dropped listener, not a killed process.

--- /dev/null
+++ b/crates/standin/src/engine/orders.rs
@@ -0,0 +1,65 @@
+//! Orders to an engine: which versions to load.
+//!
+//! Unloading is immediate; loading takes as long as the weight store takes. An engine that checks fencing numbers
+//! refuses an order below the highest it has taken; another carries out whatever comes last.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use foxtailhoist_model::EngineOrder;
+use foxtailhoist_model::ModelVersion;
+use reqwest::Client;
+use salvo::http::StatusCode;
+
+use super::state::EngineState;
+use crate::http::Reply;
+use crate::sync::lock;
+
+/// Takes or refuses an order.
+pub(crate) fn take_order(
+    state: &Arc<EngineState>,
+    weights: Option<SocketAddr>,
+    order: &EngineOrder,
+) -> Result<Reply, Reply> {
+    {
+        let mut stats = lock(&state.stats);
+        if state.spec.checks_fencing && order.fencing < stats.fencing {
+            stats.fenced_off += 1;
+            return Err(Reply::refused(StatusCode::CONFLICT, "fencing number is old"));
+        }
+        stats.fencing = stats.fencing.max(order.fencing);
+    }
+    let missing: Vec<ModelVersion> = {
+        let mut loaded = lock(&state.loaded);
+        loaded.retain(|version| order.state.loaded.contains(version));
+        order.state.loaded.difference(&loaded).cloned().collect()
+    };
+    for version in missing {
+        tokio::spawn(load(Arc::clone(state), weights, version, order.fencing));
+    }
+    Ok(Reply::json(&true))
+}
+
+/// Loads a version, unless a later order came meanwhile.
+async fn load(
+    state: Arc<EngineState>,
+    weights: Option<SocketAddr>,
+    version: ModelVersion,
+    fencing: u64,
+) {
+    if let Some(address) = weights
+        && fetch(address, &version).await.is_err()
+    {
+        return;
+    }
+    if lock(&state.stats).fencing == fencing {
+        lock(&state.loaded).insert(version);
+    }
+}
+
+async fn fetch(address: SocketAddr, version: &ModelVersion) -> reqwest::Result<()> {
+    let client = Client::builder().no_proxy().tls_certs_only([]).build()?;
+    let url = format!("http://{address}/weights/{version}");
+    client.get(url).send().await?.error_for_status()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/tests/platform_services.rs
@@ -0,0 +1,118 @@
+//! Host list, rating service and weight store, and a whole deployment.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use foxtailhoist_model::DataCentreId;
+use foxtailhoist_model::EngineOrder;
+use foxtailhoist_model::EngineRole;
+use foxtailhoist_model::ListedHost;
+use foxtailhoist_model::ModelVersion;
+use foxtailhoist_model::OrderedState;
+use foxtailhoist_model::Presence;
+use foxtailhoist_platform::BackendApi;
+use foxtailhoist_platform::HostListApi;
+use foxtailhoist_platform::HttpHostList;
+use foxtailhoist_platform::HttpRating;
+use foxtailhoist_platform::PlatformError;
+use foxtailhoist_platform::RatingApi;
+use foxtailhoist_platform::RatingRequest;
+use foxtailhoist_standin::Deployment;
+use foxtailhoist_standin::DeploymentSpec;
+use foxtailhoist_standin::HostListFaults;
+use foxtailhoist_standin::RatingFaults;
+use foxtailhoist_standin::RatingServer;
+use foxtailhoist_standin::RatingSpec;
+use foxtailhoist_standin::UNACCEPTABLE_MARK;
+use foxtailhoist_standin::WeightStoreSpec;
+use rstest::rstest;
+
+use common::ANYWHERE;
+use common::client;
+use common::short_timeouts;
+use common::version;
+
+#[rstest]
+#[case::merrimack(DeploymentSpec::merrimack(), 12)]
+#[case::foerbundet(DeploymentSpec::foerbundet(), 9)]
+#[tokio::test]
+async fn a_deployment_lists_its_hosts_with_a_lag(
+    #[case] spec: DeploymentSpec,
+    #[case] engines: usize,
+) {
+    let deployment = Deployment::start(spec).await.unwrap();
+    let hosts = HttpHostList::new(deployment.addresses().host_list, short_timeouts());
+    let listed = hosts.hosts().await.unwrap();
+    assert_eq!(listed.backend_servers, deployment.addresses().backend_servers);
+    assert_eq!((deployment.engines.len(), deployment.services.len()), (engines, 3));
+
+    let host = ListedHost {
+        id: "entry-1".to_owned(),
+        address: SocketAddr::from(ANYWHERE),
+        data_centre: DataCentreId::from("nashua"),
+        presence: Presence::Live,
+    };
+    deployment.set_entry_hosts(vec![host.clone()]);
+    assert_eq!(hosts.hosts().await.unwrap().entry_hosts, [host]);
+
+    let faults = HostListFaults { lag_ms: 3_600_000, down: false };
+    deployment.host_list.set_faults(faults);
+    assert!(deployment.mark_leaving("entry-1") && !deployment.mark_leaving("nobody"));
+    assert!(hosts.hosts().await.unwrap().entry_hosts.is_empty());
+    deployment.host_list.set_faults(HostListFaults::default());
+    let now = hosts.hosts().await.unwrap();
+    assert_eq!(now.entry_hosts[0].presence, Presence::Leaving);
+
+    deployment.host_list.set_faults(HostListFaults { down: true, ..Default::default() });
+    let refused = hosts.hosts().await;
+    assert!(matches!(refused, Err(PlatformError::Refused { status: 503, .. })));
+    deployment.close().await;
+}
+
+#[tokio::test]
+async fn the_rating_service_judges_by_the_mark_and_is_wrong_at_its_share() {
+    let spec = RatingSpec { per_second: 10_000.0, delay_ms: 0, wrong_share: 0.25, seed: 3 };
+    let server = RatingServer::start(ANYWHERE.into(), spec).await.unwrap();
+    let api = HttpRating::new(server.address(), short_timeouts());
+    let ask = |request, answer: &str| RatingRequest {
+        request,
+        model_version: version(),
+        class: "question".to_owned(),
+        answer: answer.to_owned(),
+    };
+    let mut wrong = 0;
+    for request in 0..200 {
+        let good = api.rate(ask(request, "feed it")).await.unwrap();
+        let bad = api.rate(ask(request, UNACCEPTABLE_MARK)).await.unwrap();
+        assert_ne!(good.acceptable, bad.acceptable);
+        wrong += usize::from(bad.acceptable);
+    }
+    assert!((30..=70).contains(&wrong), "{wrong} of 200 verdicts were wrong");
+    server.set_faults(RatingFaults { down: true, ..Default::default() });
+    let refused = api.rate(ask(1, "feed it")).await;
+    assert!(matches!(refused, Err(PlatformError::Refused { status: 503, .. })));
+    server.close().await;
+}
+
+#[tokio::test]
+async fn engines_load_from_the_weight_store() {
+    let spec = DeploymentSpec {
+        weight_store: WeightStoreSpec { concurrent: 1, load_ms: 1 },
+        ..DeploymentSpec::default()
+    };
+    let deployment = Deployment::start(spec.engine(common::quick_engine())).await.unwrap();
+    let wanted = ModelVersion::new("levain-mid", "v3");
+    let order = EngineOrder {
+        server: "engine".to_owned(),
+        fencing: 1,
+        state: OrderedState { loaded: [wanted.clone()].into(), role: EngineRole::Mixed },
+    };
+    let engine = &deployment.engines[0];
+    client().order(engine.address(), order).await.unwrap();
+    while !engine.stats().loaded.contains(&wanted) {
+        tokio::task::yield_now().await;
+    }
+    assert!(!engine.stats().loaded.contains(&version()));
+    deployment.close().await;
+}
