--- a/crates/route/src/entry.rs
+++ b/crates/route/src/entry.rs
@@ -43,6 +43,8 @@
     pub(crate) delivered_tokens: u32,
     /// From arrival to the first byte delivered.
     pub(crate) first_byte: Option<Duration>,
+    /// A suspect content: runs on a server alone.
+    pub(crate) alone: bool,
     /// Servers at which an attempt failed.
     pub(crate) avoided: Vec<usize>,
     /// Not before then, after a failure.
@@ -96,6 +98,7 @@
             resumes: None,
             delivered_tokens: 0,
             first_byte: None,
+            alone: false,
             avoided: Vec::new(),
             retry_at: None,
             whole: None,
@@ -145,6 +148,7 @@
                 prefix: Some(*prefix).filter(|_| *prefix_tokens > 0),
                 prefix_tokens: *prefix_tokens,
                 streamed: *streamed,
+                alone: self.alone,
             },
             Target::Service { .. } => Work {
                 prompt_tokens: 0,
@@ -152,6 +156,7 @@
                 prefix: None,
                 prefix_tokens: 0,
                 streamed: false,
+                alone: self.alone,
             },
         }
     }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod event;
 mod life;
 mod limit;
+mod orders;
 mod permit;
 mod poison;
 mod quality;
--- a/crates/route/src/permit.rs
+++ b/crates/route/src/permit.rs
@@ -36,6 +36,8 @@
 pub struct Permit {
     destination: Destination,
     revision: u64,
+    /// The caller was not exposed to the version in roll-out before.
+    newly_exposed: bool,
 }
 
 /// A version that a request may run on.
@@ -45,6 +47,8 @@
     pub(crate) price_in: f64,
     pub(crate) price_out: f64,
     pub(crate) canary: bool,
+    /// Stands in where the version in roll-out, which the request would get, has no server.
+    pub(crate) standby: bool,
 }
 
 /// What is permitted at present.
@@ -72,6 +76,11 @@
         self.destination.model_version()
     }
 
+    /// Whether the permit exposes its caller to a version in roll-out for the first time.
+    pub(crate) fn newly_exposed(&self) -> bool {
+        self.newly_exposed
+    }
+
     /// Revision under which the permit was given.
     #[must_use]
     pub fn revision(&self) -> u64 {
@@ -184,13 +193,13 @@
         let revision = self.revision();
         let Destination::Version(model_version) = destination else {
             self.usable_configuration(request)?;
-            return Ok(Permit { destination: destination.clone(), revision });
+            return Ok(Permit { destination: destination.clone(), revision, newly_exposed: false });
         };
         let allowed = self.allowed(request)?;
         let chosen = allowed.iter().find(|allowed| allowed.model_version == *model_version);
         let chosen = chosen.ok_or(ErrorKind::NoVersionAllowed)?;
-        self.expose(chosen, request.caller);
-        Ok(Permit { destination: destination.clone(), revision })
+        let newly_exposed = self.expose(chosen, request.caller);
+        Ok(Permit { destination: destination.clone(), revision, newly_exposed })
     }
 
     /// Whether an attempt on a version is within the rules, apart from exposure.
@@ -219,26 +228,31 @@
         Ok(configuration)
     }
 
-    /// The model's settled versions, or the one in roll-out for the callers exposed to it.
+    /// The model's settled versions; they only stand in for callers exposed to the one in roll-out.
     fn versions_of(
         &self,
         configuration: &Configuration,
         model: &ModelId,
         caller: CallerId,
     ) -> Vec<Allowed> {
+        let mut exposed = false;
         let mut allowed = Vec::new();
         for (model_version, _) in configuration.versions.iter().filter(|(v, _)| v.model == *model) {
             let Some(candidate) = self.allowed_version(configuration, model_version) else {
                 continue;
             };
             if candidate.canary {
-                if self.may_expose(configuration, model_version, caller) {
-                    return vec![candidate];
+                if !exposed && self.may_expose(configuration, model_version, caller) {
+                    exposed = true;
+                    allowed.push(candidate);
                 }
                 continue;
             }
             allowed.push(candidate);
         }
+        for candidate in &mut allowed {
+            candidate.standby = exposed && !candidate.canary;
+        }
         allowed
     }
 
@@ -258,6 +272,7 @@
             price_in: model.price_in,
             price_out: model.price_out,
             canary,
+            standby: false,
         })
     }
 
@@ -286,7 +301,8 @@
         (known || room) && exposure.credit > 0.0
     }
 
-    fn expose(&mut self, chosen: &Allowed, caller: CallerId) {
+    /// Counts a request on a version; whether its caller is exposed for the first time.
+    fn expose(&mut self, chosen: &Allowed, caller: CallerId) -> bool {
         let model = &chosen.model_version.model;
         for (model_version, exposure) in &mut self.exposure {
             let record = self.configuration.as_ref().and_then(|c| c.versions.get(model_version));
@@ -298,7 +314,7 @@
             }
         }
         if !chosen.canary {
-            return;
+            return false;
         }
         let quota = self.quota(&chosen.model_version).unwrap_or(0) as usize;
         if self.exposure.len() >= MAX_EXPOSED_VERSIONS {
@@ -310,9 +326,7 @@
         }
         exposure.credit -= 1.0;
         // A pinned session came from a host that counted its caller already.
-        if exposure.callers.len() < quota {
-            exposure.callers.insert(caller);
-        }
+        exposure.callers.len() < quota && exposure.callers.insert(caller)
     }
 }
 
--- a/crates/route/src/quality/mod.rs
+++ b/crates/route/src/quality/mod.rs
@@ -404,6 +404,7 @@
 /// One version for each price, in ascending order of price; versions of one price share the requests.
 fn one_of_each_price(allowed: &[Allowed], rng: &mut ChaCha8Rng) -> Vec<Allowed> {
     use rand::RngExt;
+    let allowed: Vec<Allowed> = allowed.iter().filter(|a| !a.standby).cloned().collect();
     let groups = allowed.chunk_by(|a, b| a.price_out == b.price_out);
     let pick = |group: &[Allowed]| {
         let index = if group.len() > 1 { rng.random_range(0..group.len()) } else { 0 };
--- a/crates/route/src/router/arrive.rs
+++ b/crates/route/src/router/arrive.rs
@@ -44,7 +44,7 @@
 
 /// A place for a request's next attempt.
 pub(super) struct Place {
-    destination: Destination,
+    pub(super) destination: Destination,
     pub(super) chosen: Chosen,
 }
 
@@ -190,9 +190,10 @@
             return Err(Unplaced::Refused(deadline_passed(entry.ran_somewhere())));
         }
         let destinations = self.destinations(id, now).map_err(Unplaced::Refused)?;
-        let Some(entry) = self.requests.get(&id) else {
+        let Some(entry) = self.requests.get_mut(&id) else {
             return Err(Unplaced::Full);
         };
+        entry.alone = self.poison.is_suspect(entry.request.fingerprint, now);
         let work = entry.work();
         let mut full = false;
         for destination in destinations {
@@ -203,6 +204,9 @@
                 Err(NoPlace::Full) => full = true,
                 Err(NoPlace::Unserved) => {}
             }
+            if let Some(model_version) = destination.model_version() {
+                self.orders.unmet(model_version);
+            }
         }
         if full {
             return Err(Unplaced::Full);
@@ -281,7 +285,7 @@
         self.dispatch(id, place, permit, now, out);
     }
 
-    fn dispatch(
+    pub(super) fn dispatch(
         &mut self,
         id: RequestId,
         place: Place,
@@ -349,6 +353,7 @@
             .check(Invariant::NoWorkToLeavingServer, takes_new_work, || dispatch.server.clone());
         self.invariants.check(Invariant::InFlightLimit, has_room, || dispatch.server.clone());
         out.push(Effect::Dispatch(dispatch));
+        self.watch_for_hedge(id, now);
     }
 
     fn check_dispatch(&mut self, dispatch: &Dispatch, moved: bool, again: bool) {
@@ -369,7 +374,9 @@
         let detail = || format!("{id:x} on {model_version}");
         self.invariants.check(Invariant::DispatchNotWithdrawn, in_use, detail);
         self.invariants.check(Invariant::DispatchAllowed, allowed, detail);
-        let within = quota.is_none_or(|quota| exposed <= quota as usize);
+        // A quota that is lowered later cannot undo what was exposed before.
+        let newly = dispatch.permit.newly_exposed();
+        let within = !newly || quota.is_none_or(|quota| exposed <= quota as usize);
         self.invariants.check(Invariant::ExposedCallersBound, within, detail);
         if let Some(pinned) = pinned.filter(|_| moved) {
             let had_to = !self.permissions.may_keep(&pinned, self.requests.get(&id));
--- a/crates/route/src/router/mod.rs
+++ b/crates/route/src/router/mod.rs
@@ -8,6 +8,7 @@
 mod attempts;
 mod cascade;
 mod finish;
+mod hedge;
 mod retry;
 mod world;
 
@@ -32,6 +33,7 @@
 use crate::life::Life;
 use crate::life::Step;
 use crate::life::life;
+use crate::orders::Orders;
 use crate::permit::Permissions;
 use crate::poison::Poison;
 use crate::quality::Quality;
@@ -59,6 +61,7 @@
     poison: Poison,
     sampling: Sampling,
     quality: Quality,
+    orders: Orders,
     stopping: bool,
     /// Something changed that may have made room for waiting requests.
     pump_due: bool,
@@ -76,6 +79,7 @@
 enum TimerKind {
     Deadline,
     Retry,
+    Hedge,
     /// The caller gets the answer of an earlier stage, if no better one came.
     Fallback,
     /// A server may be probed: waiting requests are tried again.
@@ -110,6 +114,7 @@
             poison: Poison::default(),
             sampling: Sampling::new(cfg.ratings_per_second),
             quality: Quality::new(cfg.mechanisms),
+            orders: Orders::default(),
             stopping: false,
             pump_due: false,
             cfg,
@@ -142,6 +147,7 @@
         if std::mem::take(&mut self.pump_due) {
             self.pump(now, &mut out);
         }
+        self.order(now, &mut out);
         self.check_tables();
         out
     }
@@ -174,6 +180,7 @@
             match timer.kind {
                 TimerKind::Deadline => self.deadline_passed(timer.request, now, out),
                 TimerKind::Retry => self.retry_due(timer.request, now, out),
+                TimerKind::Hedge => self.hedge_due(timer.request, now, out),
                 TimerKind::Fallback => self.fallback_due(timer.request, now, out),
                 TimerKind::Probe => self.pump_due = true,
             }
--- a/crates/route/src/router/world.rs
+++ b/crates/route/src/router/world.rs
@@ -2,7 +2,10 @@
 
 use std::time::Instant;
 
+use foxtailhoist_model::EngineOrder;
+use foxtailhoist_model::EngineRole;
 use foxtailhoist_model::Invariant;
+use foxtailhoist_model::OrderedState;
 use foxtailhoist_model::Rating;
 
 use super::Router;
@@ -38,11 +41,32 @@
             Event::Suspected(content) => self.poison.suspect(content, now),
             Event::Rated(rating) => self.rated(&rating, out),
             Event::Hosts { alive } => self.sampling.share_with(alive + 1),
+            Event::OrdersLease { fencing, until } => self.orders.lease(fencing, until),
             Event::Stopping => self.stopping = true,
             _ => {}
         }
     }
 
+    /// Orders a version in demand to be loaded on one more engine.
+    pub(super) fn order(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let Some((wanted, fencing)) = self.orders.due(now) else {
+            return;
+        };
+        if !self.permissions.in_use(&wanted) {
+            return;
+        }
+        let Some((server, loaded)) = self.servers.engine_without(&wanted, now) else {
+            return;
+        };
+        let kept = loaded.iter().filter(|version| self.permissions.in_use(version)).cloned();
+        let loaded = kept.chain([wanted]).collect();
+        let state = OrderedState { loaded, role: EngineRole::Mixed };
+        let holds = self.orders.holds_lease(fencing, now);
+        let order = EngineOrder { server: server.clone(), fencing, state };
+        self.invariants.check(Invariant::FencedActsOnly, holds, || format!("{order:?}"));
+        out.push(Effect::Order(order));
+    }
+
     fn rated(&mut self, rating: &Rating, out: &mut Vec<Effect>) {
         let Some(sample) = self.sampling.take(rating.request) else {
             return;
--- a/crates/route/src/servers/mod.rs
+++ b/crates/route/src/servers/mod.rs
@@ -11,6 +11,7 @@
 mod speed;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -19,6 +20,7 @@
 use foxtailhoist_model::CacheEvent;
 use foxtailhoist_model::DataCentreId;
 use foxtailhoist_model::LoadReport;
+use foxtailhoist_model::ModelVersion;
 use foxtailhoist_model::PrefixHash;
 use foxtailhoist_model::Serves;
 use rand::RngExt;
@@ -30,6 +32,7 @@
 use ring::Ring;
 pub(crate) use server::Server;
 use speed::Speed;
+use speed::Tail;
 
 /// Expected time that a request to another data centre costs besides its work.
 const DISTANCE_COST: Duration = Duration::from_millis(20);
@@ -62,6 +65,8 @@
 struct Group {
     centres: BTreeMap<DataCentreId, Centre>,
     speed: Speed,
+    first_byte_tail: Tail,
+    total_tail: Tail,
 }
 
 /// Servers of one destination in one data centre.
@@ -80,6 +85,8 @@
     pub(crate) prefix_tokens: u32,
     /// The caller waits for the first token rather than for the whole answer.
     pub(crate) streamed: bool,
+    /// Nothing else of this host may run on the server meanwhile.
+    pub(crate) alone: bool,
 }
 
 /// A server chosen for an attempt.
@@ -186,7 +193,7 @@
         (self.prefixes.len(), Prefixes::capacity())
     }
 
-    /// Chooses a server with room for the work, but none of `avoided`.
+    /// Chooses a server with room for the work, one of `avoided` only if all others failed too.
     pub(crate) fn choose(
         &self,
         destination: &Destination,
@@ -194,6 +201,23 @@
         avoided: &[usize],
         now: Instant,
         rng: &mut ChaCha8Rng,
+    ) -> Result<Chosen, NoPlace> {
+        match self.choose_other(destination, work, avoided, now, rng) {
+            Err(NoPlace::Full) if !avoided.is_empty() => {
+                self.choose_other(destination, work, &[], now, rng)
+            }
+            other => other,
+        }
+    }
+
+    /// Chooses a server with room for the work, but none of `avoided`.
+    pub(crate) fn choose_other(
+        &self,
+        destination: &Destination,
+        work: &Work,
+        avoided: &[usize],
+        now: Instant,
+        rng: &mut ChaCha8Rng,
     ) -> Result<Chosen, NoPlace> {
         let group = self.groups.get(destination).ok_or(NoPlace::Unserved)?;
         if group.centres.is_empty() {
@@ -201,7 +225,9 @@
         }
         let usable = |slot: &usize| {
             let server = self.server(*slot);
-            let has_room = server.is_some_and(|server| server.has_room(destination, now));
+            let has_room = server.is_some_and(|server| {
+                server.has_room(destination, now) && (!work.alone || server.in_flight() == 0)
+            });
             has_room && !avoided.contains(slot)
         };
         let candidates = self.candidates(group, work, now, rng);
@@ -220,11 +246,38 @@
             .filter(usable)
             .filter_map(|slot| self.estimate(group, destination, slot, work, now))
             .min_by_key(|(cost, chosen)| (*cost, chosen.slot));
-        match best {
-            Some((_, chosen)) => Ok(chosen),
-            // Where all others failed too, a server that failed is better than none.
-            None if !avoided.is_empty() => self.choose(destination, work, &[], now, rng),
-            None => Err(NoPlace::Full),
+        best.map(|(_, chosen)| chosen).ok_or(NoPlace::Full)
+    }
+
+    /// Latency of attempts relative to the expected, at the 95th percentile.
+    pub(crate) fn tail(&self, destination: &Destination, streamed: bool) -> f64 {
+        let Some(group) = self.groups.get(destination) else {
+            return Tail::default().ratio();
+        };
+        let tail = if streamed { group.first_byte_tail } else { group.total_tail };
+        tail.ratio()
+    }
+
+    /// Engine that takes new work but has not loaded a version, the least loaded of them.
+    pub(crate) fn engine_without(
+        &self,
+        model_version: &ModelVersion,
+        now: Instant,
+    ) -> Option<(&BackendServerId, &BTreeSet<ModelVersion>)> {
+        let loaded = |server: &'_ Server| match &server.listed.serves {
+            Serves::Engine { loaded, .. } => !loaded.contains(model_version),
+            Serves::Service(_) => false,
+        };
+        let engines = self.slots.iter().flatten();
+        let free = engines.filter(|server| server.takes_new_work() && loaded(server));
+        let own_first = |server: &&Server| server.listed.data_centre != self.own;
+        let chosen = free.min_by(|a, b| {
+            let order = own_first(a).cmp(&own_first(b));
+            order.then(a.load(now).total_cmp(&b.load(now)))
+        })?;
+        match &chosen.listed.serves {
+            Serves::Engine { loaded, .. } => Some((&chosen.listed.id, loaded)),
+            Serves::Service(_) => None,
         }
     }
 
@@ -239,6 +292,7 @@
         let adaptive = self.mechanisms.adaptive_limits;
         if let Some(server) = self.server_mut(chosen.slot) {
             server.begin(destination, chosen.uncached, adaptive);
+            server.reserved = work.alone;
         }
         if let Some(prefix) = work.prefix {
             self.prefixes.note(prefix, chosen.slot, work.prefix_tokens, now);
@@ -258,6 +312,7 @@
         }
         if let Some(group) = self.groups.get_mut(destination) {
             group.speed.observe_prefill(seconds, tokens);
+            group.first_byte_tail.observe(seconds / expected.max(0.001));
         }
     }
 
@@ -269,13 +324,16 @@
         seconds: f64,
         tokens: f64,
     ) {
+        let expected = (chosen.total - chosen.first_byte).as_secs_f64();
         let adaptive = self.mechanisms.adaptive_limits;
         if let Some(server) = self.server_mut(chosen.slot) {
             server.succeed();
+            server.reserved = false;
             server.lane(destination, adaptive).speed.observe_decode(seconds, tokens);
         }
         if let Some(group) = self.groups.get_mut(destination) {
             group.speed.observe_decode(seconds, tokens);
+            group.total_tail.observe(seconds / expected.max(0.001));
         }
     }
 
--- a/crates/route/src/servers/server.rs
+++ b/crates/route/src/servers/server.rs
@@ -29,6 +29,8 @@
     pub(crate) leaving: bool,
     /// The list no longer shows it, but its attempts still run.
     pub(crate) unlisted: bool,
+    /// A suspect runs on it alone.
+    pub(crate) reserved: bool,
     pub(crate) lanes: BTreeMap<Destination, Lane>,
     /// Prompt tokens of own attempts that have no first byte yet.
     pub(crate) pending_prefill: f64,
@@ -65,6 +67,7 @@
             listed,
             leaving: false,
             unlisted: false,
+            reserved: false,
             lanes: BTreeMap::new(),
             pending_prefill: 0.0,
             in_flight: 0,
@@ -90,7 +93,7 @@
 
     /// Whether an attempt may start now: there is room, and a server that failed gets one probe at a time.
     pub(crate) fn has_room(&self, destination: &Destination, now: Instant) -> bool {
-        if !self.takes_new_work() || self.is_out(now) {
+        if !self.takes_new_work() || self.reserved || self.is_out(now) {
             return false;
         }
         self.lanes.get(destination).is_none_or(|lane| lane.limiter.has_room())
@@ -113,6 +116,7 @@
     pub(crate) fn end(&mut self, destination: &Destination) {
         self.in_flight = self.in_flight.saturating_sub(1);
         if self.in_flight == 0 {
+            self.reserved = false;
             self.pending_prefill = 0.0;
         }
         if let Some(lane) = self.lanes.get_mut(destination) {
--- a/crates/route/src/servers/speed.rs
+++ b/crates/route/src/servers/speed.rs
@@ -41,6 +41,34 @@
     }
 }
 
+/// Latency, relative to the expected, that 95 in 100 attempts stay below; learned by small steps towards the quantile.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Tail {
+    ratio: f64,
+}
+
+impl Tail {
+    const STEP: f64 = 0.05;
+    const QUANTILE: f64 = 0.95;
+    const MIN: f64 = 1.5;
+    const MAX: f64 = 20.0;
+
+    pub(crate) fn observe(&mut self, ratio: f64) {
+        let step = if ratio > self.ratio { Tail::QUANTILE } else { Tail::QUANTILE - 1.0 };
+        self.ratio = (self.ratio * (1.0 + Tail::STEP * step)).clamp(Tail::MIN, Tail::MAX);
+    }
+
+    pub(crate) fn ratio(&self) -> f64 {
+        self.ratio
+    }
+}
+
+impl Default for Tail {
+    fn default() -> Tail {
+        Tail { ratio: 4.0 }
+    }
+}
+
 fn average(present: Option<f64>, sample: f64) -> f64 {
     match present {
         Some(present) => present + SAMPLE_WEIGHT * (sample - present),
