--- a/crates/config/src/change/command.rs
+++ b/crates/config/src/change/command.rs
@@ -7,7 +7,6 @@
 use crate::ChangeId;
 use crate::ProposalId;
 use foxtailhoist_model::Configuration;
-use foxtailhoist_model::EntryHostId;
 use foxtailhoist_model::ErrorKind;
 use foxtailhoist_model::FencingNumber;
 use foxtailhoist_model::ModelVersion;
@@ -34,11 +33,13 @@
     SwitchPreset { operator: OperatorId, preset: PresetId, why: String },
     /// Changes a version's stage. `vetoed` can set the mark, not clear it.
     SetStage {
-        actor: EntryHostId,
+        /// An entry host, or an operator.
+        actor: String,
         model_version: ModelVersion,
         stage: Stage,
         vetoed: bool,
-        fencing: FencingNumber,
+        /// Of the controller's lease; `None` for an operator, whose act needs no lease.
+        fencing: Option<FencingNumber>,
         why: String,
     },
     /// Clears the mark of a veto.
@@ -122,7 +123,7 @@
         }
     }
 
-    /// Who gives it: an operator, or an entry host for `SetStage`.
+    /// Who gives it: an operator, or the entry host that leads the roll-outs.
     #[must_use]
     pub fn actor(&self) -> &str {
         match self {
@@ -158,7 +159,7 @@
     /// Whether a roll-out controller gives it, not an operator.
     #[must_use]
     pub fn by_controller(&self) -> bool {
-        matches!(self, Command::SetStage { .. })
+        matches!(self, Command::SetStage { fencing: Some(_), .. })
     }
 }
 
--- a/crates/config/src/change/plan.rs
+++ b/crates/config/src/change/plan.rs
@@ -75,8 +75,9 @@
                 self.plan_active(Some((active, &current)), next, active.controller_fencing)
             }
             Command::SetStage { model_version, stage, vetoed, fencing, .. } => {
-                let next = set_stage(active, &current, model_version, stage, *vetoed, *fencing)?;
-                self.plan_active(Some((active, &current)), next, *fencing)
+                let fencing = fencing.unwrap_or(active.controller_fencing);
+                let next = set_stage(active, &current, model_version, stage, *vetoed, fencing)?;
+                self.plan_active(Some((active, &current)), next, fencing)
             }
             Command::ClearVeto { model_version, .. } => {
                 let next = clear_veto(&current, model_version)?;
--- a/crates/config/tests/changes.rs
+++ b/crates/config/tests/changes.rs
@@ -154,7 +154,7 @@
         model_version: ModelVersion::new("levain", "2"),
         stage: Stage::Withdrawn,
         vetoed: true,
-        fencing: 1,
+        fencing: Some(1),
         why: "bad answers".to_owned(),
     };
     run(&mut store, veto, 10).expect("a controller may veto");
--- a/crates/config/tests/support/mod.rs
+++ b/crates/config/tests/support/mod.rs
@@ -248,7 +248,7 @@
         model_version: ModelVersion::new("levain", version),
         stage,
         vetoed: false,
-        fencing,
+        fencing: Some(fencing),
         why: "next step".to_owned(),
     }
 }
--- /dev/null
+++ b/crates/core/client.rs
@@ -0,0 +1,55 @@
+//! Sends an operator's command to an entry host.
+
+use foxtailhoist_host::operator::OperatorCommand;
+use foxtailhoist_host::operator::OperatorReply;
+use foxtailhoist_model::ErrorKind;
+use foxtailhoist_model::Ran;
+use foxtailhoist_model::Refusal;
+use serde::Deserialize;
+
+use crate::failure::Failure;
+use crate::flags::OperatorFlags;
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    error: ErrorDetail,
+}
+
+#[derive(Deserialize)]
+struct ErrorDetail {
+    kind: ErrorKind,
+    ran: Ran,
+    message: String,
+}
+
+/// Sends one command and returns the reply.
+///
+/// # Errors
+///
+/// Fails when the host cannot be reached, refuses, or answers what cannot be read.
+pub async fn send(
+    flags: &OperatorFlags,
+    command: &OperatorCommand,
+) -> Result<OperatorReply, Failure> {
+    let url = format!("http://{}/v1/operator", flags.address);
+    let unreachable = |e: reqwest::Error| {
+        Failure::Unreachable(format!(
+            "entry host at {} cannot be reached: {e}; try another with --address",
+            flags.address
+        ))
+    };
+    let request = reqwest::Client::new().post(url).bearer_auth(&flags.key).json(command);
+    let response = request.send().await.map_err(unreachable)?;
+    let accepted = response.status().is_success();
+    let body = response.bytes().await.map_err(unreachable)?;
+    let unreadable = |e: serde_json::Error| {
+        Failure::Failed(format!("the entry host's answer cannot be read: {e}"))
+    };
+    if accepted {
+        return serde_json::from_slice(&body).map_err(unreadable);
+    }
+    let ErrorBody { error } = serde_json::from_slice(&body).map_err(unreadable)?;
+    let refusal =
+        Refusal { kind: error.kind, ran: error.ran, message: error.message, retry_after: None };
+    Err(Failure::Refused(Box::new(refusal)))
+}
--- /dev/null
+++ b/crates/core/commands/measure_path.rs
@@ -0,0 +1,215 @@
+//! `measure path`: what an entry host adds to a call of an engine.
+//!
+//! Both ways are taken in turns in one run, so that what else happens on the machine meets both alike. Everything runs
+//! in one process: the processor time of a way includes the caller and the engine, and the difference between the two
+//! ways is the entry host's.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::commands::dev;
+use crate::commands::dev::DevOptions;
+use crate::failure::Failure;
+use crate::flags::MeasureFlags;
+
+/// Requests of each way, before and while measuring.
+const WARM_UP: usize = 50;
+const MEASURED: usize = 1_000;
+/// Requests of one way before the other's turn.
+const TURN: usize = 25;
+/// Requests at a time while processor time is measured.
+const CONCURRENT: usize = 16;
+const LOADED: usize = 4_000;
+/// Highest latency that the histograms hold, in microseconds.
+const HIGHEST_US: u64 = 60_000_000;
+const BODY: &str = r#"{"max_tokens":1,"messages":[{"role":"user","content":"Tag: rises slowly"}]}"#;
+
+/// Figures of one run.
+#[derive(Debug, Serialize)]
+pub struct PathCost {
+    direct: WayCost,
+    routed: WayCost,
+    added_p50_us: i64,
+    added_p99_us: i64,
+    /// Requests that one core's time carries through an entry host, caller and engine not counted.
+    routed_per_core_second: f64,
+}
+
+#[derive(Debug, Serialize)]
+struct WayCost {
+    p50_us: u64,
+    p99_us: u64,
+    /// Processor time of a request under load, in microseconds, caller and engine included.
+    cpu_us: f64,
+}
+
+#[derive(Clone)]
+struct Way {
+    url: String,
+    headers: Vec<(&'static str, String)>,
+    client: reqwest::Client,
+}
+
+/// Runs the measurement and prints it.
+///
+/// # Errors
+///
+/// Fails when a part cannot be started or a call fails.
+pub async fn run(flags: MeasureFlags) -> Result<(), Failure> {
+    let options = DevOptions { configuration: None, hosts: 2, port: 0, seed: flags.seed };
+    let running = dev::start(&options).await?;
+    let engine = running
+        .deployment
+        .addresses()
+        .backend_servers
+        .into_iter()
+        .find(|server| server.id.contains("large"))
+        .ok_or_else(|| Failure::Failed("the stand-ins have no engine".to_owned()))?;
+    let direct = Way::direct(engine.address);
+    let routed = Way::routed(running.servers[0].addresses().callers);
+    let cost = measure(&direct, &routed).await;
+    running.close().await;
+    print(&cost?, flags.json);
+    Ok(())
+}
+
+async fn measure(direct: &Way, routed: &Way) -> Result<PathCost, Failure> {
+    for _ in 0..WARM_UP {
+        direct.call().await?;
+        routed.call().await?;
+    }
+    let mut direct_times = histogram()?;
+    let mut routed_times = histogram()?;
+    for _ in 0..MEASURED / TURN {
+        timed(direct, &mut direct_times).await?;
+        timed(routed, &mut routed_times).await?;
+    }
+    let direct_cost = WayCost::of(&direct_times, cpu_under_load(direct).await?);
+    let routed_cost = WayCost::of(&routed_times, cpu_under_load(routed).await?);
+    let added = |routed: u64, direct: u64| {
+        i64::try_from(routed).unwrap_or(0) - i64::try_from(direct).unwrap_or(0)
+    };
+    Ok(PathCost {
+        added_p50_us: added(routed_cost.p50_us, direct_cost.p50_us),
+        added_p99_us: added(routed_cost.p99_us, direct_cost.p99_us),
+        routed_per_core_second: 1e6 / (routed_cost.cpu_us - direct_cost.cpu_us),
+        direct: direct_cost,
+        routed: routed_cost,
+    })
+}
+
+async fn timed(way: &Way, times: &mut Histogram<u64>) -> Result<(), Failure> {
+    for _ in 0..TURN {
+        let start = Instant::now();
+        way.call().await?;
+        let micros = u64::try_from(start.elapsed().as_micros()).unwrap_or(HIGHEST_US);
+        times.saturating_record(micros);
+    }
+    Ok(())
+}
+
+/// Processor time of one request in microseconds.
+async fn cpu_under_load(way: &Way) -> Result<f64, Failure> {
+    let before = cpu_time()?;
+    let mut tasks = Vec::new();
+    for _ in 0..CONCURRENT {
+        let way = way.clone();
+        tasks.push(tokio::spawn(async move {
+            for _ in 0..LOADED / CONCURRENT {
+                way.call().await?;
+            }
+            Ok::<(), Failure>(())
+        }));
+    }
+    for task in tasks {
+        task.await.map_err(|e| Failure::Failed(e.to_string()))??;
+    }
+    let spent = cpu_time()?.saturating_sub(before);
+    Ok(spent.as_secs_f64() * 1e6 / LOADED as f64)
+}
+
+/// Processor time of this process so far, from the kernel's count of clock ticks.
+fn cpu_time() -> Result<Duration, Failure> {
+    /// Clock ticks of the kernel's counters in a second.
+    const TICKS_PER_SECOND: u64 = 100;
+    let text =
+        std::fs::read_to_string("/proc/self/stat").map_err(|e| Failure::Failed(e.to_string()))?;
+    // The second field is the name in parentheses and may hold spaces; user and system time are fields 14 and 15.
+    let fields: Vec<&str> =
+        text.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks: u64 =
+        [11, 12].iter().filter_map(|index| fields.get(*index)?.parse::<u64>().ok()).sum();
+    Ok(Duration::from_millis(ticks * 1000 / TICKS_PER_SECOND))
+}
+
+impl Way {
+    fn direct(engine: SocketAddr) -> Way {
+        let headers = vec![
+            ("x-attempt-id", "1".to_owned()),
+            ("x-model-version", "levain-large@v1".to_owned()),
+            ("x-priority", "normal".to_owned()),
+            ("x-deadline-ms", "20000".to_owned()),
+        ];
+        Way {
+            url: format!("http://{engine}/v1/chat/completions"),
+            headers,
+            client: reqwest::Client::new(),
+        }
+    }
+
+    fn routed(callers: SocketAddr) -> Way {
+        let headers = vec![("authorization", "Bearer key-bakers".to_owned())];
+        Way {
+            url: format!("http://{callers}/v1/chat/completions"),
+            headers,
+            client: reqwest::Client::new(),
+        }
+    }
+
+    async fn call(&self) -> Result<(), Failure> {
+        let mut request =
+            self.client.post(&self.url).header("content-type", "application/json").body(BODY);
+        for (name, value) in &self.headers {
+            request = request.header(*name, value);
+        }
+        let failed = |e: reqwest::Error| Failure::Failed(format!("{}: {e}", self.url));
+        let response = request.send().await.map_err(failed)?;
+        let status = response.status();
+        let body = response.text().await.map_err(failed)?;
+        if status.is_success() {
+            return Ok(());
+        }
+        Err(Failure::Failed(format!("{} answered {status}: {body}", self.url)))
+    }
+}
+
+impl WayCost {
+    fn of(times: &Histogram<u64>, cpu_us: f64) -> WayCost {
+        WayCost {
+            p50_us: times.value_at_quantile(0.5),
+            p99_us: times.value_at_quantile(0.99),
+            cpu_us,
+        }
+    }
+}
+
+fn histogram() -> Result<Histogram<u64>, Failure> {
+    Histogram::new_with_bounds(1, HIGHEST_US, 3).map_err(|e| Failure::Failed(e.to_string()))
+}
+
+fn print(cost: &PathCost, json: bool) {
+    if json {
+        println!("{}", serde_json::to_string_pretty(cost).unwrap_or_default());
+        return;
+    }
+    println!("{:<8} {:>10} {:>10} {:>14}", "way", "p50 us", "p99 us", "cpu us/request");
+    for (name, way) in [("direct", &cost.direct), ("routed", &cost.routed)] {
+        println!("{name:<8} {:>10} {:>10} {:>14.1}", way.p50_us, way.p99_us, way.cpu_us);
+    }
+    println!("added latency p50 {} us, p99 {} us", cost.added_p50_us, cost.added_p99_us);
+    println!("requests per core-second through an entry host {:.0}", cost.routed_per_core_second);
+}
--- /dev/null
+++ b/crates/core/commands/mod.rs
@@ -0,0 +1,71 @@
+//! One module for each kind of command.
+
+mod dev;
+mod measure_path;
+mod operate;
+mod print;
+mod signal;
+
+use tokio::runtime::Runtime;
+
+use crate::commands::dev::DevOptions;
+use crate::failure::Failure;
+use crate::flags::Command;
+use crate::flags::MeasureFlags;
+use crate::flags::Measurement;
+use crate::logging;
+
+/// Log specification of commands that run entry hosts without settings.
+const DEV_LOG: &str = "info";
+const MEASURE_LOG: &str = "error";
+
+/// Runs a command to its end.
+///
+/// # Errors
+///
+/// Returns why it was not carried out.
+pub fn run(command: Command) -> Result<(), Failure> {
+    match command {
+        Command::Help(page) => print!("{page}"),
+        Command::Version => println!("foxtailhoist {}", env!("CARGO_PKG_VERSION")),
+        Command::Dev { configuration, hosts, port, seed } => {
+            let _logger = logging::start(DEV_LOG)?;
+            block_on(dev::dev(DevOptions { configuration, hosts, port, seed }))?;
+        }
+        Command::Status(flags) => block_on(operate::status(flags))?,
+        Command::Preset(flags, command) => block_on(operate::preset(flags, command))?,
+        Command::Config(flags, command) => block_on(operate::config(flags, command))?,
+        Command::Versions(flags, command) => block_on(operate::version(flags, command))?,
+        Command::Usage(flags) => block_on(operate::usage(flags))?,
+        Command::Measure(measurement, flags) => measure(measurement, flags)?,
+        Command::Serve { settings } => return not_built(&format!("serve {}", settings.display())),
+        Command::Check { settings, configuration } => {
+            return not_built(&format!("check of {settings:?} and {configuration:?}"));
+        }
+        Command::ReportBurn(flags, format) => {
+            return not_built(&format!("report burn from {} as {format:?}", flags.address));
+        }
+        Command::Scenario { file } => return not_built(&format!("scenario {}", file.display())),
+    }
+    Ok(())
+}
+
+fn measure(measurement: Measurement, flags: MeasureFlags) -> Result<(), Failure> {
+    let _logger = logging::start(MEASURE_LOG)?;
+    match measurement {
+        Measurement::Path => block_on(measure_path::run(flags)),
+        other => {
+            let MeasureFlags { seed, seeds, steps, minutes, workload, .. } = flags;
+            not_built(&format!("measure {other:?} ({seed} {seeds} {steps} {minutes} {workload:?})"))
+        }
+    }
+}
+
+fn block_on(work: impl Future<Output = Result<(), Failure>>) -> Result<(), Failure> {
+    let runtime = Runtime::new().map_err(|e| Failure::Failed(format!("no runtime: {e}")))?;
+    runtime.block_on(work)
+}
+
+fn not_built(what: &str) -> Result<(), Failure> {
+    Err(Failure::Failed(format!("{what}: not built yet")))
+}
--- /dev/null
+++ b/crates/core/commands/signal.rs
@@ -0,0 +1,18 @@
+//! Waits for the signal that asks for a planned stop.
+
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// Returns at SIGTERM or SIGINT.
+pub async fn stop_requested() {
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        // Without handlers the process ends at the signal itself.
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/core/flags/command.rs
@@ -0,0 +1,278 @@
+//! Checked commands, built from the flags.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use foxtailhoist_model::ModelVersion;
+
+use crate::failure::Failure;
+use crate::flags::Flags;
+use crate::flags::help;
+
+/// Operator address of an entry host when none is named.
+const DEFAULT_ADDRESS: &str = "127.0.0.1:7081";
+const ADDRESS_VARIABLE: &str = "FOXTAILHOIST_ADDRESS";
+const KEY_VARIABLE: &str = "FOXTAILHOIST_KEY";
+
+/// What the process is to do.
+#[derive(Clone, Debug)]
+pub enum Command {
+    Help(String),
+    Version,
+    Serve { settings: PathBuf },
+    Dev { configuration: Option<PathBuf>, hosts: u64, port: u16, seed: u64 },
+    Check { settings: Option<PathBuf>, configuration: Option<PathBuf> },
+    Status(OperatorFlags),
+    Preset(OperatorFlags, PresetCommand),
+    Config(OperatorFlags, ConfigCommand),
+    Versions(OperatorFlags, VersionCommand),
+    Usage(OperatorFlags),
+    ReportBurn(OperatorFlags, ReportFormat),
+    Scenario { file: PathBuf },
+    Measure(Measurement, MeasureFlags),
+}
+
+/// How to reach an entry host.
+#[derive(Clone, Debug)]
+pub struct OperatorFlags {
+    pub address: SocketAddr,
+    pub key: String,
+    pub json: bool,
+}
+
+#[derive(Clone, Debug)]
+pub enum PresetCommand {
+    List,
+    Show { preset: String },
+    Switch { preset: String, why: String },
+}
+
+#[derive(Clone, Debug)]
+pub enum ConfigCommand {
+    Propose { file: PathBuf, why: String },
+    Diff { proposal: String },
+    Approve { proposal: String },
+    Apply { proposal: String },
+    Log { limit: usize },
+}
+
+#[derive(Clone, Debug)]
+pub enum VersionCommand {
+    List,
+    Rollout { model_version: ModelVersion, why: String },
+    Withdraw { model_version: ModelVersion, why: String },
+    Veto { model_version: ModelVersion, why: String },
+    Clear { model_version: ModelVersion, why: String },
+}
+
+/// Form of the burn report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportFormat {
+    Text,
+    Json,
+    Html,
+}
+
+/// What is measured.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Measurement {
+    Path,
+    Policy,
+    Choice,
+    Journal,
+    Control,
+    Soak,
+}
+
+/// How it is measured.
+#[derive(Clone, Debug)]
+pub struct MeasureFlags {
+    pub seed: u64,
+    pub seeds: u64,
+    pub steps: u64,
+    pub minutes: u64,
+    pub workload: Option<PathBuf>,
+    pub json: bool,
+}
+
+impl Command {
+    /// Checks the flags.
+    ///
+    /// # Errors
+    ///
+    /// Refuses unknown commands, absent and superfluous words and values that cannot be read.
+    pub fn from_flags(flags: Flags) -> Result<Command, Failure> {
+        if flags.is_set("help") {
+            return Ok(Command::Help(help::page()));
+        }
+        if flags.is_set("version") {
+            return Ok(Command::Version);
+        }
+        let words: Vec<&str> = flags.words.iter().map(String::as_str).collect();
+        match words.as_slice() {
+            [] => Err(Failure::Usage("no command given".to_owned())),
+            ["serve"] => Ok(Command::Serve { settings: required_path(&flags, "settings")? }),
+            ["dev"] => dev(&flags),
+            ["check"] => check(&flags),
+            ["status"] => Ok(Command::Status(operator(&flags)?)),
+            ["usage"] => Ok(Command::Usage(operator(&flags)?)),
+            ["report", "burn"] => {
+                Ok(Command::ReportBurn(operator(&flags)?, report_format(&flags)?))
+            }
+            ["preset", rest @ ..] => Ok(Command::Preset(operator(&flags)?, preset(&flags, rest)?)),
+            ["config", rest @ ..] => Ok(Command::Config(operator(&flags)?, config(&flags, rest)?)),
+            ["version", rest @ ..] => {
+                Ok(Command::Versions(operator(&flags)?, version(&flags, rest)?))
+            }
+            ["scenario", file] => Ok(Command::Scenario { file: PathBuf::from(file) }),
+            ["measure", what] => Ok(Command::Measure(measurement(what)?, measure_flags(&flags)?)),
+            other => Err(Failure::Usage(format!("'{}' is not a command", other.join(" ")))),
+        }
+    }
+}
+
+fn dev(flags: &Flags) -> Result<Command, Failure> {
+    let port = flags.number("port", 7080)?;
+    Ok(Command::Dev {
+        configuration: flags.value("configuration").map(PathBuf::from),
+        hosts: flags.number("hosts", 6)?,
+        port: u16::try_from(port)
+            .map_err(|_| Failure::Usage(format!("--port {port} is above 65535")))?,
+        seed: flags.number("seed", 1)?,
+    })
+}
+
+fn check(flags: &Flags) -> Result<Command, Failure> {
+    let settings = flags.value("settings").map(PathBuf::from);
+    let configuration = flags.value("configuration").map(PathBuf::from);
+    if settings.is_none() && configuration.is_none() {
+        return Err(Failure::Usage("check needs --settings, --configuration or both".to_owned()));
+    }
+    Ok(Command::Check { settings, configuration })
+}
+
+fn operator(flags: &Flags) -> Result<OperatorFlags, Failure> {
+    let from_env = std::env::var(ADDRESS_VARIABLE).ok();
+    let text = flags
+        .value("address")
+        .map(str::to_owned)
+        .or(from_env)
+        .unwrap_or_else(|| DEFAULT_ADDRESS.to_owned());
+    let address = text.parse().map_err(|_| {
+        Failure::Usage(format!("--address takes an IP number and a port, not '{text}'"))
+    })?;
+    Ok(OperatorFlags { address, key: operator_key(flags)?, json: flags.is_set("json") })
+}
+
+fn operator_key(flags: &Flags) -> Result<String, Failure> {
+    let Some(path) = flags.value("key-file") else {
+        let absent = || {
+            Failure::Usage(format!("give the operator's key by --key-file or in ${KEY_VARIABLE}"))
+        };
+        return std::env::var(KEY_VARIABLE).map_err(|_| absent());
+    };
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| Failure::Usage(format!("--key-file {path}: {e}")))?;
+    Ok(text.trim().to_owned())
+}
+
+fn report_format(flags: &Flags) -> Result<ReportFormat, Failure> {
+    match (flags.is_set("json"), flags.is_set("html")) {
+        (false, false) => Ok(ReportFormat::Text),
+        (true, false) => Ok(ReportFormat::Json),
+        (false, true) => Ok(ReportFormat::Html),
+        (true, true) => Err(Failure::Usage("--json and --html exclude each other".to_owned())),
+    }
+}
+
+fn preset(flags: &Flags, words: &[&str]) -> Result<PresetCommand, Failure> {
+    match words {
+        ["list"] => Ok(PresetCommand::List),
+        ["show", preset] => Ok(PresetCommand::Show { preset: (*preset).to_owned() }),
+        ["switch", preset] => {
+            Ok(PresetCommand::Switch { preset: (*preset).to_owned(), why: why(flags)? })
+        }
+        _ => Err(Failure::Usage("preset takes list, show NAME or switch NAME".to_owned())),
+    }
+}
+
+fn config(flags: &Flags, words: &[&str]) -> Result<ConfigCommand, Failure> {
+    match words {
+        ["propose", file] => {
+            Ok(ConfigCommand::Propose { file: PathBuf::from(file), why: why(flags)? })
+        }
+        ["diff", proposal] => Ok(ConfigCommand::Diff { proposal: (*proposal).to_owned() }),
+        ["approve", proposal] => Ok(ConfigCommand::Approve { proposal: (*proposal).to_owned() }),
+        ["apply", proposal] => Ok(ConfigCommand::Apply { proposal: (*proposal).to_owned() }),
+        ["log"] => {
+            let limit = flags.number("limit", 20)?;
+            Ok(ConfigCommand::Log { limit: usize::try_from(limit).unwrap_or(usize::MAX) })
+        }
+        _ => Err(Failure::Usage(
+            "config takes propose FILE, diff ID, approve ID, apply ID or log".to_owned(),
+        )),
+    }
+}
+
+fn version(flags: &Flags, words: &[&str]) -> Result<VersionCommand, Failure> {
+    let [act, rest @ ..] = words else {
+        return Err(Failure::Usage(
+            "version takes list, rollout, withdraw, veto or clear".to_owned(),
+        ));
+    };
+    if *act == "list" && rest.is_empty() {
+        return Ok(VersionCommand::List);
+    }
+    let [text] = rest else {
+        return Err(Failure::Usage(format!("version {act} takes one MODEL@VERSION")));
+    };
+    let model_version: ModelVersion =
+        text.parse().map_err(|e| Failure::Usage(format!("version {act}: {e}")))?;
+    let why = why(flags)?;
+    match *act {
+        "rollout" => Ok(VersionCommand::Rollout { model_version, why }),
+        "withdraw" => Ok(VersionCommand::Withdraw { model_version, why }),
+        "veto" => Ok(VersionCommand::Veto { model_version, why }),
+        "clear" => Ok(VersionCommand::Clear { model_version, why }),
+        _ => Err(Failure::Usage(format!(
+            "version has no '{act}'; it takes list, rollout, withdraw, veto or clear"
+        ))),
+    }
+}
+
+fn measurement(what: &str) -> Result<Measurement, Failure> {
+    match what {
+        "path" => Ok(Measurement::Path),
+        "policy" => Ok(Measurement::Policy),
+        "choice" => Ok(Measurement::Choice),
+        "journal" => Ok(Measurement::Journal),
+        "control" => Ok(Measurement::Control),
+        "soak" => Ok(Measurement::Soak),
+        _ => Err(Failure::Usage(format!("'{what}' cannot be measured"))),
+    }
+}
+
+fn measure_flags(flags: &Flags) -> Result<MeasureFlags, Failure> {
+    Ok(MeasureFlags {
+        seed: flags.number("seed", 1)?,
+        seeds: flags.number("seeds", 3)?,
+        steps: flags.number("steps", 100_000)?,
+        minutes: flags.number("minutes", 30)?,
+        workload: flags.value("workload").map(PathBuf::from),
+        json: flags.is_set("json"),
+    })
+}
+
+fn required_path(flags: &Flags, long: &str) -> Result<PathBuf, Failure> {
+    let absent = || Failure::Usage(format!("--{long} FILE is required"));
+    flags.value(long).map(PathBuf::from).ok_or_else(absent)
+}
+
+fn why(flags: &Flags) -> Result<String, Failure> {
+    match flags.value("why") {
+        Some(why) if !why.trim().is_empty() => Ok(why.to_owned()),
+        _ => {
+            Err(Failure::Usage("--why TEXT is required: the audit log keeps the reason".to_owned()))
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/by_config.rs
@@ -0,0 +1,95 @@
+//! What the adopter of configurations asks for, and changes of stages that the roll-outs' controller asks for.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use foxtailhoist_config::Change;
+use foxtailhoist_config::ChangeConfig;
+use foxtailhoist_config::Command;
+use foxtailhoist_config::adopter;
+use foxtailhoist_model::Configuration;
+use foxtailhoist_model::FencingNumber;
+use foxtailhoist_model::ModelVersion;
+use foxtailhoist_model::Stage;
+use foxtailhoist_peers::event as peers;
+use foxtailhoist_rollout::event as rollout;
+use foxtailhoist_route::event as route;
+
+use crate::EntryHost;
+use crate::calls::Owner;
+use crate::entry_host::Step;
+use crate::event::Effect;
+use crate::event::Note;
+use crate::operators::Source;
+
+impl EntryHost {
+    pub(crate) fn step_adopter(&mut self, event: adopter::Event, now: Instant) {
+        for effect in self.adopter.handle(event, now) {
+            self.adopter_asks(effect);
+        }
+    }
+
+    fn adopter_asks(&mut self, effect: adopter::Effect) {
+        match effect {
+            adopter::Effect::Store { call, op } => {
+                let call = self.calls.open(Owner::Adopter, call);
+                self.effects.push(Effect::Store { call, op });
+            }
+            adopter::Effect::Adopt(configuration) => self.adopt(configuration),
+            adopter::Effect::Confirmed(confirmed) => {
+                self.confirmed = confirmed;
+                self.push(Step::Router(route::Event::Confirmed(confirmed)));
+                self.note(Note::ConfigurationConfirmed(confirmed));
+            }
+            adopter::Effect::StoreConfirmed { revision, age } => {
+                self.push(Step::Peers(peers::Event::StoreConfirmed { revision, age }));
+            }
+            adopter::Effect::StoreFellBack { store, in_force } => {
+                self.note(Note::StoreFellBack { shown: store, in_force });
+            }
+            adopter::Effect::BodyRefused { revision, reason } => {
+                self.note(Note::ConfigurationRefused { revision, reason });
+            }
+        }
+    }
+
+    fn adopt(&mut self, configuration: Arc<Configuration>) {
+        let revision = configuration.revision;
+        let preset = configuration.preset.clone();
+        self.push(Step::Router(route::Event::Configured(Arc::clone(&configuration))));
+        self.push(Step::Rollout(rollout::Event::Configured(Arc::clone(&configuration))));
+        self.push(Step::Peers(peers::Event::Adopted(Arc::clone(&configuration))));
+        self.configuration = Some(configuration);
+        self.note(Note::ConfigurationAdopted { revision, preset });
+    }
+
+    /// Starts the change of a version's stage for the roll-outs' controller.
+    pub(crate) fn set_stage(
+        &mut self,
+        model_version: ModelVersion,
+        stage: Stage,
+        vetoed: bool,
+        fencing: FencingNumber,
+        why: String,
+        now: Instant,
+    ) {
+        let command = Command::SetStage {
+            actor: self.cfg.host.clone(),
+            model_version: model_version.clone(),
+            stage,
+            vetoed,
+            fencing: Some(fencing),
+            why,
+        };
+        self.start_change(command, Source::Controller { model_version }, now);
+    }
+
+    /// Starts a change against the store.
+    pub(crate) fn start_change(&mut self, command: Command, source: Source, now: Instant) {
+        let known = self.configuration.as_ref().map_or(0, |configuration| configuration.revision);
+        let cfg = ChangeConfig { known, enforcement: self.cfg.enforcement };
+        let change = Change::new(command, cfg, self.wall(now), self.operators.next_seed(), now);
+        let id = self.operators.add(change, source);
+        self.step_change(id, foxtailhoist_config::change::Event::Tick, now);
+    }
+}
--- /dev/null
+++ b/crates/host/src/by_peers.rs
@@ -0,0 +1,94 @@
+//! What the membership asks for.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use foxtailhoist_config::adopter;
+use foxtailhoist_journal::event as journal;
+use foxtailhoist_journal::event::HostPlace;
+use foxtailhoist_peers::event as peers;
+use foxtailhoist_peers::event::Announcement;
+use foxtailhoist_peers::event::Member;
+use foxtailhoist_rollout::event as rollout;
+use foxtailhoist_route::event as route;
+
+use crate::EntryHost;
+use crate::HostMessage;
+use crate::entry_host::Step;
+use crate::event::Effect;
+use crate::event::Note;
+
+impl EntryHost {
+    pub(crate) fn step_peers(&mut self, event: peers::Event, now: Instant) {
+        for effect in self.peers.handle(event, now) {
+            self.peers_ask(effect, now);
+        }
+    }
+
+    fn peers_ask(&mut self, effect: peers::Effect, now: Instant) {
+        match effect {
+            peers::Effect::Send { to, address, message } => {
+                let body = HostMessage::Peers(message).encode();
+                self.effects.push(Effect::Send { to, address, body });
+            }
+            peers::Effect::Hosts(members) => self.hosts_changed(&members),
+            peers::Effect::Adopt(configuration) => {
+                self.push(Step::Adopter(adopter::Event::FromPeer(Arc::clone(&configuration))));
+            }
+            peers::Effect::Learned(announcement) => self.learn(announcement, now),
+            peers::Effect::Tallies(tallies) => {
+                self.push(Step::Rollout(rollout::Event::Others(tallies)))
+            }
+            peers::Effect::Watcher(watcher) => {
+                self.watcher = watcher;
+                self.note(Note::Watching(watcher));
+                self.push(Step::Adopter(adopter::Event::Watcher(watcher)));
+            }
+            peers::Effect::RetireConnections { to } => {
+                if let Some(address) = self.peers.address(&to) {
+                    self.effects.push(Effect::RetirePeer { address });
+                }
+            }
+        }
+    }
+
+    fn hosts_changed(&mut self, members: &[Member]) {
+        let places = members
+            .iter()
+            .map(|member| HostPlace {
+                host: member.host.clone(),
+                data_centre: member.data_centre.clone(),
+            })
+            .collect();
+        let hosts = members.iter().map(|member| member.host.clone()).collect();
+        let alive = u32::try_from(members.len()).unwrap_or(u32::MAX);
+        self.push(Step::Journal(journal::Event::Hosts(places)));
+        self.push(Step::Rollout(rollout::Event::Hosts(hosts)));
+        self.push(Step::Router(route::Event::Hosts { alive }));
+        self.note(Note::HostsAlive { count: members.len() });
+    }
+
+    fn learn(&mut self, announcement: Announcement, now: Instant) {
+        match announcement {
+            Announcement::Vetoed { model_version, epoch, reason } => {
+                self.learn_veto(model_version, epoch, reason)
+            }
+            Announcement::VetoCleared { model_version, epoch, .. } => {
+                self.learn_clearance(model_version, epoch)
+            }
+            Announcement::Suspected { fingerprint } => {
+                self.push(Step::Router(route::Event::Suspected(fingerprint)))
+            }
+            Announcement::Quarantined { fingerprint } => {
+                self.note(Note::Quarantined { fingerprint });
+                self.push(Step::Router(route::Event::Quarantined(fingerprint)));
+            }
+            Announcement::Leaving { server } => {
+                if self.servers.mark_leaving(&server, now) {
+                    self.note(Note::ServerLeaving { server: server.clone() });
+                    self.push(Step::Router(route::Event::Leaving(server)));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/operators.rs
@@ -0,0 +1,476 @@
+//! Operators' commands under way.
+//!
+//! A change of the configuration runs against the store; when it is applied, its reply waits a bounded time for the
+//! other entry hosts to have it in force, so that the operator learns which have not.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use foxtailhoist_config::Applied;
+use foxtailhoist_config::Change;
+use foxtailhoist_config::ChangeRefusal;
+use foxtailhoist_config::Command;
+use foxtailhoist_config::adopter;
+use foxtailhoist_config::change;
+use foxtailhoist_model::Configuration;
+use foxtailhoist_model::ErrorKind;
+use foxtailhoist_model::ModelVersion;
+use foxtailhoist_model::OperatorId;
+use foxtailhoist_model::Refusal;
+use foxtailhoist_model::Stage;
+use foxtailhoist_model::StoreResult;
+use foxtailhoist_peers::event::Announcement;
+use foxtailhoist_rollout::event as rollout;
+
+use crate::EntryHost;
+use crate::calls::Owner;
+use crate::entry_host::Step;
+use crate::entry_host::Stopping;
+use crate::event::CommandId;
+use crate::event::Effect;
+use crate::operator::HostStatus;
+use crate::operator::OperatorCommand;
+use crate::operator::OperatorReply;
+use crate::operator::VersionStatus;
+use crate::readers::Reader;
+
+/// Longest wait for the other entry hosts to put a change in force.
+const ADOPTION_WAIT: Duration = Duration::from_secs(3);
+
+/// Who asked for a change.
+#[derive(Clone, Debug)]
+pub(crate) enum Source {
+    /// An operator, by a command that expects a reply.
+    Operator { command: CommandId, act: OperatorAct },
+    /// The roll-outs' controller.
+    Controller { model_version: ModelVersion },
+}
+
+/// What follows an operator's change.
+#[derive(Clone, Debug)]
+pub(crate) enum OperatorAct {
+    /// A new revision: the reply tells which hosts have it.
+    Revision,
+    Proposal {
+        diff: Vec<String>,
+    },
+    Approval,
+    /// The veto is lifted at the peers too.
+    ClearVeto {
+        operator: OperatorId,
+        model_version: ModelVersion,
+    },
+}
+
+/// Commands under way.
+pub(crate) struct Operators {
+    seed: u64,
+    next: u64,
+    changes: BTreeMap<u64, Running>,
+    adoptions: BTreeMap<CommandId, Adoption>,
+    pub(crate) readers: BTreeMap<CommandId, Reader>,
+}
+
+struct Running {
+    change: Change,
+    source: Source,
+}
+
+/// An applied change whose reply waits for the other hosts.
+struct Adoption {
+    applied: Applied,
+    until: Instant,
+}
+
+impl Operators {
+    pub fn new(seed: u64) -> Operators {
+        Operators {
+            seed,
+            next: 0,
+            changes: BTreeMap::new(),
+            adoptions: BTreeMap::new(),
+            readers: BTreeMap::new(),
+        }
+    }
+
+    /// Seed of the next change's random generator.
+    pub fn next_seed(&self) -> u64 {
+        self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(self.next)
+    }
+
+    pub fn add(&mut self, change: Change, source: Source) -> u64 {
+        self.next += 1;
+        self.changes.insert(self.next, Running { change, source });
+        self.next
+    }
+
+    pub fn next_wake(&self) -> Option<Instant> {
+        let changes = self.changes.values().filter_map(|running| running.change.next_wake());
+        let adoptions = self.adoptions.values().map(|adoption| adoption.until);
+        changes.chain(adoptions).min()
+    }
+}
+
+impl EntryHost {
+    pub(crate) fn take_command(
+        &mut self,
+        command: CommandId,
+        order: OperatorCommand,
+        now: Instant,
+    ) {
+        match order {
+            OperatorCommand::PresetList => self.reply_from_configuration(command, presets),
+            OperatorCommand::PresetShow { preset } => {
+                self.reply_from_configuration(command, |configuration| {
+                    show_preset(configuration, &preset)
+                });
+            }
+            OperatorCommand::VersionList => {
+                let reply = self.versions();
+                self.reply(command, reply);
+            }
+            OperatorCommand::Status => {
+                let reply = OperatorReply::Status(Box::new(self.status()));
+                self.reply(command, Ok(reply));
+            }
+            OperatorCommand::VersionVeto { operator, model_version, why } => {
+                let reason = format!("{operator}: {why}");
+                let epoch = self.vetoes.epoch(&model_version);
+                self.veto(model_version.clone(), epoch, reason);
+                let lines = vec![format!(
+                    "{model_version} is vetoed on this host and spreads to its peers"
+                )];
+                self.reply(command, Ok(OperatorReply::Text { lines }));
+            }
+            OperatorCommand::ConfigLog { limit } => {
+                self.start_reader(command, Reader::audit(limit), now)
+            }
+            OperatorCommand::ConfigDiff { proposal } => {
+                self.start_reader(command, Reader::proposal(&proposal), now);
+            }
+            OperatorCommand::Usage => self.reply(command, Err(not_configured())),
+            change => self.take_change(command, change, now),
+        }
+    }
+
+    pub(crate) fn take_change_result(
+        &mut self,
+        id: u64,
+        call: u64,
+        result: StoreResult,
+        now: Instant,
+    ) {
+        self.step_change(id, change::Event::Store { call, result }, now);
+    }
+
+    pub(crate) fn step_change(&mut self, id: u64, event: change::Event, now: Instant) {
+        let Some(running) = self.operators.changes.get_mut(&id) else {
+            return;
+        };
+        for effect in running.change.handle(event, now) {
+            match effect {
+                change::Effect::Store { call, op } => {
+                    let call = self.calls.open(Owner::Change(id), call);
+                    self.effects.push(Effect::Store { call, op });
+                }
+                change::Effect::Done(outcome) => {
+                    self.change_done(id, *outcome, now);
+                    return;
+                }
+            }
+        }
+    }
+
+    pub(crate) fn tick_operators(&mut self, now: Instant) {
+        let due = |(id, running): (&u64, &Running)| {
+            running.change.next_wake().filter(|at| *at <= now).map(|_| *id)
+        };
+        let ids: Vec<u64> = self.operators.changes.iter().filter_map(due).collect();
+        for id in ids {
+            self.step_change(id, change::Event::Tick, now);
+        }
+        self.check_adoptions(now);
+    }
+
+    /// Answers the commands whose change every host has in force, or whose wait is over.
+    pub(crate) fn check_adoptions(&mut self, now: Instant) {
+        let commands: Vec<CommandId> = self.operators.adoptions.keys().copied().collect();
+        for command in commands {
+            let Some(adoption) = self.operators.adoptions.get(&command) else {
+                continue;
+            };
+            let reply = self.adoption_reply(&adoption.applied);
+            let everywhere = matches!(&reply, OperatorReply::Applied { unconfirmed, .. } if unconfirmed.is_empty());
+            if everywhere || now >= adoption.until {
+                self.operators.adoptions.remove(&command);
+                self.reply(command, Ok(reply));
+            }
+        }
+    }
+
+    pub(crate) fn reply(&mut self, command: CommandId, reply: Result<OperatorReply, Refusal>) {
+        self.effects.push(Effect::Operator { command, reply });
+    }
+
+    /// What this host knows about itself and the fleet.
+    #[must_use]
+    pub fn status(&self) -> HostStatus {
+        let revision = self.revision();
+        let violations =
+            self.invariants().iter().flat_map(|invariants| invariants.violations().values()).sum();
+        HostStatus {
+            host: self.cfg.host.clone(),
+            data_centre: self.cfg.data_centre.clone(),
+            revision,
+            preset: self.configuration.as_ref().map(|it| it.preset.clone()).unwrap_or_default(),
+            confirmed: self.confirmed,
+            stopping: self.stopping != Stopping::No,
+            watcher: self.watcher,
+            leading_rollouts: self.leading,
+            hosts: self.revisions(),
+            backend_servers: self.servers.len(),
+            running: self.running.len(),
+            vetoes: self.vetoes.in_force().cloned().collect(),
+            invariant_violations: violations,
+        }
+    }
+
+    fn revision(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |configuration| configuration.revision)
+    }
+
+    /// Revision that each host alive last said to have in force.
+    fn revisions(&self) -> BTreeMap<String, u64> {
+        let mut revisions: BTreeMap<String, u64> =
+            self.peers.members().into_iter().map(|member| (member.host, member.revision)).collect();
+        revisions.insert(self.cfg.host.clone(), self.revision());
+        revisions
+    }
+
+    fn reply_from_configuration(
+        &mut self,
+        command: CommandId,
+        reply: impl FnOnce(&Configuration) -> Result<OperatorReply, Refusal>,
+    ) {
+        let reply = match &self.configuration {
+            Some(configuration) => reply(configuration),
+            None => Err(not_configured()),
+        };
+        self.reply(command, reply);
+    }
+
+    fn versions(&self) -> Result<OperatorReply, Refusal> {
+        let configuration = self.configuration.as_ref().ok_or_else(not_configured)?;
+        let status = |(version, record): (&ModelVersion, _)| {
+            let vetoed_here = self.vetoes.contains(version);
+            (version.clone(), VersionStatus { record: Clone::clone(record), vetoed_here })
+        };
+        Ok(OperatorReply::Versions {
+            versions: configuration.versions.iter().map(status).collect(),
+        })
+    }
+
+    fn take_change(&mut self, command: CommandId, order: OperatorCommand, now: Instant) {
+        match self.plan(order) {
+            Ok((change, act)) => self.start_change(change, Source::Operator { command, act }, now),
+            Err(refusal) => self.reply(command, Err(refusal)),
+        }
+    }
+
+    fn plan(&self, order: OperatorCommand) -> Result<(Command, OperatorAct), Refusal> {
+        let revision = OperatorAct::Revision;
+        match order {
+            OperatorCommand::PresetSwitch { operator, preset, why } => {
+                Ok((Command::SwitchPreset { operator, preset, why }, revision))
+            }
+            OperatorCommand::ConfigPropose { operator, why, configuration } => {
+                Ok(self.plan_proposal(operator, why, *configuration))
+            }
+            OperatorCommand::ConfigApprove { operator, proposal } => {
+                Ok((Command::Approve { operator, proposal }, OperatorAct::Approval))
+            }
+            OperatorCommand::ConfigApply { operator, proposal } => {
+                Ok((Command::Apply { operator, proposal }, revision))
+            }
+            OperatorCommand::VersionRollout { operator, model_version, why } => {
+                self.check_stage(
+                    &model_version,
+                    |stage| *stage == Stage::Registered,
+                    "registered",
+                )?;
+                let stage = self.first_step()?;
+                Ok((stage_command(operator, model_version, stage, why), revision))
+            }
+            OperatorCommand::VersionWithdraw { operator, model_version, why } => {
+                self.check_stage(&model_version, Stage::takes_new_work, "in roll-out or settled")?;
+                Ok((stage_command(operator, model_version, Stage::Withdrawing, why), revision))
+            }
+            OperatorCommand::VersionClear { operator, model_version, why } => {
+                let act = OperatorAct::ClearVeto {
+                    operator: operator.clone(),
+                    model_version: model_version.clone(),
+                };
+                Ok((Command::ClearVeto { operator, model_version, why }, act))
+            }
+            other => {
+                let message = format!("{other:?} does not change the configuration");
+                Err(Refusal::new(ErrorKind::Internal, &message))
+            }
+        }
+    }
+
+    /// The first configuration of a deployment needs no approval, because there is nothing that it replaces.
+    fn plan_proposal(
+        &self,
+        operator: OperatorId,
+        why: String,
+        configuration: Configuration,
+    ) -> (Command, OperatorAct) {
+        match &self.configuration {
+            Some(current) => {
+                let diff = foxtailhoist_config::diff(current, &configuration);
+                (Command::Propose { operator, why, configuration }, OperatorAct::Proposal { diff })
+            }
+            None => (Command::Initialise { operator, why, configuration }, OperatorAct::Revision),
+        }
+    }
+
+    /// Refuses an act on a version that stands elsewhere in its life cycle.
+    fn check_stage(
+        &self,
+        model_version: &ModelVersion,
+        fits: impl Fn(&Stage) -> bool,
+        expected: &str,
+    ) -> Result<(), Refusal> {
+        let configuration = self.configuration.as_ref().ok_or_else(not_configured)?;
+        let unknown =
+            || Refusal::new(ErrorKind::NotFound, &format!("there is no version {model_version}"));
+        let record = configuration.versions.get(model_version).ok_or_else(unknown)?;
+        if fits(&record.stage) {
+            return Ok(());
+        }
+        let message = format!(
+            "{model_version} is {:?}; this takes a version that is {expected}",
+            record.stage
+        );
+        Err(Refusal::new(ErrorKind::Invalid, &message))
+    }
+
+    /// First step of the preset's roll-outs; the controller allocates its quotas.
+    fn first_step(&self) -> Result<Stage, Refusal> {
+        let configuration = self.configuration.as_ref().ok_or_else(not_configured)?;
+        let step = configuration.preset_in_force().and_then(|preset| preset.rollout.steps.first());
+        let none = || Refusal::new(ErrorKind::Invalid, "the preset in force has no roll-out steps");
+        let share = step.ok_or_else(none)?.share;
+        Ok(Stage::Canary { step: 0, share, quotas: BTreeMap::new() })
+    }
+
+    fn change_done(&mut self, id: u64, outcome: Result<Applied, ChangeRefusal>, now: Instant) {
+        let Some(running) = self.operators.changes.remove(&id) else {
+            return;
+        };
+        if let Ok(applied) = &outcome {
+            self.push(Step::Adopter(adopter::Event::PeerRevision(applied.revision)));
+        }
+        match running.source {
+            Source::Controller { model_version } => {
+                let accepted = outcome.is_ok();
+                self.push(Step::Rollout(rollout::Event::StageSet { model_version, accepted }));
+            }
+            Source::Operator { command, act } => match outcome {
+                Ok(applied) => self.operator_change_applied(command, act, applied, now),
+                Err(refusal) => self.reply(command, Err(change_refusal(&refusal))),
+            },
+        }
+    }
+
+    fn operator_change_applied(
+        &mut self,
+        command: CommandId,
+        act: OperatorAct,
+        applied: Applied,
+        now: Instant,
+    ) {
+        let proposal = applied.proposal.clone().unwrap_or_default();
+        match act {
+            OperatorAct::Proposal { diff } => {
+                self.reply(command, Ok(OperatorReply::Proposed { proposal, diff }))
+            }
+            OperatorAct::Approval => self.reply(command, Ok(OperatorReply::Approved { proposal })),
+            OperatorAct::Revision => self.await_adoption(command, applied, now),
+            OperatorAct::ClearVeto { operator, model_version } => {
+                let epoch = self.vetoes.epoch(&model_version) + 1;
+                let model_version_cleared = model_version.clone();
+                self.announce(Announcement::VetoCleared { model_version, epoch, operator });
+                self.learn_clearance(model_version_cleared, epoch);
+                self.await_adoption(command, applied, now);
+            }
+        }
+    }
+
+    fn await_adoption(&mut self, command: CommandId, applied: Applied, now: Instant) {
+        let adoption = Adoption { applied, until: now + ADOPTION_WAIT };
+        self.operators.adoptions.insert(command, adoption);
+    }
+
+    fn adoption_reply(&self, applied: &Applied) -> OperatorReply {
+        let (confirmed, unconfirmed): (Vec<_>, Vec<_>) =
+            self.revisions().into_iter().partition(|(_, revision)| *revision >= applied.revision);
+        let names = |hosts: Vec<(String, u64)>| hosts.into_iter().map(|(host, _)| host).collect();
+        let mut detail = Vec::new();
+        if applied.answer_lost {
+            detail.push(
+                "the store's answer was lost; the change was found in force by reading back"
+                    .to_owned(),
+            );
+        }
+        OperatorReply::Applied {
+            revision: applied.revision,
+            change: applied.change.clone(),
+            detail,
+            confirmed: names(confirmed),
+            unconfirmed: names(unconfirmed),
+        }
+    }
+}
+
+fn stage_command(
+    actor: OperatorId,
+    model_version: ModelVersion,
+    stage: Stage,
+    why: String,
+) -> Command {
+    Command::SetStage { actor, model_version, stage, vetoed: false, fencing: None, why }
+}
+
+fn presets(configuration: &Configuration) -> Result<OperatorReply, Refusal> {
+    Ok(OperatorReply::Presets {
+        in_force: configuration.preset.clone(),
+        presets: configuration.presets.keys().cloned().collect(),
+    })
+}
+
+fn show_preset(configuration: &Configuration, preset: &str) -> Result<OperatorReply, Refusal> {
+    let unknown = || {
+        Refusal::new(
+            ErrorKind::NotFound,
+            &format!("there is no preset '{preset}'; see `preset list`"),
+        )
+    };
+    let preset = configuration.presets.get(preset).ok_or_else(unknown)?;
+    let text = serde_json::to_string_pretty(preset)
+        .map_err(|e| Refusal::new(ErrorKind::Internal, &e.to_string()))?;
+    Ok(OperatorReply::Text { lines: text.lines().map(str::to_owned).collect() })
+}
+
+fn not_configured() -> Refusal {
+    Refusal::new(
+        ErrorKind::NotFound,
+        "there is no configuration yet; send one with `config propose FILE`",
+    )
+}
+
+fn change_refusal(refusal: &ChangeRefusal) -> Refusal {
+    Refusal::new(refusal.kind(), &refusal.to_string())
+}
--- /dev/null
+++ b/crates/host/src/readers.rs
@@ -0,0 +1,186 @@
+//! Commands that only read the store: the audit log, a proposal, the bills.
+
+use std::time::Instant;
+
+use foxtailhoist_config::ActRecord;
+use foxtailhoist_config::AuditRecord;
+use foxtailhoist_config::Proposal;
+use foxtailhoist_config::audit_key;
+use foxtailhoist_config::decode;
+use foxtailhoist_config::proposal_key;
+use foxtailhoist_model::ErrorKind;
+use foxtailhoist_model::Object;
+use foxtailhoist_model::Refusal;
+use foxtailhoist_model::StoreOp;
+use foxtailhoist_model::StoreReply;
+use foxtailhoist_model::StoreResult;
+
+use crate::EntryHost;
+use crate::calls::Owner;
+use crate::event::CommandId;
+use crate::event::Effect;
+use crate::operator::OperatorReply;
+
+/// Most objects in one page of a list.
+const PAGE: usize = 500;
+
+/// A read under way.
+pub(crate) enum Reader {
+    /// Applied changes, then proposals and approvals, in the order of time.
+    Audit {
+        limit: usize,
+        newest: u64,
+        lines: Vec<LogLine>,
+        in_acts: bool,
+    },
+    Proposal {
+        id: String,
+    },
+}
+
+/// One line of the audit log.
+pub(crate) struct LogLine {
+    at: std::time::SystemTime,
+    text: String,
+}
+
+/// What a result leads to.
+enum Next {
+    Call(StoreOp),
+    Done(Result<OperatorReply, Refusal>),
+}
+
+impl Reader {
+    pub fn audit(limit: usize) -> Reader {
+        Reader::Audit { limit, newest: 0, lines: Vec::new(), in_acts: false }
+    }
+
+    pub fn proposal(id: &str) -> Reader {
+        Reader::Proposal { id: id.to_owned() }
+    }
+
+    fn first_call(&self) -> StoreOp {
+        match self {
+            Reader::Audit { limit, newest, .. } => {
+                let oldest = newest.saturating_sub(*limit as u64);
+                list("config/audit/", Some(audit_key(oldest)))
+            }
+            Reader::Proposal { id } => StoreOp::Get { key: proposal_key(id) },
+        }
+    }
+
+    fn take(&mut self, reply: StoreReply) -> Next {
+        match (self, reply) {
+            (Reader::Proposal { id }, StoreReply::Object(object)) => {
+                Next::Done(proposal(id, object))
+            }
+            (Reader::Audit { limit, lines, in_acts, .. }, StoreReply::Objects { objects, .. }) => {
+                let full = objects.len() == PAGE;
+                let last = objects.last().map(|object| object.key.clone());
+                lines.extend(objects.iter().filter_map(|object| log_line(object, *in_acts)));
+                match (full, *in_acts) {
+                    (true, _) => Next::Call(list(prefix(*in_acts), last)),
+                    (false, false) => {
+                        *in_acts = true;
+                        Next::Call(list(prefix(true), None))
+                    }
+                    (false, true) => Next::Done(Ok(audit_reply(lines, *limit))),
+                }
+            }
+            _ => Next::Done(Err(Refusal::new(
+                ErrorKind::Internal,
+                "the store answered another call",
+            ))),
+        }
+    }
+}
+
+impl EntryHost {
+    pub(crate) fn start_reader(&mut self, command: CommandId, mut reader: Reader, _now: Instant) {
+        if let Reader::Audit { newest, .. } = &mut reader {
+            *newest = self.configuration.as_ref().map_or(0, |configuration| configuration.revision);
+        }
+        let op = reader.first_call();
+        self.operators.readers.insert(command, reader);
+        self.read(command, op);
+    }
+
+    pub(crate) fn take_read(&mut self, command: CommandId, result: StoreResult) {
+        let Some(reader) = self.operators.readers.get_mut(&command) else {
+            return;
+        };
+        let next = match result {
+            Ok(reply) => reader.take(reply),
+            Err(error) => {
+                Next::Done(Err(Refusal::new(ErrorKind::StoreUnavailable, &error.to_string())))
+            }
+        };
+        match next {
+            Next::Call(op) => self.read(command, op),
+            Next::Done(reply) => {
+                self.operators.readers.remove(&command);
+                self.reply(command, reply);
+            }
+        }
+    }
+
+    fn read(&mut self, command: CommandId, op: StoreOp) {
+        let call = self.calls.open(Owner::Reader(command), 0);
+        self.effects.push(Effect::Store { call, op });
+    }
+}
+
+fn list(prefix: &str, after: Option<String>) -> StoreOp {
+    StoreOp::List { prefix: prefix.to_owned(), after, limit: PAGE }
+}
+
+fn prefix(acts: bool) -> &'static str {
+    if acts { "config/audit-acts/" } else { "config/audit/" }
+}
+
+fn proposal(id: &str, object: Option<Object>) -> Result<OperatorReply, Refusal> {
+    let unknown = || Refusal::new(ErrorKind::NotFound, &format!("there is no proposal '{id}'"));
+    let object = object.ok_or_else(unknown)?;
+    let proposal: Proposal =
+        decode(&object.value).map_err(|e| Refusal::new(ErrorKind::Internal, &e))?;
+    let head = format!(
+        "proposal {} by {} on revision {}: {} ({:?})",
+        proposal.id, proposal.operator, proposal.base_revision, proposal.why, proposal.state
+    );
+    let lines = [head].into_iter().chain(proposal.diff).collect();
+    Ok(OperatorReply::Text { lines })
+}
+
+fn log_line(object: &Object, is_act: bool) -> Option<LogLine> {
+    if is_act {
+        let record: ActRecord = decode(&object.value).ok()?;
+        let text = format!(
+            "{:?} proposal {} by {}: {}",
+            record.act, record.proposal, record.actor, record.why
+        );
+        return Some(LogLine { at: record.at, text });
+    }
+    let record: AuditRecord = decode(&object.value).ok()?;
+    let approved =
+        record.approved_by.map(|operator| format!(", approved by {operator}")).unwrap_or_default();
+    let text = format!(
+        "revision {}: {:?} by {}{approved}: {} [{}]",
+        record.revision,
+        record.act,
+        record.actor,
+        record.why,
+        record.diff.join("; ")
+    );
+    Some(LogLine { at: record.at, text })
+}
+
+fn audit_reply(lines: &mut Vec<LogLine>, limit: usize) -> OperatorReply {
+    lines.sort_by_key(|line| line.at);
+    let skip = lines.len().saturating_sub(limit);
+    let seconds = |at: std::time::SystemTime| {
+        at.duration_since(std::time::UNIX_EPOCH).map_or(0, |age| age.as_secs())
+    };
+    let lines =
+        lines.drain(skip..).map(|line| format!("{} {}", seconds(line.at), line.text)).collect();
+    OperatorReply::Text { lines }
+}
--- a/crates/peers/src/event.rs
+++ b/crates/peers/src/event.rs
@@ -32,6 +32,8 @@
     Adopted(Arc<Configuration>),
     /// This host observed something that its peers must know.
     Announce(Announcement),
+    /// The store confirmed that the revision in force here was its newest, `age` ago.
+    StoreConfirmed { revision: Revision, age: std::time::Duration },
     /// This host's own evidence about a version, cumulative since its start.
     Tally { model_version: ModelVersion, tally: Tally },
     /// This host leaves: tell the peers.
--- a/crates/route/src/router/finish.rs
+++ b/crates/route/src/router/finish.rs
@@ -11,6 +11,7 @@
 
 use super::Router;
 use super::arrive::deadline_passed;
+use crate::entry::Entry;
 use crate::event::Completion;
 use crate::event::Effect;
 use crate::life::State;
@@ -19,6 +20,12 @@
 
 impl Router {
     pub(super) fn caller_gone(&mut self, id: RequestId, now: Instant, out: &mut Vec<Effect>) {
+        // Cancelling a non-idempotent attempt would leave its outcome unknown for good; run on, and the caller's repeat
+        // gets the recorded answer.
+        let runs_on = |entry: &Entry| entry.request.at_most_once() && entry.ran_somewhere();
+        if self.requests.get(&id).is_some_and(runs_on) {
+            return;
+        }
         let message = "the caller left before the answer was whole";
         self.refuse(id, Refusal::new(ErrorKind::CallerGone, message), now, out);
     }
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -1,1 +1,1 @@
-//! Scripted scenarios in a small YAML language, in virtual time.
+//! Scripted scenarios.
--- /dev/null
+++ b/crates/server/src/chat.rs
@@ -0,0 +1,112 @@
+//! Reads chat-completions bodies as far as the decisions need them.
+//!
+//! The body itself goes to the engine as it came. Tokens are estimated from its length: engines count them exactly
+//! and the bill uses their count, while the estimate only steers the choice of a server.
+
+use foxtailhoist_model::ErrorKind;
+use foxtailhoist_model::PrefixHash;
+use foxtailhoist_model::Refusal;
+use foxtailhoist_model::stable_hash;
+use serde::Deserialize;
+
+/// Characters in a token, on average.
+const CHARACTERS_PER_TOKEN: usize = 4;
+/// Output tokens of a request that states no bound.
+const DEFAULT_OUTPUT_TOKENS: u32 = 512;
+/// Name by which a caller leaves the choice of a model to the router.
+const ANY_MODEL: &str = "auto";
+
+/// What the decisions need of a chat-completions body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ChatRequest {
+    /// `None` when the choice is left to the router.
+    pub model: Option<String>,
+    pub streamed: bool,
+    pub prompt_tokens: u32,
+    pub max_output_tokens: u32,
+    /// Hash and length of the first message, which requests of one kind share.
+    pub prefix: PrefixHash,
+    pub prefix_tokens: u32,
+    pub user: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Body {
+    #[serde(default)]
+    model: Option<String>,
+    messages: Vec<Message>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    user: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Message {
+    #[serde(default)]
+    content: Content,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(untagged)]
+enum Content {
+    Text(String),
+    Parts(Vec<Part>),
+    #[default]
+    Absent,
+}
+
+#[derive(Deserialize)]
+struct Part {
+    #[serde(default)]
+    text: String,
+}
+
+impl ChatRequest {
+    /// Reads a body.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with [`ErrorKind::BadRequest`] what is not a chat-completions body.
+    pub fn parse(body: &[u8]) -> Result<ChatRequest, Refusal> {
+        let body: Body = serde_json::from_slice(body).map_err(|e| {
+            Refusal::new(ErrorKind::BadRequest, &format!("body is not a chat completion: {e}"))
+        })?;
+        if body.messages.is_empty() {
+            return Err(Refusal::new(ErrorKind::BadRequest, "messages must not be empty"));
+        }
+        let texts: Vec<String> =
+            body.messages.into_iter().map(|message| message.content.into_text()).collect();
+        let characters: usize = texts.iter().map(String::len).sum();
+        Ok(ChatRequest {
+            model: body.model.filter(|model| model != ANY_MODEL),
+            streamed: body.stream,
+            prompt_tokens: tokens(characters),
+            max_output_tokens: body
+                .max_completion_tokens
+                .or(body.max_tokens)
+                .unwrap_or(DEFAULT_OUTPUT_TOKENS),
+            prefix: stable_hash(0, &[texts[0].as_bytes()]),
+            prefix_tokens: tokens(texts[0].len()),
+            user: body.user,
+        })
+    }
+}
+
+impl Content {
+    fn into_text(self) -> String {
+        match self {
+            Content::Text(text) => text,
+            Content::Parts(parts) => parts.into_iter().map(|part| part.text).collect(),
+            Content::Absent => String::new(),
+        }
+    }
+}
+
+fn tokens(characters: usize) -> u32 {
+    u32::try_from(characters.div_ceil(CHARACTERS_PER_TOKEN)).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/server/src/server.rs
@@ -0,0 +1,155 @@
+//! Starts and stops the process around an entry host.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use foxtailhoist_host::EntryHost;
+use foxtailhoist_host::HostConfig;
+use foxtailhoist_host::event::Event;
+use salvo::Listener;
+use salvo::conn::TcpListener;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::prelude::Router;
+use salvo::server::ServerHandle;
+use thiserror::Error;
+use tokio::task::JoinHandle;
+
+use crate::Edges;
+use crate::ServerConfig;
+use crate::http;
+use crate::metrics::Metrics;
+use crate::metrics::MetricsError;
+use crate::poll;
+use crate::shell::Shell;
+
+/// Time for connections to close after the last answer.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A running entry host.
+pub struct Server {
+    shell: Arc<Shell>,
+    listeners: Vec<Listening>,
+    tasks: Vec<JoinHandle<()>>,
+    addresses: Addresses,
+}
+
+/// Addresses that the listeners got.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    pub callers: SocketAddr,
+    pub operators: SocketAddr,
+    pub peers: SocketAddr,
+}
+
+/// Why a server did not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    #[error("cannot listen on {address}: {reason}; choose another address or port in the settings")]
+    Listen { address: SocketAddr, reason: String },
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
+}
+
+struct Listening {
+    handle: ServerHandle,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    /// Binds the listeners and starts the entry host.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be listened on.
+    pub async fn start(cfg: ServerConfig, edges: Edges) -> Result<Server, StartError> {
+        let callers = bind(cfg.listen.callers).await?;
+        let operators = bind(cfg.listen.operators).await?;
+        let peers = bind(cfg.listen.peers).await?;
+        let addresses = Addresses {
+            callers: callers.address,
+            operators: operators.address,
+            peers: peers.address,
+        };
+        let host_config = HostConfig {
+            host: cfg.identity.host.clone(),
+            data_centre: cfg.identity.data_centre.clone(),
+            incarnation: cfg.identity.incarnation,
+            peer_address: addresses.peers,
+            seeds: cfg.seeds.clone(),
+            enforcement: foxtailhoist_model::Enforcement::Count,
+        };
+        let host = EntryHost::new(host_config, cfg.seed, Instant::now(), SystemTime::now());
+        let shell = Arc::new(Shell::new(host, edges, cfg.limits, cfg.keys, Metrics::new()?));
+        let listeners = vec![
+            callers.serve(http::caller_routes(&shell)),
+            operators.serve(http::operator_routes(&shell)),
+            peers.serve(http::peer_routes(&shell)),
+        ];
+        let tasks = vec![
+            tokio::spawn(Arc::clone(&shell).run_clock()),
+            tokio::spawn(poll::host_list(Arc::clone(&shell))),
+        ];
+        Ok(Server { shell, listeners, tasks, addresses })
+    }
+
+    /// Addresses that the listeners got.
+    #[must_use]
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Whether the balancer may send requests.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.shell.is_ready()
+    }
+
+    /// Stops in order: not ready, no new requests, running answers finished, journal and peers closed.
+    /// Returns whether everything ended within the time allowed.
+    pub async fn close(self) -> bool {
+        let mut stopped = self.shell.stopped();
+        self.shell.handle(Event::Stop);
+        let timeout = self.shell.limits().stop_timeout;
+        let in_time =
+            tokio::time::timeout(timeout, stopped.wait_for(|stopped| *stopped)).await.is_ok();
+        for listening in self.listeners {
+            listening.close().await;
+        }
+        for task in self.tasks {
+            task.abort();
+        }
+        in_time
+    }
+}
+
+struct Bound {
+    acceptor: TcpAcceptor,
+    address: SocketAddr,
+}
+
+async fn bind(address: SocketAddr) -> Result<Bound, StartError> {
+    let failed = |reason: String| StartError::Listen { address, reason };
+    let acceptor = TcpListener::new(address).try_bind().await.map_err(|e| failed(e.to_string()))?;
+    let local = acceptor.local_addr().map_err(|e| failed(e.to_string()))?;
+    Ok(Bound { acceptor, address: local })
+}
+
+impl Bound {
+    fn serve(self, routes: Router) -> Listening {
+        let server = salvo::Server::new(self.acceptor);
+        let handle = server.handle();
+        let task = tokio::spawn(server.serve(routes));
+        Listening { handle, task }
+    }
+}
+
+impl Listening {
+    async fn close(self) {
+        self.handle.stop_graceful(Some(CLOSE_TIMEOUT));
+        // The task ends with the last connection or after the time-out.
+        let _ = self.task.await;
+    }
+}
