--- a/crates/journal/src/attempt.rs
+++ b/crates/journal/src/attempt.rs
@@ -19,6 +19,7 @@
 use crate::entry::Segment;
 use crate::entry::Seq;
 use crate::entry::ShardId;
+use crate::entry::Writer;
 use crate::entry::segment_key;
 use crate::event::CallId;
 use crate::floor::FloorCheck;
@@ -40,6 +41,8 @@
     ids: Vec<EntryId>,
     /// When the create was first sent.
     sent_at: Option<Instant>,
+    /// Only reads what stands at the sequence number.
+    read_only: bool,
     /// An answer was lost: the create may have taken effect or may yet.
     may_land: bool,
     misses: u32,
@@ -61,8 +64,8 @@
 pub enum AttemptEnd {
     /// These segments stand at the attempt's sequence number and after.
     Found { segments: Vec<Segment>, floor: Option<Seq> },
-    /// Nothing took effect.
-    NotWritten,
+    /// Nothing took effect; `end_read` tells whether a read found no segment there.
+    NotWritten { end_read: bool },
     /// The sequence number is below the floor, or its segment can't be found.
     Void { floor: Option<Seq> },
 }
@@ -78,6 +81,7 @@
             segment,
             ids,
             sent_at: None,
+            read_only: false,
             may_land: false,
             misses: 0,
             retry_at: None,
@@ -85,6 +89,14 @@
         }
     }
 
+    /// Reads what others wrote at `seq` and after, and writes nothing.
+    #[must_use]
+    pub fn read(shard: ShardId, seq: Seq, writer: Writer) -> Attempt {
+        let segment = Segment { writer, log_time: 0, entries: Vec::new() };
+        let attempt = Attempt::new(shard, seq, segment, Vec::new());
+        Attempt { read_only: true, step: Step::Read { exists: false }, ..attempt }
+    }
+
     /// Entries of the segment.
     #[must_use]
     pub fn ids(&self) -> &[EntryId] {
@@ -192,7 +204,7 @@
                 self.step = Step::Create;
                 None
             }
-            Err(_) => Some(AttemptEnd::NotWritten),
+            Err(_) => Some(AttemptEnd::NotWritten { end_read: false }),
         }
     }
 
@@ -212,6 +224,9 @@
         if !segments.is_empty() {
             return self.found(segments, is_fresh);
         }
+        if self.read_only {
+            return Some(AttemptEnd::NotWritten { end_read: true });
+        }
         if !exists {
             self.step = Step::Create;
             return None;
--- a/crates/journal/src/config.rs
+++ b/crates/journal/src/config.rs
@@ -37,6 +37,8 @@
 pub const WRITE_INTERVAL: Duration = Duration::from_millis(20);
 /// Age of the last checked create beyond which the floor is read again. Well below [`CLAIM_RETENTION`].
 pub const FRESH_BOUND: Duration = Duration::from_secs(600);
+/// Age up to which a known end of the log is used for new entries. Well below [`BILL_RETENTION`].
+pub const HEAD_AGE_LIMIT: Duration = Duration::from_secs(20);
 /// Most time that the gap between two segments adds to a shard's log time.
 pub const LOG_GAP_LIMIT: Duration = Duration::from_secs(10);
 
@@ -51,6 +53,7 @@
     pub(crate) claim_retention: Duration,
     pub(crate) bill_retention: Duration,
     pub(crate) fresh_bound: Duration,
+    pub(crate) head_age_limit: Duration,
     pub(crate) bill_window: Duration,
     pub(crate) bill_batch: usize,
     pub(crate) claim_wait: Duration,
@@ -79,6 +82,7 @@
             claim_retention: CLAIM_RETENTION,
             bill_retention: BILL_RETENTION,
             fresh_bound: FRESH_BOUND,
+            head_age_limit: HEAD_AGE_LIMIT,
             bill_window: Duration::from_secs(6),
             bill_batch: 500,
             claim_wait: Duration::from_secs(1),
@@ -115,6 +119,7 @@
         self.claim_retention = claims;
         self.bill_retention = bills.min(claims);
         self.fresh_bound = FRESH_BOUND.min(claims / 6);
+        self.head_age_limit = HEAD_AGE_LIMIT.min(self.bill_retention / 6);
         self
     }
 
--- a/crates/journal/src/delivery.rs
+++ b/crates/journal/src/delivery.rs
@@ -27,8 +27,6 @@
 
 /// Longest wait of an entry that waits only for others before it is looked at again.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(5);
-/// Age up to which a head that the home told is used for new entries.
-const HEAD_AGE_LIMIT: Duration = Duration::from_secs(20);
 /// Time between two questions for a shard's head.
 const HEAD_QUERY_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -118,42 +116,40 @@
             return false;
         }
         own.origin = Origin::AbandonedClaim { key: key.clone() };
-        let shard = own.shard;
-        let was_sent = matches!(own.route, Route::Home { .. }) || own.told;
+        let (shard, is_exposed) = (own.shard, own.is_exposed());
         let result = ClaimResult::Unavailable;
         self.effects.push(Effect::Claimed { request, key, result });
+        if is_exposed {
+            return false;
+        }
         let mut withdrawn = false;
         self.with_shard(shard, now, |shard, _| withdrawn = shard.withdraw(id));
-        let is_gone = withdrawn && !was_sent;
-        if is_gone {
+        if withdrawn {
             self.own.remove(id);
         }
-        is_gone
+        withdrawn
     }
 
     /// Finds a place in the log before the entry, which no other host has seen yet.
     fn place_in_log(&mut self, id: EntryId, now: Instant) -> bool {
         let Some(own) = self.own.find(id) else { return false };
-        if own.since.is_some() {
+        if own.placed {
             return true;
         }
         let shard = own.shard;
         let give_up_at = own.at + self.cfg.home_timeout;
-        let own_head = self.shards[shard as usize].ledger().map(|ledger| ledger.next_seq());
+        let age_limit = self.cfg.head_age_limit;
+        let own_head = self.shards[shard as usize].head(now, age_limit);
         let told_head = self.heads.get(&shard).and_then(|known| known.head);
-        let told_head =
-            told_head.filter(|(_, at)| now < *at + HEAD_AGE_LIMIT).map(|(head, _)| head);
-        let is_home = self.places.is_home(shard);
-        let head = if is_home { own_head } else { told_head };
-        let head = head.or((now >= give_up_at).then_some(own_head.unwrap_or_default()));
-        if let Some(own) = self.own.find_mut(id) {
-            own.since = head;
-        }
-        if head.is_none() {
-            self.ask_for_head(shard, is_home, now);
+        let told_head = told_head.filter(|(_, at)| now < *at + age_limit).map(|(head, _)| head);
+        let head = own_head.max(told_head);
+        if head.is_none() && now < give_up_at {
+            self.ask_for_head(shard, self.places.is_home(shard), now);
             self.own.review_by(id, give_up_at);
+            return false;
         }
-        head.is_some()
+        self.own.place(id, head);
+        true
     }
 
     fn ask_for_head(&mut self, shard: ShardId, is_home: bool, now: Instant) {
@@ -219,6 +215,7 @@
         let accepted =
             matches!(&own.route, Route::Home { home: at, accepted: true, .. } if *at == home);
         own.route = Route::Home { home: home.clone(), sent_at: now, accepted };
+        own.sent += 1;
         let held = own.held();
         self.outbox.to(&home).append.push(held);
         self.own.review_by(id, now + patience);
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -29,7 +29,6 @@
 use crate::cx::Grouping;
 use crate::entry::ClaimTag;
 use crate::entry::Entry;
-use crate::entry::EntryId;
 use crate::entry::Seq;
 use crate::entry::ShardId;
 use crate::event::CallId;
@@ -47,6 +46,8 @@
 use crate::stats::JournalStats;
 
 const TAG_SEED: u64 = 0x7a6;
+/// How long a stop waits for commits of entries that peers keep.
+const STOP_COMMIT_TIME: Duration = Duration::from_secs(2);
 
 /// Claims and bills of one entry host.
 #[derive(Debug)]
@@ -64,7 +65,7 @@
     /// Granted claims of this host whose outcome is not known.
     pub(crate) running: BTreeMap<ClaimKey, ClaimTag>,
     pub(crate) heads: BTreeMap<ShardId, KnownHead>,
-    /// Peers that asked for a shard's head before it was loaded.
+    /// Peers that asked for a shard's head before it was known.
     pub(crate) head_waiters: BTreeMap<ShardId, BTreeSet<EntryHostId>>,
     pub(crate) outbox: Outbox,
     pub(crate) effects: Vec<Effect>,
@@ -86,6 +87,8 @@
 /// A stop under way.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Stopping {
+    /// Till then commits are waited for; then copies at peers suffice.
+    pub commit_until: Instant,
     pub deadline: Instant,
     pub done: bool,
 }
@@ -151,8 +154,8 @@
         let shards = self.shards.iter().filter_map(|shard| shard.next_wake(grouping));
         let wants_call = self.shards.iter().any(|shard| shard.wants_call(now, grouping));
         let gate = wants_call.then(|| self.gate.next_at(now)).flatten();
-        let stop =
-            self.stopping.filter(|stopping| !stopping.done).map(|stopping| stopping.deadline);
+        let stop = self.stopping.filter(|stopping| !stopping.done);
+        let stop = stop.into_iter().flat_map(|stopping| [stopping.commit_until, stopping.deadline]);
         shards
             .chain(self.own.next_review())
             .chain(self.parked.next_review())
@@ -179,6 +182,12 @@
         }
     }
 
+    /// Entry host that commits a shard's entries for all.
+    #[must_use]
+    pub fn home(&self, shard: ShardId) -> &EntryHostId {
+        self.places.home(shard)
+    }
+
     /// Whether another claim or bill can be held; a request that would need one is refused before it runs.
     #[must_use]
     pub fn has_room(&self) -> bool {
@@ -223,9 +232,8 @@
         self.gate.finish(result, now, &mut self.rng);
         let mut head = None;
         self.with_shard(shard, now, |shard, cx| {
-            let was_loaded = shard.ledger().is_some();
             shard.finish(call, result, cx);
-            head = shard.ledger().filter(|_| !was_loaded).map(|ledger| ledger.next_seq());
+            head = shard.head(now, Duration::from_nanos(1));
         });
         if let Some(head) = head {
             self.tell_head(shard, head, now);
@@ -234,7 +242,8 @@
 
     fn stop(&mut self, now: Instant) {
         let deadline = now + self.cfg.stop_timeout;
-        self.stopping.get_or_insert(Stopping { deadline, done: false });
+        let commit_until = deadline.min(now + STOP_COMMIT_TIME);
+        self.stopping.get_or_insert(Stopping { commit_until, deadline, done: false });
         self.own.review_all(now);
     }
 
@@ -262,10 +271,12 @@
 
     fn finish_stop(&mut self, now: Instant) {
         let Some(stopping) = self.stopping.filter(|stopping| !stopping.done) else { return };
+        let stats = self.stats();
+        let is_empty = stats.entries_held == 0 && stats.pending == 0;
         let copies_wanted = self.copies_wanted(now);
         let is_safe = |own: &OwnEntry| copies_wanted > 0 && own.copies() >= copies_wanted;
-        let all_safe = self.own.iter().all(is_safe) && self.stats().pending == 0;
-        if all_safe || now >= stopping.deadline {
+        let is_handed_over = now >= stopping.commit_until && self.own.iter().all(is_safe);
+        if is_empty || is_handed_over || now >= stopping.deadline {
             self.stopping = Some(Stopping { done: true, ..stopping });
             self.effects.push(Effect::Stopped);
         }
@@ -303,12 +314,6 @@
             step(shard, &mut cx);
         }
     }
-
-    /// Whether an entry of this host is known here.
-    #[must_use]
-    pub fn holds(&self, id: EntryId) -> bool {
-        self.own.find(id).is_some()
-    }
 }
 
 fn bounded(outcome: ClaimOutcome) -> ClaimOutcome {
--- a/crates/journal/src/ledger.rs
+++ b/crates/journal/src/ledger.rs
@@ -212,9 +212,7 @@
             Entry::Bill(bill) if self.bills.contains(&bill_hash(bill)) => {
                 Decision::Decided(Verdict::Committed)
             }
-            Entry::Bill(_) if held.since >= self.bills_from => Decision::Write,
-            Entry::Bill(_) if held.since >= self.floor => Decision::LoadFrom(held.since),
-            Entry::Bill(_) => Decision::Decided(Verdict::Expired),
+            Entry::Bill(_) => self.decide_bill(held.since),
         }
     }
 
@@ -255,6 +253,18 @@
         self.keep_bills_from = None;
     }
 
+    /// What is known about a bill that is not among the recent ones.
+    fn decide_bill(&self, since: Option<Seq>) -> Decision {
+        let since = since.unwrap_or(self.floor);
+        if since >= self.bills_from {
+            Decision::Write
+        } else if since >= self.floor {
+            Decision::LoadFrom(since)
+        } else {
+            Decision::Decided(Verdict::Expired)
+        }
+    }
+
     fn decide_claim(&self, hash: ClaimHash, content: u64, tag: ClaimTag) -> Decision {
         let Some(record) = self.claims.get(&hash) else {
             if self.claims.len() >= CLAIMS_PER_SHARD {
--- a/crates/journal/src/message.rs
+++ b/crates/journal/src/message.rs
@@ -40,8 +40,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldEntry {
     pub entry: Entry,
-    /// The entry is in no segment below this one.
-    pub since: Seq,
+    /// The entry is in no segment below this one; `None` when the log's end was not known.
+    pub since: Option<Seq>,
 }
 
 /// What became of an entry.
--- a/crates/journal/src/own.rs
+++ b/crates/journal/src/own.rs
@@ -49,8 +49,13 @@
     pub entry: Entry,
     pub shard: ShardId,
     pub origin: Origin,
-    /// `None` until a place in the log before the entry is known.
+    /// The entry is in no segment below this one, if that is known.
     pub since: Option<Seq>,
+    /// `since` is settled, so other hosts may see the entry.
+    pub placed: bool,
+    /// Times that the entry was sent to a home, and times that a home declined it.
+    pub sent: u32,
+    pub declined: u32,
     pub at: Instant,
     pub route: Route,
     /// Peers that were asked to keep it, and when.
@@ -67,20 +72,22 @@
 pub struct OwnTable {
     entries: BTreeMap<EntryId, OwnEntry>,
     reviews: BTreeSet<(Instant, EntryId)>,
+    /// Entries without a settled place in the log.
+    unplaced: BTreeSet<EntryId>,
 }
 
 impl OwnEntry {
     #[must_use]
     pub fn new(entry: Entry, shard: ShardId, origin: Origin, now: Instant) -> OwnEntry {
-        let since = match entry {
-            Entry::Claim { .. } | Entry::Outcome { .. } => Some(0),
-            Entry::Bill(_) => None,
-        };
+        let placed = !matches!(entry, Entry::Bill(_));
         OwnEntry {
             entry,
             shard,
             origin,
-            since,
+            since: None,
+            placed,
+            sent: 0,
+            declined: 0,
             at: now,
             route: Route::Undetermined,
             asked: BTreeMap::new(),
@@ -93,7 +100,7 @@
     /// The entry as other hosts get it.
     #[must_use]
     pub fn held(&self) -> HeldEntry {
-        HeldEntry { entry: self.entry.clone(), since: self.since.unwrap_or_default() }
+        HeldEntry { entry: self.entry.clone(), since: self.since }
     }
 
     /// Whether the entry may be kept by peers while it waits for its commit.
@@ -102,6 +109,12 @@
         !self.entry.is_urgent()
     }
 
+    /// Whether a home may hold the entry.
+    #[must_use]
+    pub fn is_exposed(&self) -> bool {
+        self.sent > self.declined
+    }
+
     /// Hosts other than this one that keep the entry.
     #[must_use]
     pub fn copies(&self) -> usize {
@@ -121,6 +134,9 @@
             return false;
         }
         self.reviews.insert((own.review_at, id));
+        if !own.placed {
+            self.unplaced.insert(id);
+        }
         self.entries.insert(id, own);
         true
     }
@@ -128,6 +144,7 @@
     pub fn remove(&mut self, id: EntryId) -> Option<OwnEntry> {
         let own = self.entries.remove(&id)?;
         self.reviews.remove(&(own.review_at, id));
+        self.unplaced.remove(&id);
         Some(own)
     }
 
@@ -141,6 +158,15 @@
         self.entries.get_mut(&id)
     }
 
+    /// Settles an entry's place in the log.
+    pub fn place(&mut self, id: EntryId, since: Option<Seq>) {
+        self.unplaced.remove(&id);
+        if let Some(own) = self.entries.get_mut(&id) {
+            own.since = since;
+            own.placed = true;
+        }
+    }
+
     /// Sets when an entry is looked at next.
     pub fn review_at(&mut self, id: EntryId, at: Instant) {
         if let Some(own) = self.entries.get_mut(&id) {
@@ -159,9 +185,8 @@
 
     /// Has the entries of a shard that have no place in the log yet looked at now.
     pub fn review_waiting(&mut self, shard: ShardId, now: Instant) {
-        let is_waiting = |own: &OwnEntry| own.shard == shard && own.since.is_none();
-        let ids: Vec<EntryId> =
-            self.entries.iter().filter(|(_, own)| is_waiting(own)).map(|(id, _)| *id).collect();
+        let of_shard = |id: &&EntryId| self.entries.get(id).is_some_and(|own| own.shard == shard);
+        let ids: Vec<EntryId> = self.unplaced.iter().filter(of_shard).copied().collect();
         for id in ids {
             self.review_at(id, now);
         }
--- a/crates/journal/src/pending.rs
+++ b/crates/journal/src/pending.rs
@@ -31,6 +31,7 @@
     pub fn add(&mut self, held: HeldEntry, waiter: Waiter, now: Instant) {
         let id = held.entry.id();
         if let Some(entry) = self.entries.get_mut(&id) {
+            // Both bounds hold, so the higher one does; `None` is the lowest.
             entry.held.since = entry.held.since.max(held.since);
             entry.waiters.insert(waiter);
             return;
--- a/crates/journal/src/serving.rs
+++ b/crates/journal/src/serving.rs
@@ -28,7 +28,7 @@
                     self.settle(result.id, result.verdict, now);
                 }
             }
-            JournalMessage::HeadQuery { shard } => self.answer_head_query(&from, shard),
+            JournalMessage::HeadQuery { shard } => self.answer_head_query(&from, shard, now),
             JournalMessage::Head { shard, head } => self.learn_head(shard, head, now),
             JournalMessage::Park { entries } => self.park(&from, entries, now),
             JournalMessage::Parked { ids } => self.parked(&from, &ids, now),
@@ -50,7 +50,8 @@
         }
         let shard = held.entry.shard(self.cfg.shards);
         let mut own = OwnEntry::new(held.entry, shard, Origin::Unattended, now);
-        own.since = Some(held.since);
+        own.since = held.since;
+        own.placed = true;
         self.own.insert(own);
     }
 
@@ -98,15 +99,17 @@
     fn declined(&mut self, from: &EntryHostId, ids: &[EntryId], now: Instant) {
         self.places.bypass(from, now);
         for id in ids {
+            if let Some(own) = self.own.find_mut(*id) {
+                own.declined += 1;
+            }
             self.own.review_at(*id, now);
         }
     }
 
-    fn answer_head_query(&mut self, from: &EntryHostId, shard: ShardId) {
+    fn answer_head_query(&mut self, from: &EntryHostId, shard: ShardId, now: Instant) {
         let Some(state) = self.shards.get_mut(shard as usize) else { return };
-        match state.ledger() {
-            Some(ledger) => {
-                let head = ledger.next_seq();
+        match state.head(now, self.cfg.head_age_limit) {
+            Some(head) => {
                 self.outbox.to(from).single.push(JournalMessage::Head { shard, head });
             }
             None => {
@@ -116,7 +119,7 @@
         }
     }
 
-    /// Answers those who waited for the shard to be loaded here.
+    /// Answers those who waited for the end of the shard's log.
     pub(crate) fn tell_head(&mut self, shard: ShardId, head: Seq, now: Instant) {
         for host in self.head_waiters.remove(&shard).unwrap_or_default() {
             self.outbox.to(&host).single.push(JournalMessage::Head { shard, head });
--- a/crates/journal/src/shard.rs
+++ b/crates/journal/src/shard.rs
@@ -1,8 +1,10 @@
 //! One shard: loads its ledger when something waits, and writes what waits in groups, one write at a time.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 use std::time::Instant;
 
+use foxtailhoist_model::ClaimResult;
 use foxtailhoist_model::StoreResult;
 use rand::RngExt;
 
@@ -46,6 +48,8 @@
     upkeep: Upkeep,
     wanted: bool,
     last_write: Option<Instant>,
+    /// When the log was last seen to end where the ledger does.
+    end_read_at: Option<Instant>,
     /// No segment from the ledger's end on existed at this time.
     end_known_at: Option<Instant>,
 }
@@ -61,6 +65,8 @@
 /// What a write would hold.
 enum Group {
     Nothing,
+    /// It is only to be seen whether the log has gone on.
+    ReadEnd,
     LoadFrom(Seq),
     Entries(Vec<EntryId>),
 }
@@ -77,16 +83,11 @@
             upkeep: Upkeep::new(id),
             wanted: false,
             last_write: None,
+            end_read_at: None,
             end_known_at: None,
         }
     }
 
-    /// Fold of the log, once loaded.
-    #[must_use]
-    pub fn ledger(&self) -> Option<&Ledger> {
-        self.ledger.as_ref()
-    }
-
     /// Entries that wait.
     #[must_use]
     pub fn pending(&self) -> &Pending {
@@ -99,18 +100,24 @@
         self.pending.len() < PENDING_PER_SHARD
     }
 
-    /// Asks for the ledger to be loaded.
+    /// End of the log, if it was read within `age_limit`.
+    #[must_use]
+    pub fn head(&self, now: Instant, age_limit: Duration) -> Option<Seq> {
+        let is_recent = self.end_read_at.is_some_and(|at| now < at + age_limit);
+        self.ledger.as_ref().filter(|_| is_recent).map(Ledger::next_seq)
+    }
+
+    /// Asks for the log to be read to its end.
     pub fn want(&mut self) {
         self.wanted = true;
     }
 
     /// Takes an entry to be committed.
     pub fn add(&mut self, held: HeldEntry, waiter: Waiter, cx: &mut Cx<'_>) {
-        let decision = self.ledger.as_ref().map(|ledger| ledger.decide(&held));
         let id = held.entry.id();
         let in_flight = self.pending.find(id).is_some();
-        match decision {
-            Some(Decision::Decided(verdict)) if !in_flight => {
+        match self.verdict(&held, None) {
+            Some(verdict) if !in_flight => {
                 cx.decided.push(Decided { id, verdict, waiters: vec![waiter] });
             }
             _ => self.pending.add(held, waiter, cx.now),
@@ -164,6 +171,7 @@
                     self.ledger = Some(loaded.ledger);
                     self.end_known_at = None;
                     self.phase = Phase::Ready;
+                    self.end_read(cx);
                     self.decide_pending(cx);
                 }
             }
@@ -205,6 +213,9 @@
     }
 
     fn due_at(&self, grouping: Grouping) -> Option<Instant> {
+        if self.wanted {
+            return self.end_read_at;
+        }
         let oldest = self.pending.oldest()?;
         let at_once = self.pending.has_urgent() || self.pending.len() >= grouping.batch;
         let due = if at_once { oldest } else { oldest + grouping.window };
@@ -217,10 +228,27 @@
             .is_some_and(|at| cx.now.saturating_duration_since(at) < cx.cfg.fresh_bound)
     }
 
+    /// What the ledger settles about an entry that came at `at`, or just now.
+    ///
+    /// That another's claim has no outcome is no lasting fact: the log's end must have been read since.
+    fn verdict(&self, held: &HeldEntry, at: Option<Instant>) -> Option<Verdict> {
+        let is_recent = at.is_some_and(|at| self.end_read_at.is_some_and(|read_at| at < read_at));
+        match self.ledger.as_ref()?.decide(held) {
+            Decision::Decided(Verdict::Claim(ClaimResult::Undecided)) if !is_recent => None,
+            Decision::Decided(verdict) => Some(verdict),
+            Decision::Write | Decision::LoadFrom(_) => None,
+        }
+    }
+
     fn start_write(&mut self, cx: &mut Cx<'_>) {
         self.decide_pending(cx);
         match self.group() {
             Group::Nothing => {}
+            Group::ReadEnd => {
+                let Some(ledger) = &self.ledger else { return };
+                let attempt = Attempt::read(self.id, ledger.next_seq(), new_writer(cx));
+                self.phase = Phase::Writing(Box::new(attempt));
+            }
             Group::LoadFrom(seq) => {
                 cx.stats.loads += 1;
                 self.phase =
@@ -236,11 +264,7 @@
 
     fn attempt(&self, ids: Vec<EntryId>, cx: &mut Cx<'_>) -> Option<Attempt> {
         let ledger = self.ledger.as_ref()?;
-        let writer = Writer {
-            host: cx.cfg.host.clone(),
-            incarnation: cx.cfg.incarnation,
-            nonce: cx.rng.random(),
-        };
+        let writer = new_writer(cx);
         let entry_of = |id: &EntryId| self.pending.find(*id).map(|entry| entry.held.entry.clone());
         let entries = ids.iter().filter_map(entry_of).collect();
         let segment = Segment { writer, log_time: ledger.log_time_at(cx.now), entries };
@@ -255,8 +279,10 @@
         let mut keys: BTreeSet<ClaimHash> = BTreeSet::new();
         for id in self.pending.ids() {
             let Some(entry) = self.pending.find(id) else { continue };
-            if let Decision::LoadFrom(seq) = ledger.decide(&entry.held) {
-                return Group::LoadFrom(seq);
+            match ledger.decide(&entry.held) {
+                Decision::LoadFrom(seq) => return Group::LoadFrom(seq),
+                Decision::Decided(_) => continue,
+                Decision::Write => {}
             }
             let is_first = match &entry.held.entry {
                 Entry::Claim { claim, .. } => keys.insert(claim_hash(&claim.key)),
@@ -271,7 +297,12 @@
                 ids.push(id);
             }
         }
-        if ids.is_empty() { Group::Nothing } else { Group::Entries(ids) }
+        match (ids.is_empty(), self.pending.is_empty()) {
+            (false, _) => Group::Entries(ids),
+            (true, false) => Group::ReadEnd,
+            (true, true) if self.wanted => Group::ReadEnd,
+            (true, true) => Group::Nothing,
+        }
     }
 
     fn end_attempt(&mut self, end: AttemptEnd, cx: &mut Cx<'_>) {
@@ -292,9 +323,14 @@
                     cx.stats.collisions += 1;
                     self.last_write = None;
                 }
+                self.end_read(cx);
+                self.decide_pending(cx);
+            }
+            AttemptEnd::NotWritten { end_read: false } => {}
+            AttemptEnd::NotWritten { end_read: true } => {
+                self.end_read(cx);
                 self.decide_pending(cx);
             }
-            AttemptEnd::NotWritten => {}
             AttemptEnd::Void { floor } => {
                 ledger.raise_floor(floor.unwrap_or_default());
                 cx.stats.void_creates += 1;
@@ -304,13 +340,17 @@
         }
     }
 
+    fn end_read(&mut self, cx: &Cx<'_>) {
+        self.end_read_at = Some(cx.now);
+        self.wanted = false;
+    }
+
     /// Answers the waiting entries that the ledger decides.
     fn decide_pending(&mut self, cx: &mut Cx<'_>) {
-        let Some(ledger) = &self.ledger else { return };
         let ids: Vec<EntryId> = self.pending.ids().collect();
         for id in ids {
             let Some(entry) = self.pending.find(id) else { continue };
-            let Decision::Decided(verdict) = ledger.decide(&entry.held) else { continue };
+            let Some(verdict) = self.verdict(&entry.held, Some(entry.at)) else { continue };
             let Some(entry) = self.pending.remove(id) else { continue };
             if verdict == Verdict::Expired {
                 cx.stats.expired += 1;
@@ -320,3 +360,7 @@
         }
     }
 }
+
+fn new_writer(cx: &mut Cx<'_>) -> Writer {
+    Writer { host: cx.cfg.host.clone(), incarnation: cx.cfg.incarnation, nonce: cx.rng.random() }
+}
--- a/crates/journal/tests/world/mod.rs
+++ b/crates/journal/tests/world/mod.rs
@@ -11,6 +11,8 @@
 use foxtailhoist_journal::Journal;
 use foxtailhoist_journal::JournalConfig;
 use foxtailhoist_journal::JournalMessage;
+use foxtailhoist_journal::UsageKey;
+use foxtailhoist_journal::UsageReader;
 use foxtailhoist_journal::event::BillSafety;
 use foxtailhoist_journal::event::CallId;
 use foxtailhoist_journal::event::Effect;
@@ -99,6 +101,10 @@
     rng: ChaCha8Rng,
     copies: Vec<(Instant, MemoryStore)>,
     template: fn(JournalConfig) -> JournalConfig,
+    /// Requests whose bill was handed to a journal.
+    pub billed: BTreeSet<RequestId>,
+    /// Number of times a key was released as not run.
+    pub released: BTreeMap<ClaimKey, usize>,
     pub claims: Vec<Told<(ClaimKey, ClaimResult)>>,
     pub bills: Vec<Told<BillSafety>>,
     pub safe_outcomes: Vec<RequestId>,
@@ -107,6 +113,7 @@
     pub record_ops: bool,
     pub messages: u64,
     starts: u64,
+    layout: (u32, u32),
 }
 
 /// Time of the day on which every test starts.
@@ -131,6 +138,8 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             copies: Vec::new(),
             template,
+            billed: BTreeSet::new(),
+            released: BTreeMap::new(),
             claims: Vec::new(),
             bills: Vec::new(),
             safe_outcomes: Vec::new(),
@@ -139,6 +148,7 @@
             record_ops: false,
             messages: 0,
             starts: 0,
+            layout: (1, 1),
         }
     }
 
@@ -152,6 +162,12 @@
         world
     }
 
+    /// Numbers of shards and usage parts that the template sets.
+    pub fn with_layout(mut self, shards: u32, parts: u32) -> World {
+        self.layout = (shards, parts);
+        self
+    }
+
     pub fn start_host(&mut self, host: &str, data_centre: &str) {
         self.starts += 1;
         let incarnation = self.starts;
@@ -208,6 +224,76 @@
         self.tick(host);
     }
 
+    pub fn is_alive(&self, host: &str) -> bool {
+        self.nodes.contains_key(host)
+    }
+
+    /// Tells a host that only these hosts are alive.
+    pub fn announce_to(&mut self, host: &str, alive: &[&str]) {
+        let place = |host: &&str| HostPlace {
+            host: (*host).to_owned(),
+            data_centre: self.nodes[*host].data_centre.clone(),
+        };
+        let places = alive.iter().map(place).collect();
+        self.event(host, Event::Hosts(places));
+    }
+
+    /// Tells every other host that all hosts but this one are alive.
+    pub fn announce_to_all_but(&mut self, host: &str) {
+        let hosts = self.hosts();
+        let alive: Vec<&str> =
+            hosts.iter().map(String::as_str).filter(|other| *other != host).collect();
+        for other in &alive {
+            self.announce_to(other, &alive);
+        }
+    }
+
+    /// Number of bills of each request in usage objects and live segments.
+    pub fn usage(&mut self) -> BTreeMap<RequestId, u64> {
+        let (shards, parts) = self.layout;
+        let mut reader = UsageReader::new(shards, parts);
+        while let Some(op) = reader.next_op() {
+            let result = self.store.apply(&op);
+            reader.finish(&result);
+        }
+        let report = reader.report().expect("everything is read");
+        let request_of =
+            |key: &UsageKey| key.workspace[1..].parse().expect("a workspace of a test");
+        report.total().iter().map(|(key, sum)| (request_of(key), sum.bills)).collect()
+    }
+
+    /// Checks what must hold for all keys and requests once nothing is held any more.
+    pub fn check(&mut self) {
+        let usage = self.usage();
+        let twice: Vec<_> = usage.iter().filter(|(_, bills)| **bills != 1).collect();
+        assert!(twice.is_empty(), "billed more than once: {twice:?}");
+        let unasked: Vec<_> = usage.keys().filter(|id| !self.billed.contains(id)).collect();
+        assert!(unasked.is_empty(), "billed without a bill: {unasked:?}");
+        let is_safe = |told: &&Told<BillSafety>| told.what != BillSafety::Held;
+        let lost: Vec<_> = self
+            .bills
+            .iter()
+            .filter(is_safe)
+            .filter(|told| !usage.contains_key(&told.request))
+            .collect();
+        assert!(lost.is_empty(), "told to be safe and lost: {lost:?}");
+        self.check_grants();
+    }
+
+    /// Checks that each key was granted at most once for each time that it was free.
+    pub fn check_grants(&self) {
+        let mut granted: BTreeMap<&ClaimKey, usize> = BTreeMap::new();
+        for told in &self.claims {
+            if told.what.1 == ClaimResult::Granted {
+                *granted.entry(&told.what.0).or_default() += 1;
+            }
+        }
+        for (key, count) in granted {
+            let free = 1 + self.released.get(key).copied().unwrap_or_default();
+            assert!(count <= free, "{key:?} was granted {count} times and free {free} times");
+        }
+    }
+
     pub fn is_paused(&self, host: &str) -> bool {
         self.nodes.get(host).is_some_and(|node| node.paused)
     }
@@ -222,12 +308,20 @@
     }
 
     pub fn outcome(&mut self, host: &str, key: &str, request: RequestId, outcome: ClaimOutcome) {
+        if outcome == ClaimOutcome::NotRun {
+            *self.released.entry(claim_key(key)).or_default() += 1;
+        }
         self.event(host, Event::Outcome { key: claim_key(key), request, outcome });
     }
 
+    /// Bills a request; its workspace is of its own, so that the sums show each bill.
     pub fn bill(&mut self, host: &str, request: RequestId) {
+        if !self.is_alive(host) {
+            return;
+        }
+        self.billed.insert(request);
         let bill = Bill {
-            workspace: "bakery".to_owned(),
+            workspace: format!("w{request}"),
             request,
             model_version: Some(ModelVersion::new("levain", "v1")),
             usage: Usage { prompt_tokens: 10, output_tokens: 3 },
@@ -467,6 +561,14 @@
     ("c2", "concord"),
 ];
 
+/// Settings with short times, so that retention passes within a test.
+pub fn short(cfg: JournalConfig) -> JournalConfig {
+    cfg.retention(Duration::from_secs(60), Duration::from_secs(20))
+        .bill_window(Duration::from_secs(1))
+        .snapshot_every(4)
+        .compact_batch(4)
+}
+
 pub fn claim_key(key: &str) -> ClaimKey {
     ClaimKey { workspace: "bakery".to_owned(), idempotency_key: key.to_owned() }
 }
