Read and check settings and configuration with every fault's line

Cause: a process had no settings, and presets no check before they come into force. Change: YAML becomes a tree that knows its lines; derived types are read from its parts, so one run reports many faults, each with file, line, field, found and expected.

--- /dev/null
+++ b/crates/settings/src/raw.rs
@@ -0,0 +1,192 @@
+//! Sections of the settings as they stand in the file, before their texts are checked.
+//!
+//! Addresses, times and keys are texts here, so that all of a section's faults show at once.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use foxtailhoist_model::OperatorId;
+use serde::Deserialize;
+
+use crate::duration::DURATION_EXPECTED;
+use crate::duration::parse_duration;
+use crate::process::Keys;
+use crate::process::Listen;
+use crate::process::PlatformAddresses;
+use crate::process::Timeouts;
+use crate::secret::KeySource;
+use crate::secret::Secret;
+use crate::source::Source;
+use crate::tree::FieldPath;
+
+const ADDRESS_EXPECTED: &str = "an IP number and a port, such as 10.0.0.1:7000";
+/// A change needs one operator who proposes and another who approves.
+const OPERATORS_MIN: usize = 2;
+const KEY_EXPECTED: &str = "a key of at least 16 printable ASCII characters without spaces";
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RawListen {
+    callers: String,
+    operators: String,
+    peers: String,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RawPlatform {
+    object_api: String,
+    host_list: String,
+    rating: String,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RawKeys {
+    peer: KeySource,
+    session: KeySource,
+    #[serde(default)]
+    previous_session: Option<KeySource>,
+    operators: BTreeMap<OperatorId, KeySource>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(crate) struct RawTimeouts {
+    connect: Option<RawDuration>,
+    head: Option<RawDuration>,
+    idle: Option<RawDuration>,
+    probe: Option<RawDuration>,
+    request_read: Option<RawDuration>,
+    stop: Option<RawDuration>,
+}
+
+/// A time as it stands in the file; a bare number is kept to be refused with its field.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum RawDuration {
+    Text(String),
+    Unsigned(u64),
+    Signed(i64),
+    Float(f64),
+}
+
+impl RawListen {
+    pub(crate) fn check(&self, source: &mut Source) -> Option<Listen> {
+        let path = FieldPath::default().key("listen");
+        let callers = read_address(&self.callers, path.key("callers"), source);
+        let operators = read_address(&self.operators, path.key("operators"), source);
+        let peers = read_address(&self.peers, path.key("peers"), source);
+        Some(Listen { callers: callers?, operators: operators?, peers: peers? })
+    }
+}
+
+impl RawPlatform {
+    pub(crate) fn check(&self, source: &mut Source) -> Option<PlatformAddresses> {
+        let path = FieldPath::default().key("platform");
+        let object_api = read_address(&self.object_api, path.key("object_api"), source);
+        let host_list = read_address(&self.host_list, path.key("host_list"), source);
+        let rating = read_address(&self.rating, path.key("rating"), source);
+        Some(PlatformAddresses { object_api: object_api?, host_list: host_list?, rating: rating? })
+    }
+}
+
+impl RawKeys {
+    pub(crate) fn check(&self, source: &mut Source) -> Option<Keys> {
+        let path = FieldPath::default().key("keys");
+        let peer = fetch(&self.peer, path.key("peer"), source);
+        let session = fetch(&self.session, path.key("session"), source);
+        let previous_session = self
+            .previous_session
+            .as_ref()
+            .and_then(|key| fetch(key, path.key("previous_session"), source));
+        if self.operators.len() < OPERATORS_MIN {
+            let found = self.operators.len().to_string();
+            let expected = "at least 2 operators: one proposes and another approves";
+            source.refuse(path.key("operators"), &found, expected);
+        }
+        let mut operators = BTreeMap::new();
+        for (name, key) in &self.operators {
+            if let Some(key) = fetch(key, path.key("operators").key(name), source) {
+                operators.insert(name.clone(), key);
+            }
+        }
+        Some(Keys { peer: peer?, session: session?, previous_session, operators })
+    }
+}
+
+impl RawTimeouts {
+    pub(crate) fn check(&self, source: &mut Source) -> Timeouts {
+        let path = FieldPath::default().key("timeouts");
+        let mut read = |name: &str, raw: &Option<RawDuration>, default: Duration| {
+            let Some(raw) = raw else { return default };
+            raw.duration().unwrap_or_else(|| {
+                source.refuse(path.key(name), &raw.found(), DURATION_EXPECTED);
+                default
+            })
+        };
+        let defaults = Timeouts::default();
+        Timeouts {
+            connect: read("connect", &self.connect, defaults.connect),
+            head: read("head", &self.head, defaults.head),
+            idle: read("idle", &self.idle, defaults.idle),
+            probe: read("probe", &self.probe, defaults.probe),
+            request_read: read("request_read", &self.request_read, defaults.request_read),
+            stop: read("stop", &self.stop, defaults.stop),
+        }
+    }
+}
+
+impl RawDuration {
+    fn duration(&self) -> Option<Duration> {
+        match self {
+            RawDuration::Text(text) => parse_duration(text),
+            RawDuration::Unsigned(_) | RawDuration::Signed(_) | RawDuration::Float(_) => None,
+        }
+    }
+
+    fn found(&self) -> String {
+        match self {
+            RawDuration::Text(text) => format!("'{text}'"),
+            RawDuration::Unsigned(number) => format!("{number} without a unit"),
+            RawDuration::Signed(number) => format!("{number} without a unit"),
+            RawDuration::Float(number) => format!("{number} without a unit"),
+        }
+    }
+}
+
+/// Address at which peers reach this host; a listening address may be unspecified, this one not.
+pub(crate) fn read_advertise(text: &str, source: &mut Source) -> Option<SocketAddr> {
+    let path = FieldPath::default().key("advertise");
+    let address = read_address(text, path.clone(), source)?;
+    if address.ip().is_unspecified() || address.port() == 0 {
+        source.refuse(path, &format!("'{text}'"), "an address that peers can connect to");
+        return None;
+    }
+    Some(address)
+}
+
+pub(crate) fn read_seeds(texts: &[String], source: &mut Source) -> Vec<SocketAddr> {
+    let path = FieldPath::default().key("seeds");
+    let seeds = texts.iter().enumerate();
+    seeds.filter_map(|(index, text)| read_address(text, path.index(index), source)).collect()
+}
+
+fn read_address(text: &str, path: FieldPath, source: &mut Source) -> Option<SocketAddr> {
+    let address = text.parse().ok();
+    if address.is_none() {
+        source.refuse(path, &format!("'{text}'"), ADDRESS_EXPECTED);
+    }
+    address
+}
+
+fn fetch(key: &KeySource, path: FieldPath, source: &mut Source) -> Option<Secret> {
+    match key.fetch() {
+        Ok(secret) => Some(secret),
+        Err(found) => {
+            source.refuse(path, &found, KEY_EXPECTED);
+            None
+        }
+    }
+}
