Add the service-level burn report

Cause: nobody could see which objectives were kept, what burnt the budgets, or what answers cost. Change: metrics that merge exactly (whole-number counters, HDR histograms with equal bounds) in bounded minute and hour buckets; burn rates over three pairs of windows; contributors, versions, presets, exposure and cost; rendered as text, JSON and one HTML page with inline plots. The page has not been looked at in a browser, and no entry host records into it yet.

--- /dev/null
+++ b/crates/report/src/breakdown.rs
@@ -0,0 +1,271 @@
+//! What burnt the budgets, what was in force, and what it cost, over the report's window.
+
+use std::collections::BTreeMap;
+use std::time::SystemTime;
+
+use foxtailhoist_model::ErrorKind;
+use foxtailhoist_model::ModelVersion;
+use foxtailhoist_model::PresetId;
+use foxtailhoist_model::Revision;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::burn::REPORT_WINDOW;
+use crate::calendar::MINUTES_PER_HOUR;
+use crate::calendar::Minute;
+use crate::counters::Counters;
+use crate::metrics::Metrics;
+use crate::observation::Labels;
+use crate::observation::is_callers_fault;
+
+/// Contributors that a report names in each dimension.
+const CONTRIBUTORS_LIMIT: usize = 5;
+/// Presets, versions and exposures that a report lists.
+const ROWS_LIMIT: usize = 24;
+
+/// By what contributors are told apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Dimension {
+    Version,
+    Server,
+    DataCentre,
+    ErrorKind,
+}
+
+/// Part that one version, server, data centre or error kind has in the burn.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Contributor {
+    pub dimension: Dimension,
+    pub name: String,
+    /// Events that burnt a budget.
+    pub bad: u64,
+    /// Share of all events that burnt a budget, 0 to 1.
+    pub bad_share: f64,
+    /// Share of all requests, 0 to 1: a contributor well above it stands out. Absent for error kinds.
+    pub traffic_share: Option<f64>,
+}
+
+/// A preset that was in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PresetUse {
+    pub preset: PresetId,
+    pub first_revision: Revision,
+    pub last_revision: Revision,
+    /// Begin of the first and the last bucket with its requests.
+    pub first: Minute,
+    pub last: Minute,
+    pub requests: u64,
+}
+
+/// A version that was used.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct VersionUse {
+    pub model_version: ModelVersion,
+    pub first: Minute,
+    pub last: Minute,
+    pub counters: Counters,
+    /// Share of all requests, 0 to 1.
+    pub traffic_share: f64,
+}
+
+/// Callers that were exposed to a version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExposureReport {
+    pub model_version: ModelVersion,
+    pub callers: u64,
+    pub since: Minute,
+    /// When it was vetoed; absent for a version that is not known to be bad.
+    pub vetoed: Option<Minute>,
+}
+
+/// One hour of the window.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HourPoint {
+    pub begin: Minute,
+    pub counters: Counters,
+}
+
+/// Sums of the window along each dimension.
+#[derive(Debug, Default)]
+pub(crate) struct Breakdown {
+    pub(crate) totals: Counters,
+    versions: BTreeMap<ModelVersion, Use>,
+    servers: BTreeMap<String, Counters>,
+    data_centres: BTreeMap<String, Counters>,
+    presets: BTreeMap<PresetId, PresetUse>,
+    hours: BTreeMap<Minute, Counters>,
+}
+
+#[derive(Debug, Default)]
+struct Use {
+    first: Minute,
+    last: Minute,
+    counters: Counters,
+}
+
+impl Breakdown {
+    pub(crate) fn new(metrics: &Metrics, now: SystemTime) -> Breakdown {
+        let mut breakdown = Breakdown::default();
+        for timed in metrics.window(now, REPORT_WINDOW) {
+            for (labels, counters) in timed.bucket.series() {
+                breakdown.add(timed.begin, labels, counters);
+            }
+        }
+        breakdown
+    }
+
+    /// The largest contributors of each dimension.
+    pub(crate) fn contributors(&self) -> Vec<Contributor> {
+        let versions = self.versions.iter().map(|(name, used)| (name.to_string(), &used.counters));
+        let servers = self.servers.iter().map(|(name, counters)| (name.clone(), counters));
+        let centres = self.data_centres.iter().map(|(name, counters)| (name.clone(), counters));
+        [
+            self.largest(Dimension::Version, versions.collect()),
+            self.largest(Dimension::Server, servers.collect()),
+            self.largest(Dimension::DataCentre, centres.collect()),
+            self.largest_kinds(),
+        ]
+        .concat()
+    }
+
+    /// Presets in the order in which they came into force.
+    pub(crate) fn presets(&self) -> Vec<PresetUse> {
+        let mut presets: Vec<PresetUse> = self.presets.values().cloned().collect();
+        presets.sort_by_key(|preset| preset.first);
+        presets.truncate(ROWS_LIMIT);
+        presets
+    }
+
+    /// Versions, the most used first.
+    pub(crate) fn versions(&self) -> Vec<VersionUse> {
+        let requests = self.totals.requests();
+        let mut versions: Vec<VersionUse> = self
+            .versions
+            .iter()
+            .map(|(model_version, used)| VersionUse {
+                model_version: model_version.clone(),
+                first: used.first,
+                last: used.last,
+                traffic_share: share(used.counters.requests(), requests),
+                counters: used.counters.clone(),
+            })
+            .collect();
+        versions.sort_by_key(|version| std::cmp::Reverse(version.counters.requests()));
+        versions.truncate(ROWS_LIMIT);
+        versions
+    }
+
+    /// Hours with requests, in order.
+    pub(crate) fn hours(&self) -> Vec<HourPoint> {
+        let points = self.hours.iter();
+        points
+            .map(|(begin, counters)| HourPoint { begin: *begin, counters: counters.clone() })
+            .collect()
+    }
+
+    fn add(&mut self, begin: Minute, labels: &Labels, counters: &Counters) {
+        self.totals.add(counters);
+        let hour = begin / MINUTES_PER_HOUR * MINUTES_PER_HOUR;
+        self.hours.entry(hour).or_default().add(counters);
+        self.data_centres.entry(labels.data_centre.clone()).or_default().add(counters);
+        if let Some(server) = &labels.server {
+            self.servers.entry(server.clone()).or_default().add(counters);
+        }
+        if let Some(version) = &labels.model_version {
+            let new = || Use { first: begin, last: begin, counters: Counters::default() };
+            let used = self.versions.entry(version.clone()).or_insert_with(new);
+            used.first = used.first.min(begin);
+            used.last = used.last.max(begin);
+            used.counters.add(counters);
+        }
+        self.add_preset(begin, labels, counters);
+    }
+
+    fn add_preset(&mut self, begin: Minute, labels: &Labels, counters: &Counters) {
+        let new = || PresetUse {
+            preset: labels.preset.clone(),
+            first_revision: labels.revision,
+            last_revision: labels.revision,
+            first: begin,
+            last: begin,
+            requests: 0,
+        };
+        let preset = self.presets.entry(labels.preset.clone()).or_insert_with(new);
+        preset.first_revision = preset.first_revision.min(labels.revision);
+        preset.last_revision = preset.last_revision.max(labels.revision);
+        preset.first = preset.first.min(begin);
+        preset.last = preset.last.max(begin);
+        preset.requests += counters.requests();
+    }
+
+    fn largest(&self, dimension: Dimension, rows: Vec<(String, &Counters)>) -> Vec<Contributor> {
+        let requests = self.totals.requests();
+        let all_bad = self.totals.bad_events();
+        let contributors = rows.into_iter().map(|(name, counters)| Contributor {
+            dimension,
+            name: if name.is_empty() { "(none)".to_owned() } else { name },
+            bad: counters.bad_events(),
+            bad_share: share(counters.bad_events(), all_bad),
+            traffic_share: Some(share(counters.requests(), requests)),
+        });
+        top(contributors.collect())
+    }
+
+    fn largest_kinds(&self) -> Vec<Contributor> {
+        let all_bad = self.totals.bad_events();
+        let kinds = self.totals.errors.iter().filter(|(kind, _)| !is_callers_fault(**kind));
+        let contributor = |(kind, count): (&ErrorKind, &u64)| Contributor {
+            dimension: Dimension::ErrorKind,
+            name: kind.name().to_owned(),
+            bad: *count,
+            bad_share: share(*count, all_bad),
+            traffic_share: None,
+        };
+        top(kinds.map(contributor).collect())
+    }
+}
+
+impl ExposureReport {
+    /// Bad versions first, then the latest.
+    pub(crate) fn list(metrics: &Metrics) -> Vec<ExposureReport> {
+        let mut rows: Vec<ExposureReport> = metrics
+            .exposure()
+            .iter()
+            .map(|(model_version, exposure)| ExposureReport {
+                model_version: model_version.clone(),
+                callers: exposure.callers,
+                since: exposure.since,
+                vetoed: exposure.vetoed,
+            })
+            .collect();
+        rows.sort_by_key(|row| (row.vetoed.is_none(), std::cmp::Reverse(row.since)));
+        rows.truncate(ROWS_LIMIT);
+        rows
+    }
+}
+
+impl Dimension {
+    /// What a report calls it.
+    #[must_use]
+    pub fn title(self) -> &'static str {
+        match self {
+            Dimension::Version => "version",
+            Dimension::Server => "server",
+            Dimension::DataCentre => "data centre",
+            Dimension::ErrorKind => "error kind",
+        }
+    }
+}
+
+fn top(mut contributors: Vec<Contributor>) -> Vec<Contributor> {
+    contributors.retain(|contributor| contributor.bad > 0);
+    contributors.sort_by_key(|contributor| std::cmp::Reverse(contributor.bad));
+    contributors.truncate(CONTRIBUTORS_LIMIT);
+    contributors
+}
+
+/// Share of a part, 0 to 1; 0 of nothing.
+fn share(part: u64, whole: u64) -> f64 {
+    if whole == 0 { 0.0 } else { part as f64 / whole as f64 }
+}
--- /dev/null
+++ b/crates/report/src/format.rs
@@ -0,0 +1,68 @@
+//! Numbers and names as people read them.
+
+use crate::observation::NANO_PER_UNIT;
+use crate::observation::NanoMoney;
+
+/// A count with a thin group mark: `12 345`.
+pub(crate) fn count(number: u64) -> String {
+    let digits = number.to_string();
+    let mut text = String::new();
+    for (index, digit) in digits.chars().enumerate() {
+        if index > 0 && (digits.len() - index).is_multiple_of(3) {
+            text.push(' ');
+        }
+        text.push(digit);
+    }
+    text
+}
+
+/// A share as a percentage, with the digits that matter near 100%.
+pub(crate) fn percent(share: f64) -> String {
+    let digits = if (0.99..1.0).contains(&share) { 2 } else { 1 };
+    format!("{:.digits$}%", share * 100.0)
+}
+
+/// Money in units.
+pub(crate) fn money(nano: NanoMoney) -> String {
+    format!("{:.2}", nano as f64 / NANO_PER_UNIT)
+}
+
+/// A burn rate.
+pub(crate) fn rate(rate: f64) -> String {
+    if rate > 9_999.0 { "over 9999".to_owned() } else { format!("{rate:.1}") }
+}
+
+/// Milliseconds.
+pub(crate) fn ms(ms: u64) -> String {
+    format!("{} ms", count(ms))
+}
+
+/// A window's length.
+pub(crate) fn window(minutes: u64) -> String {
+    match minutes {
+        0..60 => format!("{minutes} min"),
+        60..4_320 => format!("{} h", minutes / 60),
+        _ => format!("{} d", minutes / 1_440),
+    }
+}
+
+/// A name without control characters, which could move a terminal's cursor.
+pub(crate) fn printable(name: &str) -> String {
+    name.chars().map(|c| if c.is_control() { '\u{fffd}' } else { c }).collect()
+}
+
+/// A name that stands in HTML or SVG as itself.
+pub(crate) fn escaped(name: &str) -> String {
+    let mut text = String::with_capacity(name.len());
+    for c in printable(name).chars() {
+        match c {
+            '&' => text.push_str("&amp;"),
+            '<' => text.push_str("&lt;"),
+            '>' => text.push_str("&gt;"),
+            '"' => text.push_str("&quot;"),
+            '\'' => text.push_str("&#39;"),
+            _ => text.push(c),
+        }
+    }
+    text
+}
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -1,1 +1,86 @@
 //! Service-level burn report as text, JSON and HTML.
+//!
+//! Each entry host records [`Observation`]s into [`Metrics`]; metrics of many hosts merge into one without error.
+//! [`Report::build`] turns them into what was promised, what was kept and what burnt the difference, and the report
+//! renders as text for a terminal, as JSON and as one HTML page:
+//!
+//! ```
+//! use std::time::SystemTime;
+//!
+//! use foxtailhoist_report::Metrics;
+//! use foxtailhoist_report::Objectives;
+//! use foxtailhoist_report::Report;
+//!
+//! let now = SystemTime::now();
+//! let mut fleet = Metrics::default();
+//! let of_a_peer = Metrics::default();
+//! fleet.merge(&of_a_peer, now);
+//! let report = Report::build(&fleet, &Objectives::default(), now);
+//! assert!(report.to_text().starts_with("Service-level burn report"));
+//! ```
+
+mod breakdown;
+mod bucket;
+mod burn;
+mod calendar;
+mod counters;
+mod format;
+mod html;
+mod latencies;
+mod metrics;
+mod objective;
+mod observation;
+mod report;
+mod summary;
+mod svg;
+mod table;
+mod text;
+
+pub use breakdown::Contributor;
+pub use breakdown::Dimension;
+pub use breakdown::ExposureReport;
+pub use breakdown::HourPoint;
+pub use breakdown::PresetUse;
+pub use breakdown::VersionUse;
+pub use bucket::Bucket;
+pub use bucket::DISTRIBUTIONS_LIMIT;
+pub use bucket::Distributions;
+pub use bucket::FOLDED_SERIES_LIMIT;
+pub use bucket::MERGED_SERIES_LIMIT;
+pub use bucket::OTHER_WORKSPACE;
+pub use bucket::SERIES_LIMIT;
+pub use burn::ALARM_MIN_BAD_EVENTS;
+pub use burn::Alarm;
+pub use burn::Burn;
+pub use burn::REPORT_WINDOW;
+pub use burn::WINDOW_PAIRS;
+pub use burn::WindowPair;
+pub use burn::budget_left;
+pub use burn::burn_rate;
+pub use calendar::Minute;
+pub use counters::Counters;
+pub use counters::Events;
+pub use latencies::Latencies;
+pub use metrics::CLOCK_SKEW_LIMIT;
+pub use metrics::Exposure;
+pub use metrics::HOURS_KEPT;
+pub use metrics::MINUTES_KEPT;
+pub use metrics::Metrics;
+pub use metrics::TimedBucket;
+pub use metrics::VERSIONS_LIMIT;
+pub use objective::FIRST_TOKEN_TARGET;
+pub use objective::Objective;
+pub use objective::Objectives;
+pub use objective::WorkspaceObjectives;
+pub use observation::CompletedRequest;
+pub use observation::Labels;
+pub use observation::NANO_PER_UNIT;
+pub use observation::NanoMoney;
+pub use observation::Observation;
+pub use observation::RefusedRequest;
+pub use observation::cost_of;
+pub use observation::is_callers_fault;
+pub use report::ObjectiveReport;
+pub use report::Quantiles;
+pub use report::Report;
+pub use report::WorkspaceReport;
