--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,35 +1,42 @@
 //! Reads and checks settings and presets in YAML.
+//!
+//! Two kinds of file: the settings of a process ([`load_settings`]) and the operators' configuration
+//! ([`load_configuration`]). A file that is not right is refused as a whole, with every fault's file, line, field, what
+//! was found and what was expected:
+//!
+//! ```
+//! use foxtailhoist_settings::parse_configuration;
+//!
+//! let faults = parse_configuration("presets.yaml", "preset: peak\nworkspace: {}\n").unwrap_err();
+//! assert_eq!(faults.faults[0].line, 2);
+//! assert_eq!(faults.faults[0].field, "workspace");
+//! ```
 
-use std::path::Path;
+mod configuration;
+mod duration;
+mod fault;
+mod process;
+mod process_checks;
+mod raw;
+mod read;
+mod secret;
+mod source;
+mod tree;
 
-use foxtailhoist_model::Configuration;
-use thiserror::Error;
-
-/// A file that cannot be used.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
-#[error("{file}: {fault}")]
-pub struct Faults {
-    file: String,
-    fault: String,
-}
-
-/// Reads a configuration.
-///
-/// # Errors
-///
-/// Returns the first fault with its line.
-pub fn read_configuration(file: &Path) -> Result<Configuration, Faults> {
-    let name = file.display().to_string();
-    let text = std::fs::read_to_string(file)
-        .map_err(|e| Faults { file: name.clone(), fault: e.to_string() })?;
-    parse_configuration(&name, &text)
-}
-
-/// Reads a configuration's text; `name` stands for the file in errors.
-///
-/// # Errors
-///
-/// Returns the first fault with its line.
-pub fn parse_configuration(name: &str, text: &str) -> Result<Configuration, Faults> {
-    serde_saphyr::from_str(text).map_err(|e| Faults { file: name.to_owned(), fault: e.to_string() })
-}
+pub use configuration::check_configuration;
+pub use configuration::load_configuration;
+pub use configuration::parse_configuration;
+pub use fault::Fault;
+pub use fault::Faults;
+pub use fault::FieldFault;
+pub use process::Keys;
+pub use process::Listen;
+pub use process::PlatformAddresses;
+pub use process::RequestLimits;
+pub use process::Settings;
+pub use process::Timeouts;
+pub use process::Tls;
+pub use process::load_settings;
+pub use process::parse_settings;
+pub use secret::Secret;
+pub use tree::FieldPath;
