Add the membership of the entry hosts

Cause: entry hosts have to know each other, and to share configurations, vetoes, evidence and sessions, without a service of their own to coordinate them. Change: a SWIM-like state machine with a chart for a peer's state, ring heartbeats within a data centre, two watchers a data centre of which the first is its delegate, links between data centres at fixed distances, deltas of configurations, announcements that merge by union with bucketed anti-entropy, and sums of evidence that are never counted twice.

--- a/crates/peers/src/event.rs
+++ b/crates/peers/src/event.rs
@@ -3,7 +3,12 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::PeerMessage;
 use foxtailhoist_model::BackendServerId;
 use foxtailhoist_model::Configuration;
 use foxtailhoist_model::DataCentreId;
@@ -13,11 +18,9 @@
 use foxtailhoist_model::ModelVersion;
 use foxtailhoist_model::OperatorId;
 use foxtailhoist_model::Revision;
+use foxtailhoist_model::SessionId;
 use foxtailhoist_model::Tally;
-use serde::Deserialize;
-use serde::Serialize;
-
-use crate::PeerMessage;
+use foxtailhoist_model::WorkspaceId;
 
 /// Something that happened.
 #[derive(Clone, Debug)]
@@ -30,10 +33,16 @@
     SendFailed { to: EntryHostId },
     /// A configuration came into force here, from the store.
     Adopted(Arc<Configuration>),
+    /// The store's newest revision was this one `age` ago.
+    Confirmed { revision: Revision, age: Duration },
     /// This host observed something that its peers must know.
     Announce(Announcement),
     /// This host's own evidence about a version, cumulative since its start.
     Tally { model_version: ModelVersion, tally: Tally },
+    /// A session that the caller names without a sealed token keeps this version.
+    SessionPinned { workspace: WorkspaceId, session: SessionId, model_version: ModelVersion },
+    /// Asks for a session's version; answered once with `SessionFound` and the same token.
+    SessionLookup { token: u64, workspace: WorkspaceId, session: SessionId },
     /// This host leaves: tell the peers.
     Stop,
     /// The time named by `Peers::next_wake` has come.
@@ -75,10 +84,22 @@
         address: SocketAddr,
         message: PeerMessage,
     },
-    /// The set of entry hosts alive changed; this one included.
+    /// The set of entry hosts that are alive and reachable changed; this one included until it stops.
     Hosts(Vec<Member>),
     /// A peer has a newer configuration: put it in force.
     Adopt(Arc<Configuration>),
+    /// A peer has this revision in force; it is being pulled.
+    PeerRevision(Revision),
+    /// A peer confirmed the revision in force here: it was the store's newest `age` ago.
+    PeerConfirmed {
+        revision: Revision,
+        age: Duration,
+    },
+    /// Answer to `SessionLookup`.
+    SessionFound {
+        token: u64,
+        model_version: Option<ModelVersion>,
+    },
     /// A peer announced something new to this host.
     Learned(Announcement),
     /// Evidence of all other entry hosts, summed, for each version that changed.
--- /dev/null
+++ b/crates/peers/tests/evidence.rs
@@ -0,0 +1,136 @@
+//! Evidence is summed over the fleet and never counted twice; sessions are found at their homes.
+
+mod support;
+
+use std::time::Duration;
+
+use rand::RngExt;
+
+use foxtailhoist_model::Tally;
+use foxtailhoist_peers::event::Event;
+
+use crate::support::Fleet;
+use crate::support::version;
+
+fn settled(count: usize, centres: usize, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(count, centres, seed);
+    fleet.run(Duration::from_secs(8));
+    fleet
+}
+
+fn count(fleet: &mut Fleet, id: &str, rated: u64) {
+    let tally = Tally { rated, ..Tally::default() };
+    fleet.handle(id, Event::Tally { model_version: version("1"), tally });
+}
+
+fn rated(fleet: &Fleet, id: &str) -> u64 {
+    fleet.hosts[id].seen.tallies.get(&version("1")).map_or(0, |tally| tally.rated)
+}
+
+fn ids(fleet: &Fleet) -> Vec<String> {
+    fleet.hosts.keys().cloned().collect()
+}
+
+#[test]
+fn each_host_learns_the_sum_of_all_others() {
+    let mut fleet = settled(24, 3, 1);
+    for (id, rated) in ids(&fleet).iter().zip(1..) {
+        count(&mut fleet, id, rated);
+    }
+    fleet.run(Duration::from_secs(30));
+    for (id, own) in ids(&fleet).iter().zip(1..) {
+        assert_eq!(rated(&fleet, id), 24 * 25 / 2 - own);
+    }
+}
+
+#[test]
+fn a_restarted_host_and_a_new_delegate_count_nothing_twice() {
+    let mut fleet = settled(12, 3, 2);
+    for id in ids(&fleet) {
+        count(&mut fleet, &id, 10);
+    }
+    fleet.run(Duration::from_secs(20));
+    for centre in 0..3 {
+        let delegate = fleet.in_centre(centre).find(|host| host.peers.is_delegate());
+        let id = delegate.expect("there is one").listed.id.clone();
+        let listed = fleet.kill(&id);
+        fleet.run(Duration::from_secs(12));
+        let list = fleet.list();
+        fleet.start(listed, &list);
+        count(&mut fleet, &id, 1);
+        fleet.run(Duration::from_secs(25));
+    }
+    // The three that restarted counted 10 before and 1 after.
+    let total = 12 * 10 + 3;
+    for id in ids(&fleet) {
+        assert!(rated(&fleet, &id) <= total, "{id} counts {}", rated(&fleet, &id));
+        assert!(rated(&fleet, &id) >= 9 * 10, "{id} counts {}", rated(&fleet, &id));
+    }
+}
+
+#[test]
+fn sums_stay_within_the_truth_while_hosts_come_and_go() {
+    let mut fleet = settled(12, 3, 3);
+    let mut total = 0;
+    let mut own = std::collections::BTreeMap::<String, u64>::new();
+    for _ in 0..60 {
+        for id in ids(&fleet) {
+            total += 1;
+            *own.entry(id.clone()).or_default() += 1;
+            let rated = own[&id];
+            count(&mut fleet, &id, rated);
+        }
+        if fleet.rng.random::<f64>() < 0.2 {
+            let all = ids(&fleet);
+            let victim = all[fleet.rng.random_range(0..all.len())].clone();
+            let listed = fleet.kill(&victim);
+            own.remove(&victim);
+            let list = fleet.list();
+            fleet.start(listed, &list);
+        }
+        fleet.run(Duration::from_secs(3));
+        assert!(ids(&fleet).iter().all(|id| rated(&fleet, id) <= total));
+    }
+}
+
+#[test]
+fn a_session_is_found_from_every_data_centre_and_only_by_its_workspace() {
+    let mut fleet = settled(12, 3, 4);
+    let workspace = "bakery".to_owned();
+    let session = "s-1".to_owned();
+    let pin = Event::SessionPinned {
+        workspace: workspace.clone(),
+        session: session.clone(),
+        model_version: version("1"),
+    };
+    fleet.handle("entry-000", pin);
+    fleet.run(Duration::from_secs(1));
+    for (id, token) in ids(&fleet).iter().zip(0..) {
+        let (workspace, session) = (workspace.clone(), session.clone());
+        fleet.handle(id, Event::SessionLookup { token, workspace, session });
+        let (workspace, session) = ("other".to_owned(), "s-1".to_owned());
+        fleet.handle(id, Event::SessionLookup { token: token + 100, workspace, session });
+        fleet.run(Duration::from_secs(1));
+        let found = &fleet.hosts[id].seen.sessions;
+        assert_eq!(found[&token], Some(version("1")), "{id}");
+        assert_eq!(found[&(token + 100)], None);
+    }
+}
+
+#[test]
+fn a_lookup_whose_homes_do_not_answer_ends_in_time() {
+    let mut fleet = settled(6, 3, 5);
+    for id in ids(&fleet).into_iter().filter(|id| id != "entry-000") {
+        fleet.kill(&id);
+    }
+    let lookup = |token: u64| Event::SessionLookup {
+        token,
+        workspace: "bakery".to_owned(),
+        session: format!("s-{token}"),
+    };
+    for token in 0..20 {
+        fleet.handle("entry-000", lookup(token));
+    }
+    fleet.run(Duration::from_millis(200));
+    assert_eq!(fleet.hosts["entry-000"].seen.sessions.len(), 20);
+}
