Test that suspects wait for an idle server and silence blames none

Removing either guard went unnoticed by the tests: running a suspect beside other work, and avoiding a server after a silent connection. Two tests now fail on it: a_suspect_waits_until_a_server_is_idle and a_silent_connection_does_not_drive_a_request_to_another_data_centre.

--- a/crates/route/tests/failures.rs
+++ b/crates/route/tests/failures.rs
@@ -263,3 +263,27 @@
     }
     assert!(at_dead <= 1, "{at_dead} requests at a server that has not proved itself");
 }
+
+#[test]
+fn a_suspect_waits_until_a_server_is_idle() {
+    let servers = vec![engine("engine-0", "a", 8)];
+    let mut world = World::with(Mechanisms::default(), configuration(), servers);
+    let request = world.chat();
+    let running = sent(&mut world, request);
+    let suspect = world.chat();
+    let _ = world.send(Event::Suspected(suspect.fingerprint));
+    assert!(dispatches(&world.arrive(suspect.clone())).is_empty());
+    let effects = world.finish(running.attempt);
+    assert_eq!(dispatch(&effects).request, suspect.id);
+}
+
+#[test]
+fn a_silent_connection_does_not_drive_a_request_to_another_data_centre() {
+    let servers = vec![engine("near", "a", 8), engine("far", "b", 8)];
+    let mut world = World::with(Mechanisms::default(), configuration(), servers);
+    let request = world.chat();
+    let first = sent(&mut world, request);
+    assert_eq!(first.server, "near");
+    let _ = world.fail(first.attempt, AttemptFailure::SilentConnection);
+    assert_eq!(dispatch(&world.pass(PAUSE)).server, "near");
+}
