--- a/crates/route/src/quality/mod.rs
+++ b/crates/route/src/quality/mod.rs
@@ -7,14 +7,17 @@
 
 mod explore;
 mod mixture;
+mod peers;
 mod plan;
 mod tokens;
 mod window;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use foxtailhoist_model::EntryHostId;
 use foxtailhoist_model::ModelVersion;
 use foxtailhoist_model::Preset;
 use foxtailhoist_model::QualityTarget;
@@ -25,9 +28,15 @@
 
 use crate::config::Mechanisms;
 use crate::permit::Allowed;
+use crate::shared::AnswerSums;
+use crate::shared::ConfidenceSums;
+use crate::shared::DependenceSums;
+use crate::shared::MAX_SHARED_CLASSES;
+use crate::shared::SharedClass;
+use crate::shared::SharedQuality;
 use explore::Explorer;
 use mixture::Mixture;
-use mixture::Moments;
+use peers::PeerSums;
 use plan::Candidate;
 use plan::ClassInput;
 pub(crate) use plan::Plan;
@@ -61,12 +70,17 @@
     mechanisms: Mechanisms,
     windows: BTreeMap<WindowKey, Window>,
     workspaces: BTreeMap<WorkspaceId, u32>,
+    /// Worth of each workspace's own answers, by class.
+    own_worth: BTreeMap<TaskClass, BTreeMap<u32, f64>>,
     tokens: Tokens,
     mixture: Option<Mixture>,
     dependence: f64,
     fitted: Option<Instant>,
     plans: BTreeMap<PlanKey, Plan>,
     explorer: Explorer,
+    peers: PeerSums,
+    /// Sums of the last fit, to be told to the peers.
+    share: Option<SharedQuality>,
 }
 
 /// A version's answers to a class; those after another model fell short apart, as they are to harder requests.
@@ -131,12 +145,15 @@
             mechanisms,
             windows: BTreeMap::new(),
             workspaces: BTreeMap::new(),
+            own_worth: BTreeMap::new(),
             tokens: Tokens::default(),
             mixture: None,
             dependence: PRIOR_DEPENDENCE,
             fitted: None,
             plans: BTreeMap::new(),
             explorer: Explorer::default(),
+            peers: PeerSums::default(),
+            share: None,
         }
     }
 
@@ -197,7 +214,7 @@
         let Some(best) = models.last() else {
             return Planned { plan: Plan { stages: Vec::new() }, explores: false };
         };
-        let direct = Plan::direct(best.model_version.clone());
+        let direct = Plan::direct(ModelVersion::clone(&best.model_version));
         let cheaper = self.mechanisms.cheaper_models && preset.cheaper_for.contains(asked.class);
         if !cheaper || models.len() < 2 {
             return Planned { plan: direct, explores: false };
@@ -205,11 +222,10 @@
         self.tokens.observe_request(asked.workspace, asked.class, asked.streamed);
         let slack = self.slack(preset, &models, asked);
         let planned = self.cached_plan(asked, &models, preset, slack);
-        if self.mechanisms.exploration {
+        if self.mechanisms.exploration && self.explorer.due(slack, rng) {
             let candidates = self.candidates(asked.class, None, &models);
             let may_withhold = !asked.streamed && self.mechanisms.cascade && self.mixture.is_some();
-            let explored =
-                self.explorer.choose(&planned, &candidates, asked, may_withhold, slack, rng);
+            let explored = self.explorer.choose(&planned, &candidates, asked, may_withhold);
             if let Some(plan) = explored {
                 return Planned { plan, explores: true };
             }
@@ -217,6 +233,16 @@
         Planned { plan: planned, explores: false }
     }
 
+    /// Takes in what a peer learned.
+    pub(crate) fn learn(&mut self, from: EntryHostId, shared: Arc<SharedQuality>, now: Instant) {
+        self.peers.learn(from, shared, now);
+    }
+
+    /// What was learned since the last call, to be told to the peers.
+    pub(crate) fn take_share(&mut self) -> Option<SharedQuality> {
+        self.share.take()
+    }
+
     /// Number of windows, plans and workspaces, each with the most there may be.
     pub(crate) fn tables(&self) -> [(usize, usize); 3] {
         [
@@ -241,13 +267,8 @@
         slack: f64,
     ) -> Plan {
         let number = self.workspace(asked.workspace);
-        let own: f64 = self
-            .windows
-            .iter()
-            .filter(|(key, _)| key.class == *asked.class)
-            .map(|(_, window)| window.own_worth(number))
-            .sum();
-        let workspace = Some(number).filter(|_| own >= MIN_OWN_WORTH);
+        let own = self.own_worth.get(asked.class).and_then(|own| own.get(&number)).copied();
+        let workspace = Some(number).filter(|_| own.unwrap_or(0.0) >= MIN_OWN_WORTH);
         let rules = rules(models, preset);
         let key =
             PlanKey { workspace, rules, class: asked.class.clone(), streamed: asked.streamed };
@@ -276,7 +297,7 @@
             let key = PlanKey { workspace, rules, class: part.class, streamed };
             self.plans.insert(key, plan);
         }
-        let direct = || Plan::direct(models[models.len() - 1].model_version.clone());
+        let direct = || Plan::direct(ModelVersion::clone(&models[models.len() - 1].model_version));
         self.plans.get(&key).cloned().unwrap_or_else(direct)
     }
 
@@ -288,7 +309,7 @@
     ) -> Vec<Candidate> {
         let (prompt, output) = self.tokens.means(class);
         let candidate = |allowed: &Allowed| Candidate {
-            model_version: allowed.model_version.clone(),
+            model_version: ModelVersion::clone(&allowed.model_version),
             cost: prompt * allowed.price_in + output * allowed.price_out,
             estimate: self.estimate(class, &allowed.model_version, workspace),
         };
@@ -332,6 +353,8 @@
         }
         self.fitted = Some(now);
         self.plans.clear();
+        self.peers.total(now);
+        self.open_windows_of_peers();
         let fits = match self.mixture {
             Some(_) => 1,
             None => {
@@ -345,12 +368,44 @@
     }
 
     fn fit(&mut self) {
-        let mut moments = Moments::default();
-        for window in self.windows.values_mut() {
-            window.fit(self.mixture.as_ref(), self.dependence, &mut moments);
+        let mut confidence = ConfidenceSums::default();
+        let none = AnswerSums::default();
+        for (key, window) in &mut self.windows {
+            let peers = self.peers.classes().get(key).copied().unwrap_or(none);
+            window.fit(self.mixture.as_ref(), self.dependence, peers, &mut confidence);
         }
-        self.mixture = self.mixture.map(|mixture| moments.mixture(mixture));
-        self.fit_dependence();
+        self.own_worth.clear();
+        for (key, window) in &self.windows {
+            let own = self.own_worth.entry(key.class.clone()).or_default();
+            for (workspace, worth) in window.own_worth() {
+                *own.entry(workspace).or_default() += worth;
+            }
+        }
+        let all = confidence.plus(self.peers.confidence());
+        self.mixture = self.mixture.map(|mixture| all.mixture(mixture));
+        let dependence = self.fit_dependence();
+        self.share = Some(self.shared(confidence, dependence));
+    }
+
+    /// Windows for what only peers have seen.
+    fn open_windows_of_peers(&mut self) {
+        for key in self.peers.classes().keys() {
+            if self.windows.len() < MAX_WINDOWS && !self.windows.contains_key(key) {
+                self.windows.insert(key.clone(), Window::new());
+            }
+        }
+    }
+
+    fn shared(&self, confidence: ConfidenceSums, dependence: DependenceSums) -> SharedQuality {
+        let seen = self.windows.iter().filter(|(_, window)| window.sums().count > 0.0);
+        let class = |(key, window): (&WindowKey, &Window)| SharedClass {
+            class: key.class.clone(),
+            model_version: key.model_version.clone(),
+            escalated: key.escalated,
+            sums: window.sums(),
+        };
+        let classes = seen.take(MAX_SHARED_CLASSES).map(class).collect();
+        SharedQuality { classes, confidence, dependence }
     }
 
     /// Starts the mixture once there are answers enough of both kinds.
@@ -359,6 +414,12 @@
         let faults = answers.iter().filter(|answer| answer.acceptable == Some(false)).count();
         let confidences: Vec<f64> =
             answers.iter().filter_map(|answer| answer.confidence.map(f64::from)).collect();
+        let peers = self.peers.confidence();
+        if peers.unacceptable.weight >= MIN_FAULTS as f64 {
+            // Peers have a mixture already: theirs is the start.
+            self.mixture = Some(peers.mixture(Mixture::start(0.0, 1.0)));
+            return;
+        }
         if confidences.len() < MIN_CONFIDENCES || faults < MIN_FAULTS {
             return;
         }
@@ -369,12 +430,11 @@
     }
 
     /// Ridge regression of the fall in quality after an escalation on the doubt that caused it.
-    fn fit_dependence(&mut self) {
+    fn fit_dependence(&mut self) -> DependenceSums {
+        let mut own = DependenceSums::default();
         let Some(mixture) = &self.mixture else {
-            return;
+            return own;
         };
-        let mut covariance = PRIOR_DEPENDENCE * DEPENDENCE_WEIGHT;
-        let mut variance = DEPENDENCE_WEIGHT;
         for (key, window) in self.windows.iter().filter(|(key, _)| key.escalated) {
             let share = self.estimate(&key.class, &key.model_version, None).share;
             for answer in window.answers().filter(|answer| answer.acceptable.is_some()) {
@@ -382,11 +442,15 @@
                 let expected = (share - self.dependence * doubt).max(0.01);
                 let confidence = answer.confidence.map(f64::from);
                 let probability = mixture.posterior(expected, confidence, answer.acceptable);
-                covariance += (share - probability) * doubt;
-                variance += doubt * doubt;
+                own.covariance += (share - probability) * doubt;
+                own.variance += doubt * doubt;
             }
         }
+        let peers = self.peers.dependence();
+        let covariance = own.covariance + peers.covariance + PRIOR_DEPENDENCE * DEPENDENCE_WEIGHT;
+        let variance = own.variance + peers.variance + DEPENDENCE_WEIGHT;
         self.dependence = (covariance / variance).clamp(0.0, 0.6);
+        own
     }
 
     fn workspace(&mut self, workspace: &WorkspaceId) -> u32 {
@@ -419,8 +483,8 @@
         QualityTarget::AtLeast(share) => -share,
     };
     models.iter().fold(target.to_bits(), |hash, allowed| {
-        let name = allowed.model_version.to_string();
+        let ModelVersion { model, version } = &*allowed.model_version;
         let price = allowed.price_out.to_bits().to_be_bytes();
-        stable_hash(hash ^ PLAN_SEED, &[name.as_bytes(), &price])
+        stable_hash(hash ^ PLAN_SEED, &[model.as_bytes(), version.as_bytes(), &price])
     })
 }
