--- /dev/null
+++ b/crates/measure/src/policy/brain.rs
@@ -0,0 +1,142 @@
+//! What decides on an entry host of a run: the router or a baseline.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use foxtailhoist_model::AttemptId;
+use foxtailhoist_model::BackendServerId;
+use foxtailhoist_model::Enforcement;
+use foxtailhoist_model::ErrorKind;
+use foxtailhoist_model::Fingerprint;
+use foxtailhoist_model::ModelVersion;
+use foxtailhoist_model::Priority;
+use foxtailhoist_model::RequestId;
+use foxtailhoist_route::Router;
+use foxtailhoist_route::RouterConfig;
+use foxtailhoist_route::event::Effect;
+use foxtailhoist_route::event::Event;
+use foxtailhoist_route::event::Evidence;
+
+use crate::policy::baseline::Baseline;
+use crate::policy::kind::Policy;
+use crate::policy::site::NEXT_VERSION;
+use crate::policy::site::Site;
+
+/// Decides for one entry host.
+#[derive(Debug)]
+pub enum Brain {
+    Baseline(Box<Baseline>),
+    Router { router: Box<Router>, site: Arc<Site> },
+}
+
+/// What a brain asks its host to do.
+#[derive(Clone, Debug)]
+pub enum Command {
+    Dispatch(Order),
+    Cancel(AttemptId),
+    Deliver { request: RequestId, attempt: AttemptId },
+    Claim(RequestId),
+    Bill(RequestId),
+    Complete { request: RequestId, attempt: AttemptId, model_version: Option<ModelVersion> },
+    Refuse { request: RequestId, kind: ErrorKind },
+    Rate(RequestId),
+    Evidence(Evidence),
+    Suspect(Fingerprint),
+    Quarantine(Fingerprint),
+    Leaving(BackendServerId),
+}
+
+/// An attempt to be started.
+#[derive(Clone, Copy, Debug)]
+pub struct Order {
+    pub request: RequestId,
+    pub attempt: AttemptId,
+    pub engine: usize,
+    pub model: usize,
+    /// The version in roll-out rather than the first.
+    pub next_version: bool,
+    pub first_byte_timeout: Duration,
+    pub priority: Priority,
+}
+
+impl Brain {
+    /// The brain of entry host `host`. `replayed` is the model of each request for the policy that replays them.
+    #[must_use]
+    pub fn new(
+        policy: Policy,
+        site: &Arc<Site>,
+        host: usize,
+        seed: u64,
+        replayed: &Arc<Vec<usize>>,
+    ) -> Brain {
+        let Some(mechanisms) = policy.mechanisms() else {
+            let baseline = Baseline::new(policy, site.clone(), host, seed, replayed.clone());
+            return Brain::Baseline(Box::new(baseline));
+        };
+        let data_centre = &site.deployment.data_centres[site.hosts[host].data_centre];
+        let cfg = RouterConfig::new(&site.hosts[host].id, data_centre)
+            .enforcement(Enforcement::Panic)
+            .mechanisms(mechanisms);
+        Brain::Router { router: Box::new(Router::new(cfg, seed)), site: site.clone() }
+    }
+
+    /// Takes an event and returns what is to be done.
+    pub fn handle(&mut self, event: Event, now: Instant) -> Vec<Command> {
+        match self {
+            Brain::Baseline(baseline) => baseline.handle(event),
+            Brain::Router { router, site } => {
+                let effects = router.handle(event, now);
+                effects.into_iter().filter_map(|effect| command(effect, site)).collect()
+            }
+        }
+    }
+
+    #[must_use]
+    pub fn next_wake(&self) -> Option<Instant> {
+        match self {
+            Brain::Baseline(_) => None,
+            Brain::Router { router, .. } => router.next_wake(),
+        }
+    }
+
+    /// Whether the brain reads load and cache events.
+    #[must_use]
+    pub fn reads_feeds(&self) -> bool {
+        matches!(self, Brain::Router { .. })
+    }
+}
+
+fn command(effect: Effect, site: &Site) -> Option<Command> {
+    let command = match effect {
+        Effect::Claim(claim) => Command::Claim(claim.request),
+        Effect::Dispatch(dispatch) => {
+            let version = dispatch.model_version.as_ref()?;
+            Command::Dispatch(Order {
+                request: dispatch.request,
+                attempt: dispatch.attempt,
+                engine: site.engine_index(&dispatch.server)?,
+                model: site.model_index(&version.model)?,
+                next_version: version.version == NEXT_VERSION,
+                first_byte_timeout: dispatch.first_byte_timeout,
+                priority: dispatch.priority,
+            })
+        }
+        Effect::Cancel { attempt } => Command::Cancel(attempt),
+        Effect::Deliver { request, attempt } => Command::Deliver { request, attempt },
+        Effect::Bill { request, .. } => Command::Bill(request),
+        Effect::Complete(completion) => Command::Complete {
+            request: completion.request,
+            attempt: completion.attempt,
+            model_version: completion.model_version,
+        },
+        Effect::Refuse { request, refusal } => Command::Refuse { request, kind: refusal.kind },
+        Effect::Rate { request } => Command::Rate(request),
+        Effect::Evidence(evidence) => Command::Evidence(evidence),
+        Effect::Suspect(fingerprint) => Command::Suspect(fingerprint),
+        Effect::Quarantine(fingerprint) => Command::Quarantine(fingerprint),
+        Effect::Leaving(server) => Command::Leaving(server),
+        Effect::RetireConnections(_) | Effect::Order(_) => return None,
+    };
+    Some(command)
+}
--- a/crates/measure/src/policy/engine.rs
+++ b/crates/measure/src/policy/engine.rs
@@ -254,7 +254,8 @@
         if let Some(prefill) = self.prefill.take_if(|prefill| prefill.job.attempt == attempt) {
             return Some(Work { prompt_tokens: prefill.job.prompt_tokens, output_tokens: 0 });
         }
-        let key = self.waiting.iter().find(|(_, job)| job.attempt == attempt).map(|(key, _)| *key)?;
+        let key =
+            self.waiting.iter().find(|(_, job)| job.attempt == attempt).map(|(key, _)| *key)?;
         self.waiting.remove(&key);
         Some(Work::default())
     }
@@ -283,7 +284,8 @@
         }
         while self.held + tokens > self.limit {
             let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.last_use);
-            let Some((evicted, tokens)) = oldest.map(|(prefix, entry)| (*prefix, entry.tokens)) else {
+            let Some((evicted, tokens)) = oldest.map(|(prefix, entry)| (*prefix, entry.tokens))
+            else {
                 break;
             };
             self.entries.remove(&evicted);
--- a/crates/measure/src/policy/site.rs
+++ b/crates/measure/src/policy/site.rs
@@ -225,7 +225,8 @@
 
 /// Steps of the roll-outs in these runs; the first is within 1% of the callers.
 fn rollout_steps() -> Vec<RolloutStep> {
-    let step = |share, callers| RolloutStep { share, callers, hold_seconds: 180, rated_answers: 40 };
+    let step =
+        |share, callers| RolloutStep { share, callers, hold_seconds: 180, rated_answers: 40 };
     vec![step(0.1, 30), step(0.3, 100)]
 }
 
--- a/crates/measure/src/policy/trace.rs
+++ b/crates/measure/src/policy/trace.rs
@@ -57,10 +57,17 @@
     confidence: f64,
 }
 
-/// What a run's arrivals are made of.
+/// What a run's arrivals are made of: a phase at one rate, then one at another.
 #[derive(Clone, Copy, Debug)]
 pub struct TraceSpec {
     pub seed: u64,
+    pub warm_up: Phase,
+    pub measured: Phase,
+}
+
+/// Time at one rate of arrivals.
+#[derive(Clone, Copy, Debug)]
+pub struct Phase {
     pub rate_per_s: f64,
     pub duration: Duration,
 }
@@ -98,18 +105,10 @@
 #[must_use]
 pub fn generate(site: &Site, workloads: &Workloads, spec: TraceSpec) -> Vec<Arrival> {
     let mut generator = Generator::new(site, workloads, spec.seed);
-    let sessions = site.deployment.sessions;
+    let end = spec.warm_up.duration + spec.measured.duration;
     let mut arrivals = Vec::new();
-    let single_rate = spec.rate_per_s * (1.0 - sessions.share);
-    generator.starts(single_rate, spec.duration, |generator, at| {
-        arrivals.push(generator.arrival(at, None));
-    });
-    let session_rate = spec.rate_per_s * sessions.share / sessions.turns_mean;
-    let mut number = 0;
-    generator.starts(session_rate, spec.duration, |generator, at| {
-        number += 1;
-        generator.session(number, at, spec.duration, &mut arrivals);
-    });
+    generator.phase(Time::ZERO, spec.warm_up, end, &mut arrivals);
+    generator.phase(spec.warm_up.duration, spec.measured, end, &mut arrivals);
     arrivals.sort_by_key(|arrival| arrival.at);
     arrivals
 }
@@ -133,6 +132,7 @@
     workspaces: Weighted,
     classes: Weighted,
     prefixes: Weighted,
+    sessions: u32,
 }
 
 impl<'a> Generator<'a> {
@@ -145,18 +145,31 @@
             workspaces: Weighted::zipf(deployment.workspaces.count, deployment.workspaces.zipf),
             classes: Weighted::new(site.classes.iter().map(|class| class.spec.share)),
             prefixes: Weighted::zipf(deployment.prefixes.groups, deployment.prefixes.zipf),
+            sessions: 0,
         }
     }
 
-    fn starts(&mut self, rate: f64, duration: Duration, mut start: impl FnMut(&mut Self, Time)) {
-        let mut at_s = 0.0;
-        loop {
+    /// Draws single requests and sessions that start within a phase; sessions may outlast it.
+    fn phase(&mut self, from: Time, phase: Phase, end: Time, arrivals: &mut Vec<Arrival>) {
+        let sessions = self.site.deployment.sessions;
+        for at in self.starts(from, phase.duration, phase.rate_per_s * (1.0 - sessions.share)) {
+            arrivals.push(self.arrival(at, None));
+        }
+        let session_rate = phase.rate_per_s * sessions.share / sessions.turns_mean;
+        for at in self.starts(from, phase.duration, session_rate) {
+            self.sessions += 1;
+            self.session(self.sessions, at, end, arrivals);
+        }
+    }
+
+    fn starts(&mut self, from: Time, duration: Duration, rate: f64) -> Vec<Time> {
+        let mut starts = Vec::new();
+        let mut at_s = exponential(&mut self.rng, 1.0 / rate);
+        while at_s < duration.as_secs_f64() {
+            starts.push(from + Duration::from_secs_f64(at_s));
             at_s += exponential(&mut self.rng, 1.0 / rate);
-            if at_s >= duration.as_secs_f64() {
-                return;
-            }
-            start(self, Duration::from_secs_f64(at_s));
         }
+        starts
     }
 
     /// A session keeps caller, class and prefix; its turns follow each other whatever became of the one before.
--- /dev/null
+++ b/crates/measure/src/policy/world/attempts.rs
@@ -0,0 +1,378 @@
+//! Attempts between entry hosts and engines.
+
+use std::time::Duration;
+
+use foxtailhoist_model::AttemptId;
+use foxtailhoist_model::Usage;
+use foxtailhoist_route::event::AnswerSummary;
+use foxtailhoist_route::event::AttemptFailure;
+use foxtailhoist_route::event::Event;
+use rand::RngExt;
+
+use super::Occurrence;
+use super::World;
+use super::request_index;
+use crate::policy::brain::Order;
+use crate::policy::engine::Job;
+use crate::policy::engine::Output;
+use crate::policy::engine::Work;
+use crate::policy::fault::Badness;
+use crate::policy::site::LOCAL_DELAY;
+
+/// Time after which a dead server or a cut link is told from a slow one.
+const DEATH_SEEN_AFTER: Duration = Duration::from_millis(200);
+const CUT_SEEN_AFTER: Duration = Duration::from_secs(3);
+/// Time that an attempt to connect over a cut link takes.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time that an engine needs to start again.
+const ENGINE_RESTART: Duration = Duration::from_secs(20);
+/// Share of packets between data centres that are lost, and the wait until they are sent again.
+const LOST_PACKETS: f64 = 0.005;
+const RETRANSMISSION: Duration = Duration::from_millis(200);
+
+/// An attempt under way or ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Attempt {
+    pub(super) order: Order,
+    pub(super) host: usize,
+    pub(super) first_byte: bool,
+    /// The host waits for nothing more.
+    pub(super) ended: bool,
+    /// The engine works on it, or it is on its way there.
+    pub(super) at_engine: bool,
+    pub(super) acceptable: bool,
+    pub(super) cost: f64,
+    is_retry: bool,
+}
+
+impl World {
+    pub(super) fn dispatch(&mut self, host: usize, order: Order) -> Option<Event> {
+        let index = request_index(order.request);
+        let attempt = self.new_attempt(host, order);
+        self.attempts.insert(order.attempt, attempt);
+        self.history[index].running += 1;
+        self.note_exposure(index, order);
+        let refused_after = self.refused_after(host, order.engine);
+        if let Some(after) = refused_after {
+            let failure = AttemptFailure::Refused;
+            self.agenda.push_after(after, Occurrence::Fail(order.attempt, failure));
+            return None;
+        }
+        let delay = self.link_delay(host, order.engine);
+        self.agenda.push_after(delay, Occurrence::Submit(order.attempt));
+        self.agenda.push_after(order.first_byte_timeout, Occurrence::FirstByteDue(order.attempt));
+        Some(Event::Sent { attempt: order.attempt })
+    }
+
+    fn new_attempt(&mut self, host: usize, order: Order) -> Attempt {
+        let index = request_index(order.request);
+        let history = self.history[index];
+        let attempts = &mut self.records[index].attempts;
+        let is_first = attempts.all == 0;
+        let is_hedge = !is_first && history.running > 0;
+        let is_retry = !is_first && !is_hedge && history.failed > 0;
+        attempts.all += 1;
+        attempts.hedges += u32::from(is_hedge);
+        attempts.retries += u32::from(is_retry);
+        attempts.cascades += u32::from(!is_first && !is_hedge && !is_retry);
+        Attempt {
+            order,
+            host,
+            first_byte: false,
+            ended: false,
+            at_engine: false,
+            acceptable: self.acceptable(index, order),
+            cost: 0.0,
+            is_retry: is_hedge || is_retry,
+        }
+    }
+
+    fn acceptable(&self, index: usize, order: Order) -> bool {
+        let arrival = &self.spec.arrivals[index];
+        let chance = self.spec.site.classes[arrival.class].acceptable[order.model];
+        let badness = self.spec.fault.badness(order.model, order.next_version, self.agenda.now());
+        let factor = match badness {
+            Some(Badness::Quality(factor)) => factor,
+            Some(Badness::Errors(_)) | None => 1.0,
+        };
+        arrival.acceptable(order.model, chance * factor)
+    }
+
+    fn refused_after(&self, host: usize, engine: usize) -> Option<Duration> {
+        if self.is_cut(host, engine) {
+            return Some(CONNECT_TIMEOUT);
+        }
+        self.down[engine].then(|| self.spec.site.delay(host, engine) * 2)
+    }
+
+    fn is_cut(&self, host: usize, engine: usize) -> bool {
+        let site = &self.spec.site;
+        let (a, b) = (site.hosts[host].data_centre, site.engines[engine].data_centre);
+        self.spec.fault.cuts(a, b, self.agenda.now())
+    }
+
+    fn link_delay(&mut self, host: usize, engine: usize) -> Duration {
+        let site = &self.spec.site;
+        let remote = site.hosts[host].data_centre != site.engines[engine].data_centre;
+        let delay = site.delay(host, engine);
+        if remote && self.rng.random::<f64>() < LOST_PACKETS {
+            return delay + RETRANSMISSION;
+        }
+        delay
+    }
+
+    pub(super) fn submit(&mut self, id: AttemptId) {
+        let Some(attempt) = self.attempts.get_mut(&id).filter(|attempt| !attempt.ended) else {
+            return;
+        };
+        let order = attempt.order;
+        if self.down[order.engine] {
+            let failure = AttemptFailure::Refused;
+            self.agenda.push_after(LOCAL_DELAY, Occurrence::Fail(id, failure));
+            return;
+        }
+        attempt.at_engine = true;
+        let arrival = &self.spec.arrivals[request_index(order.request)];
+        let version_salt = u64::from(order.next_version);
+        let job = Job {
+            attempt: id,
+            priority: order.priority,
+            prefix: arrival.prefix ^ version_salt,
+            prefix_tokens: arrival.prefix_tokens,
+            prompt_tokens: arrival.prompt_tokens,
+            output_tokens: arrival.output_tokens,
+        };
+        let now = self.agenda.now();
+        let mut outputs = Vec::new();
+        self.engines[order.engine].submit(job, now, &mut outputs);
+        self.engine_changed(order.engine, outputs);
+    }
+
+    pub(super) fn engine_wakes(&mut self, engine: usize, generation: u64) {
+        if self.generations[engine] != generation {
+            return;
+        }
+        let mut outputs = Vec::new();
+        self.engines[engine].advance(self.agenda.now(), &mut outputs);
+        self.engine_changed(engine, outputs);
+    }
+
+    fn engine_changed(&mut self, engine: usize, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::FirstToken(attempt) => self.engine_began(engine, attempt),
+                Output::Finished(attempt) => self.engine_finished(attempt),
+                Output::Cached { prefix, tokens, present } => {
+                    self.publish_cache(engine, prefix, tokens, present);
+                }
+            }
+        }
+        self.generations[engine] += 1;
+        let generation = self.generations[engine];
+        if let Some(at) = self.engines[engine].next_wake() {
+            self.agenda.push(at, Occurrence::EngineWake { engine, generation });
+        }
+    }
+
+    fn engine_began(&mut self, engine: usize, id: AttemptId) {
+        let Some(attempt) = self.attempts.get(&id).copied() else {
+            return;
+        };
+        let arrival = &self.spec.arrivals[request_index(attempt.order.request)];
+        if arrival.poison {
+            self.crash(engine);
+            return;
+        }
+        if self.spec.site.classes[arrival.class].spec.streamed {
+            let delay = self.link_delay(attempt.host, engine);
+            self.agenda.push_after(delay, Occurrence::Head(id));
+        }
+    }
+
+    fn engine_finished(&mut self, id: AttemptId) {
+        let Some(attempt) = self.attempts.get(&id).copied() else {
+            return;
+        };
+        let index = request_index(attempt.order.request);
+        let arrival = &self.spec.arrivals[index];
+        let work =
+            Work { prompt_tokens: arrival.prompt_tokens, output_tokens: arrival.output_tokens };
+        self.charge(id, work);
+        let model = attempt.order.model;
+        let now = self.agenda.now();
+        let badness = self.spec.fault.badness(model, attempt.order.next_version, now);
+        let fails = match badness {
+            Some(Badness::Errors(share)) => self.rng.random::<f64>() < share,
+            Some(Badness::Quality(_)) | None => false,
+        };
+        let delay = self.link_delay(attempt.host, attempt.order.engine);
+        let occurrence = if fails {
+            Occurrence::Fail(id, AttemptFailure::ServerError)
+        } else {
+            Occurrence::Whole(id)
+        };
+        self.agenda.push_after(delay, occurrence);
+    }
+
+    fn charge(&mut self, id: AttemptId, work: Work) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        attempt.at_engine = false;
+        let spec = &self.spec.site.models[attempt.order.model].spec;
+        let cost = (spec.price_in * f64::from(work.prompt_tokens)
+            + spec.price_out * f64::from(work.output_tokens))
+            / 1e6;
+        attempt.cost = cost;
+        let record = &mut self.records[request_index(attempt.order.request)];
+        record.cost += cost;
+        if attempt.is_retry {
+            record.attempts.retry_cost += cost;
+        }
+    }
+
+    /// An engine dies with everything in it.
+    fn crash(&mut self, engine: usize) {
+        let mut outputs = Vec::new();
+        let ended = self.engines[engine].crash(self.agenda.now(), &mut outputs);
+        self.down[engine] = true;
+        self.agenda.push_after(ENGINE_RESTART, Occurrence::EngineUp(engine));
+        for (id, work) in ended {
+            self.charge(id, work);
+            let failure = AttemptFailure::ServerDied;
+            self.agenda.push_after(DEATH_SEEN_AFTER, Occurrence::Fail(id, failure));
+        }
+    }
+
+    pub(super) fn head(&mut self, id: AttemptId) {
+        let Some(attempt) = self.attempts.get(&id).copied() else {
+            return;
+        };
+        if attempt.ended || self.is_cut(attempt.host, attempt.order.engine) {
+            return;
+        }
+        self.first_byte(id);
+        self.tell(attempt.host, Event::FirstByte { attempt: id });
+    }
+
+    fn first_byte(&mut self, id: AttemptId) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        attempt.first_byte = true;
+        let index = request_index(attempt.order.request);
+        if self.records[index].delivered == Some(id) {
+            self.caller_sees_first_token(index);
+        }
+    }
+
+    pub(super) fn whole(&mut self, id: AttemptId) {
+        let Some(attempt) = self.attempts.get(&id).copied() else {
+            return;
+        };
+        if attempt.ended || self.is_cut(attempt.host, attempt.order.engine) {
+            return;
+        }
+        let index = request_index(attempt.order.request);
+        self.end(id);
+        self.history[index].whole += 1;
+        if !attempt.first_byte {
+            self.first_byte(id);
+            self.tell(attempt.host, Event::FirstByte { attempt: id });
+        }
+        let arrival = &self.spec.arrivals[index];
+        let confidence = arrival.confidence(
+            attempt.order.model,
+            attempt.acceptable,
+            &self.spec.workloads.confidence,
+        );
+        let summary = AnswerSummary {
+            status: 200,
+            usage: Usage {
+                prompt_tokens: arrival.prompt_tokens,
+                output_tokens: arrival.output_tokens,
+            },
+            confidence: Some(confidence),
+            leaving: false,
+        };
+        self.tell(attempt.host, Event::Finished { attempt: id, summary });
+    }
+
+    pub(super) fn fail(&mut self, id: AttemptId, failure: AttemptFailure) {
+        let Some(attempt) = self.attempts.get(&id).copied().filter(|attempt| !attempt.ended) else {
+            return;
+        };
+        self.end(id);
+        self.history[request_index(attempt.order.request)].failed += 1;
+        self.tell(attempt.host, Event::Failed { attempt: id, failure });
+    }
+
+    pub(super) fn first_byte_due(&mut self, id: AttemptId) {
+        let waits = |attempt: &Attempt| !attempt.ended && !attempt.first_byte;
+        if self.attempts.get(&id).is_some_and(waits) {
+            self.stop_engine(id);
+            self.fail(id, AttemptFailure::TimedOut);
+        }
+    }
+
+    pub(super) fn cancel(&mut self, id: AttemptId) {
+        if self.attempts.get(&id).is_some_and(|attempt| !attempt.ended) {
+            self.end(id);
+            self.stop_engine(id);
+        }
+    }
+
+    fn end(&mut self, id: AttemptId) {
+        if let Some(attempt) = self.attempts.get_mut(&id) {
+            attempt.ended = true;
+            self.history[request_index(attempt.order.request)].running -= 1;
+        }
+    }
+
+    fn stop_engine(&mut self, id: AttemptId) {
+        if let Some(attempt) = self.attempts.get(&id) {
+            let delay = self.spec.site.delay(attempt.host, attempt.order.engine);
+            self.agenda.push_after(delay, Occurrence::CancelAt(id));
+        }
+    }
+
+    pub(super) fn cancel_at_engine(&mut self, id: AttemptId) {
+        let Some(attempt) = self.attempts.get(&id).copied().filter(|attempt| attempt.at_engine)
+        else {
+            return;
+        };
+        let engine = attempt.order.engine;
+        let mut outputs = Vec::new();
+        let work = self.engines[engine].cancel(id, self.agenda.now(), &mut outputs);
+        if let Some(work) = work {
+            self.charge(id, work);
+        }
+        self.engine_changed(engine, outputs);
+    }
+
+    /// Links are cut: what runs across them fails once that is noticed.
+    pub(super) fn cut_begins(&mut self) {
+        let across = self.attempts.iter().filter(|(_, attempt)| {
+            !attempt.ended && self.is_cut(attempt.host, attempt.order.engine)
+        });
+        let across: Vec<AttemptId> = across.map(|(id, _)| *id).collect();
+        for id in across {
+            let failure = AttemptFailure::ServerDied;
+            self.agenda.push_after(CUT_SEEN_AFTER, Occurrence::Fail(id, failure));
+        }
+    }
+
+    pub(super) fn slow_begins(&mut self, model: usize, factor: f64) {
+        let slow = self.spec.site.engines.iter().position(|engine| engine.model == model);
+        if let Some(engine) = slow {
+            self.engines[engine].slowness = factor;
+        }
+    }
+
+    fn note_exposure(&mut self, index: usize, order: Order) {
+        let now = self.agenda.now();
+        if self.spec.fault.badness(order.model, order.next_version, now).is_some() {
+            self.exposed.insert(self.spec.arrivals[index].caller);
+        }
+    }
+}
--- /dev/null
+++ b/crates/measure/src/policy/world/feeds.rs
@@ -0,0 +1,127 @@
+//! What stand-ins show to the hosts, and what hosts tell each other.
+
+use std::time::Duration;
+
+use foxtailhoist_model::CacheEvent;
+use foxtailhoist_model::LoadReport;
+use foxtailhoist_model::PrefixHash;
+use foxtailhoist_model::Rating;
+use foxtailhoist_model::RequestId;
+use foxtailhoist_route::event::Event;
+use rand::RngExt;
+
+use super::Occurrence;
+use super::World;
+use super::request_index;
+use crate::policy::clock::Time;
+use crate::policy::fault::Fault;
+
+/// Time in which news reaches the other entry hosts.
+pub(super) const GOSSIP_DELAY: Duration = Duration::from_millis(300);
+
+/// The rating service's queue: it takes so many answers a second and drops the rest.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RatingQueue {
+    free_at: Time,
+}
+
+/// Wait in the rating service's queue beyond which it refuses.
+const RATING_QUEUE: Duration = Duration::from_secs(5);
+
+impl World {
+    pub(super) fn publish_load(&mut self, engine: usize) {
+        let feed = self.spec.workloads.load_report;
+        let every = Duration::from_secs_f64(feed.every_s);
+        self.agenda.push_after(every, Occurrence::PublishLoad(engine));
+        if self.down[engine] {
+            return;
+        }
+        let report = LoadReport {
+            server: self.spec.site.engines[engine].id.clone(),
+            running: self.engines[engine].running(),
+            waiting: self.engines[engine].waiting(),
+            lag_ms: (feed.lag_s * 1_000.0) as u64,
+        };
+        let lag = Duration::from_secs_f64(feed.lag_s);
+        self.publish(engine, lag, &Event::Load(report));
+    }
+
+    pub(super) fn publish_cache(
+        &mut self,
+        engine: usize,
+        prefix: PrefixHash,
+        tokens: u32,
+        present: bool,
+    ) {
+        self.cache_sequence[engine] += 1;
+        let feed = self.spec.workloads.cache_events;
+        if self.rng.random::<f64>() < feed.lost_share {
+            return;
+        }
+        let event = CacheEvent {
+            server: self.spec.site.engines[engine].id.clone(),
+            sequence: self.cache_sequence[engine],
+            prefix,
+            tokens,
+            present,
+        };
+        self.publish(engine, Duration::from_secs_f64(feed.lag_s), &Event::Cache(event));
+    }
+
+    fn publish(&mut self, engine: usize, lag: Duration, event: &Event) {
+        let from = self.spec.site.engines[engine].data_centre;
+        for host in 0..self.hosts.len() {
+            if self.hosts[host].brain.reads_feeds() {
+                let event = Box::new(event.clone());
+                self.agenda.push_after(lag, Occurrence::Gossip { from, host, event });
+            }
+        }
+    }
+
+    /// Tells the other hosts.
+    pub(super) fn gossip(&mut self, host: usize, event: &Event) {
+        let from = self.spec.site.hosts[host].data_centre;
+        for other in (0..self.hosts.len()).filter(|other| *other != host) {
+            let event = Box::new(event.clone());
+            let gossip = Occurrence::Gossip { from, host: other, event };
+            self.agenda.push_after(GOSSIP_DELAY, gossip);
+        }
+    }
+
+    pub(super) fn hear(&mut self, from: usize, host: usize, event: Event) {
+        if !self.is_apart(from, host) {
+            self.tell(host, event);
+        }
+    }
+
+    /// Whether a host is cut off from a data centre.
+    pub(super) fn is_apart(&self, data_centre: usize, host: usize) -> bool {
+        let here = self.spec.site.hosts[host].data_centre;
+        self.spec.fault.cuts(data_centre, here, self.agenda.now())
+    }
+
+    /// Hands an answer to the rating service.
+    pub(super) fn rate(&mut self, host: usize, request: RequestId) {
+        let index = request_index(request);
+        let Some(answer) = self.records[index].answer else {
+            return;
+        };
+        let service = self.spec.workloads.rating;
+        let extra = match self.spec.fault {
+            Fault::NoRatings => return,
+            Fault::LateRatings { delay } => delay,
+            _ => Duration::ZERO,
+        };
+        let now = self.agenda.now();
+        let start = self.ratings.free_at.max(now);
+        if start - now > RATING_QUEUE {
+            return;
+        }
+        self.ratings.free_at = start + Duration::from_secs_f64(1.0 / service.per_second);
+        let arrival = &self.spec.arrivals[index];
+        let acceptable = arrival.rating(answer.acceptable, service.wrong_share);
+        let event = Box::new(Event::Rated(Rating { request, acceptable }));
+        let at = start + Duration::from_secs_f64(service.delay_s) + extra;
+        self.agenda.push(at, Occurrence::Tell { host, event });
+    }
+}
--- /dev/null
+++ b/crates/measure/src/policy/world/judging.rs
@@ -0,0 +1,263 @@
+//! Judge and controller of versions on every host, with the tallies that they exchange.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use foxtailhoist_model::Configuration;
+use foxtailhoist_model::Enforcement;
+use foxtailhoist_model::ModelVersion;
+use foxtailhoist_model::Stage;
+use foxtailhoist_model::Tally;
+use foxtailhoist_model::VersionRecord;
+use foxtailhoist_model::stable_hash;
+use foxtailhoist_rollout::Rollout;
+use foxtailhoist_rollout::RolloutConfig;
+use foxtailhoist_rollout::event::Effect;
+use foxtailhoist_rollout::event::Event;
+use foxtailhoist_route::event::Event as RouteEvent;
+use foxtailhoist_route::event::Evidence;
+use foxtailhoist_route::event::EvidenceKind;
+
+use super::Occurrence;
+use super::World;
+use super::feeds::GOSSIP_DELAY;
+use crate::policy::clock::Time;
+use crate::policy::site::NEXT_VERSION;
+use crate::policy::site::Site;
+
+/// Interval at which hosts exchange tallies.
+const TALLY_INTERVAL: Duration = Duration::from_secs(1);
+/// Time of a call on the object API, and until a new configuration is in force everywhere.
+const STORE_DELAY: Duration = Duration::from_millis(5);
+const SPREAD_DELAY: Duration = Duration::from_secs(1);
+/// Multiple of the usual latency from which an answer counts as slow.
+const SLOW_FACTOR: f64 = 3.0;
+/// Weight of a new observation in the usual latency.
+const LATENCY_WEIGHT: f64 = 0.02;
+
+/// Judges of all hosts and their evidence.
+#[derive(Debug)]
+pub(super) struct Judges {
+    rollouts: Vec<Rollout>,
+    wakes: Vec<Option<Time>>,
+    own: Vec<BTreeMap<ModelVersion, Tally>>,
+    /// Usual latency of each model's first version on each host.
+    usual: Vec<BTreeMap<String, UsualLatency>>,
+    /// Evidence on a faulty version from before its fault, over all hosts.
+    before_fault: BTreeMap<ModelVersion, Tally>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct UsualLatency {
+    first_byte_s: f64,
+    per_token_s: f64,
+}
+
+impl Judges {
+    pub(super) fn new(site: &Site, seed: u64) -> Judges {
+        let rollouts = site.hosts.iter().map(|host| {
+            let cfg = RolloutConfig::new(host.id.clone()).with_enforcement(Enforcement::Panic);
+            Rollout::new(cfg, stable_hash(seed, &[host.id.as_bytes()]))
+        });
+        Judges {
+            rollouts: rollouts.collect(),
+            wakes: vec![None; site.hosts.len()],
+            own: vec![BTreeMap::new(); site.hosts.len()],
+            usual: vec![BTreeMap::new(); site.hosts.len()],
+            before_fault: BTreeMap::new(),
+        }
+    }
+}
+
+impl World {
+    pub(super) fn start_judges(&mut self, configuration: &Arc<Configuration>) {
+        let names: Vec<String> = self.spec.site.hosts.iter().map(|host| host.id.clone()).collect();
+        for host in 0..self.hosts.len() {
+            self.judge(host, Event::Hosts(names.clone()));
+            self.judge(host, Event::Configured(configuration.clone()));
+        }
+        self.agenda.push_after(TALLY_INTERVAL, Occurrence::ExchangeTallies);
+    }
+
+    pub(super) fn evidence(&mut self, host: usize, evidence: &Evidence) {
+        let name = &evidence.model_version;
+        let slow = match evidence.kind {
+            EvidenceKind::Latency { first_byte, per_token } => {
+                self.is_slow(host, name, first_byte, per_token)
+            }
+            EvidenceKind::Rated { .. } | EvidenceKind::Ended { .. } => false,
+        };
+        let tally = self.judges.own[host].entry(name.clone()).or_default();
+        match evidence.kind {
+            EvidenceKind::Rated { acceptable } => {
+                tally.rated += 1;
+                tally.unacceptable += u64::from(!acceptable);
+            }
+            EvidenceKind::Ended { failed } => {
+                tally.ended += 1;
+                tally.failed += u64::from(failed);
+            }
+            EvidenceKind::Latency { .. } => {
+                tally.timed += 1;
+                tally.slow += u64::from(slow);
+            }
+        }
+        let event = Event::Own { model_version: name.clone(), tally: *tally };
+        let event = Box::new(event);
+        self.agenda.push_after(Duration::ZERO, Occurrence::Judge { host, event });
+    }
+
+    fn is_slow(
+        &mut self,
+        host: usize,
+        name: &ModelVersion,
+        first_byte: Duration,
+        per_token: Duration,
+    ) -> bool {
+        let seen = UsualLatency {
+            first_byte_s: first_byte.as_secs_f64(),
+            per_token_s: per_token.as_secs_f64(),
+        };
+        let usual = self.judges.usual[host].entry(name.model.clone()).or_insert(seen);
+        let slow = seen.first_byte_s > SLOW_FACTOR * usual.first_byte_s
+            || seen.per_token_s > SLOW_FACTOR * usual.per_token_s;
+        if name.version != NEXT_VERSION {
+            usual.first_byte_s += LATENCY_WEIGHT * (seen.first_byte_s - usual.first_byte_s);
+            usual.per_token_s += LATENCY_WEIGHT * (seen.per_token_s - usual.per_token_s);
+        }
+        slow
+    }
+
+    pub(super) fn exchange_tallies(&mut self) {
+        self.agenda.push_after(TALLY_INTERVAL, Occurrence::ExchangeTallies);
+        for host in 0..self.hosts.len() {
+            let mut sum: BTreeMap<ModelVersion, Tally> = BTreeMap::new();
+            for other in (0..self.hosts.len()).filter(|other| *other != host) {
+                let from = self.spec.site.hosts[other].data_centre;
+                if self.is_apart(from, host) {
+                    continue;
+                }
+                for (name, tally) in &self.judges.own[other] {
+                    let total = sum.entry(name.clone()).or_default();
+                    *total = total.plus(*tally);
+                }
+            }
+            let event = Box::new(Event::Others(sum));
+            self.agenda.push_after(GOSSIP_DELAY, Occurrence::Judge { host, event });
+        }
+    }
+
+    pub(super) fn judge(&mut self, host: usize, event: Event) {
+        let now = self.agenda.instant();
+        let effects = self.judges.rollouts[host].handle(event, now);
+        for effect in effects {
+            self.perform_effect(host, effect);
+        }
+        self.schedule_judge(host);
+    }
+
+    fn schedule_judge(&mut self, host: usize) {
+        let Some(due) = self.judges.rollouts[host].next_wake() else {
+            return;
+        };
+        let due = self.agenda.to_time(due).max(self.agenda.now());
+        if self.judges.wakes[host].is_none_or(|wake| due < wake) {
+            self.judges.wakes[host] = Some(due);
+            self.agenda.push(due, Occurrence::JudgeWake(host));
+        }
+    }
+
+    pub(super) fn judge_wakes(&mut self, host: usize) {
+        let now = self.agenda.now();
+        if self.judges.wakes[host].is_some_and(|wake| wake <= now) {
+            self.judges.wakes[host] = None;
+            self.judge(host, Event::Tick);
+        }
+    }
+
+    fn perform_effect(&mut self, host: usize, effect: Effect) {
+        match effect {
+            Effect::Veto { model_version, epoch, .. } => self.veto(host, model_version, epoch),
+            Effect::Store { call, op } => {
+                let result = self.store.apply(&op);
+                let event = Box::new(Event::Store { call, result });
+                self.agenda.push_after(STORE_DELAY, Occurrence::Judge { host, event });
+            }
+            Effect::SetStage { model_version, stage, vetoed, .. } => {
+                let record = VersionRecord { stage, vetoed };
+                self.configuration.versions.insert(model_version.clone(), record);
+                self.configuration.revision += 1;
+                let event = Box::new(Event::StageSet { model_version, accepted: true });
+                self.agenda.push_after(STORE_DELAY, Occurrence::Judge { host, event });
+                self.agenda.push_after(SPREAD_DELAY, Occurrence::Configure);
+            }
+            Effect::Leading(_) => {}
+        }
+    }
+
+    fn veto(&mut self, host: usize, model_version: ModelVersion, epoch: u64) {
+        self.note_veto(&model_version);
+        self.gossip(host, &RouteEvent::Vetoed(model_version.clone()));
+        for other in (0..self.hosts.len()).filter(|other| *other != host) {
+            let event = Box::new(Event::Vetoed { model_version: model_version.clone(), epoch });
+            self.agenda.push_after(GOSSIP_DELAY, Occurrence::Judge { host: other, event });
+        }
+        self.tell(host, RouteEvent::Vetoed(model_version));
+    }
+
+    fn note_veto(&mut self, name: &ModelVersion) {
+        let now = self.agenda.now();
+        let model = self.spec.site.model_index(&name.model).unwrap_or_default();
+        let is_faulty = self.spec.fault.badness(model, name.version == NEXT_VERSION, now).is_some();
+        if !is_faulty {
+            self.versions.false_vetoes += 1;
+            return;
+        }
+        if self.versions.vetoed_at.is_none() {
+            self.versions.vetoed_at = Some(now);
+            let since = self.judged_since_fault(name);
+            self.versions.rated_before = since.rated;
+            self.versions.failed_before = since.failed;
+        }
+    }
+
+    /// Evidence on a version gathered over all hosts since its fault began.
+    fn judged_since_fault(&self, name: &ModelVersion) -> Tally {
+        let sum = self.sum_of(name);
+        let before = self.judges.before_fault.get(name).copied().unwrap_or_default();
+        Tally {
+            rated: sum.rated.saturating_sub(before.rated),
+            failed: sum.failed.saturating_sub(before.failed),
+            ..Tally::default()
+        }
+    }
+
+    fn sum_of(&self, name: &ModelVersion) -> Tally {
+        let own = self.judges.own.iter().filter_map(|own| own.get(name));
+        own.fold(Tally::default(), |sum, tally| sum.plus(*tally))
+    }
+
+    /// Notes the evidence from before a fault.
+    pub(super) fn fault_begins(&mut self, name: ModelVersion) {
+        let sum = self.sum_of(&name);
+        self.judges.before_fault.insert(name, sum);
+    }
+
+    pub(super) fn announce_configuration(&mut self) {
+        let configuration = Arc::new(self.configuration.clone());
+        for host in 0..self.hosts.len() {
+            self.tell(host, RouteEvent::Configured(configuration.clone()));
+            self.judge(host, Event::Configured(configuration.clone()));
+        }
+    }
+
+    pub(super) fn rolled_out_is_settled(&self) -> bool {
+        let Some(model) = self.spec.fault.rolled_out() else {
+            return false;
+        };
+        let name = self.spec.site.version(model, NEXT_VERSION);
+        let record = self.configuration.versions.get(&name);
+        record.is_some_and(|record| record.stage == Stage::Settled)
+    }
+}
--- /dev/null
+++ b/crates/measure/src/policy/world/mod.rs
@@ -0,0 +1,450 @@
+//! One run: entry hosts, engines, feeds and faults around one policy, in virtual time.
+//!
+//! The world plays the part of the shell: it delivers events to the brains, performs their commands and keeps the
+//! record of every request. `attempts` connects hosts and engines, `feeds` carries what stand-ins show and what hosts
+//! tell each other, `judging` runs the judge and controller of versions.
+
+mod attempts;
+mod feeds;
+mod judging;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use foxtailhoist_model::AttemptId;
+use foxtailhoist_model::CallerId;
+use foxtailhoist_model::Configuration;
+use foxtailhoist_model::ErrorKind;
+use foxtailhoist_model::Idempotency;
+use foxtailhoist_model::ModelVersion;
+use foxtailhoist_model::Priority;
+use foxtailhoist_model::Request;
+use foxtailhoist_model::RequestId;
+use foxtailhoist_model::SessionPin;
+use foxtailhoist_model::Target;
+use foxtailhoist_model::stable_hash;
+use foxtailhoist_objects::MemoryStore;
+use foxtailhoist_rollout::event::Event as RolloutEvent;
+use foxtailhoist_route::event::AttemptFailure;
+use foxtailhoist_route::event::Event;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::policy::brain::Brain;
+use crate::policy::brain::Command;
+use crate::policy::clock::Agenda;
+use crate::policy::clock::Time;
+use crate::policy::engine::Engine;
+use crate::policy::fault::Fault;
+use crate::policy::kind::Policy;
+use crate::policy::record::Answer;
+use crate::policy::record::Record;
+use crate::policy::record::VersionOutcome;
+use crate::policy::site::FIRST_VERSION;
+use crate::policy::site::Site;
+use crate::policy::trace::Arrival;
+use crate::policy::workload::Workloads;
+use crate::policy::world::attempts::Attempt;
+use crate::policy::world::feeds::RatingQueue;
+use crate::policy::world::judging::Judges;
+
+/// What a run is made of.
+#[derive(Clone, Debug)]
+pub struct RunSpec {
+    pub site: Arc<Site>,
+    pub workloads: Arc<Workloads>,
+    pub arrivals: Arc<Vec<Arrival>>,
+    pub policy: Policy,
+    pub fault: Fault,
+    pub seed: u64,
+    /// Model of each request, for the policy that replays them.
+    pub replayed: Arc<Vec<usize>>,
+}
+
+/// What a run gave.
+#[derive(Clone, Debug)]
+pub struct RunResult {
+    pub records: Vec<Record>,
+    pub versions: VersionOutcome,
+    /// Share of the run in which each engine worked.
+    pub utilisation: Vec<f64>,
+    pub duration: Time,
+}
+
+/// Something that is due.
+#[derive(Debug)]
+enum Occurrence {
+    /// A request reaches its entry host.
+    Arrive(usize),
+    /// A request's caller waits no longer.
+    GiveUp(usize),
+    /// An attempt reaches its engine.
+    Submit(AttemptId),
+    /// A cancellation reaches the engine.
+    CancelAt(AttemptId),
+    EngineWake {
+        engine: usize,
+        generation: u64,
+    },
+    /// The first token of an attempt reaches its host.
+    Head(AttemptId),
+    /// The whole answer of an attempt reaches its host.
+    Whole(AttemptId),
+    /// An attempt's failure is seen at its host.
+    Fail(AttemptId, AttemptFailure),
+    FirstByteDue(AttemptId),
+    Tell {
+        host: usize,
+        event: Box<Event>,
+    },
+    /// As `Tell`, from a data centre that may be cut off by then.
+    Gossip {
+        from: usize,
+        host: usize,
+        event: Box<Event>,
+    },
+    HostWake(usize),
+    PublishLoad(usize),
+    EngineUp(usize),
+    CutBegins,
+    SlowBegins {
+        model: usize,
+        factor: f64,
+    },
+    Judge {
+        host: usize,
+        event: Box<RolloutEvent>,
+    },
+    JudgeWake(usize),
+    ExchangeTallies,
+    Configure,
+    FaultBegins(ModelVersion),
+}
+
+/// One entry host.
+#[derive(Debug)]
+struct Host {
+    brain: Brain,
+    /// When its next tick is entered in the agenda.
+    wake: Option<Time>,
+}
+
+struct World {
+    spec: RunSpec,
+    agenda: Agenda<Occurrence>,
+    rng: ChaCha8Rng,
+    hosts: Vec<Host>,
+    engines: Vec<Engine>,
+    generations: Vec<u64>,
+    down: Vec<bool>,
+    attempts: BTreeMap<AttemptId, Attempt>,
+    records: Vec<Record>,
+    /// Entry host of each request.
+    host_of: Vec<usize>,
+    /// Failed and undelivered whole attempts of a request so far.
+    history: Vec<History>,
+    sessions: BTreeMap<u32, ModelVersion>,
+    cache_sequence: Vec<u64>,
+    ratings: RatingQueue,
+    judges: Judges,
+    configuration: Configuration,
+    store: MemoryStore,
+    exposed: BTreeSet<CallerId>,
+    versions: VersionOutcome,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct History {
+    failed: u32,
+    whole: u32,
+    running: u32,
+}
+
+/// Time that the run goes on after the last arrival's deadline.
+const SETTLING_TIME: Duration = Duration::from_secs(5);
+/// Time after its deadline at which a caller hangs up.
+const CALLER_PATIENCE: Duration = Duration::from_millis(20);
+const REQUEST_SEED: u64 = 0x7265_7175;
+
+/// Carries out a run.
+#[must_use]
+pub fn run(spec: RunSpec) -> RunResult {
+    let mut world = World::new(spec);
+    world.start();
+    let last = world.spec.arrivals.last().map_or(Time::ZERO, |arrival| arrival.at);
+    let end = last + world.spec.site.deadline() + SETTLING_TIME;
+    while let Some(occurrence) = world.agenda.pop() {
+        if world.agenda.now() > end {
+            break;
+        }
+        world.occur(occurrence);
+    }
+    world.finish(last)
+}
+
+/// Index of a request in the run's arrivals.
+#[must_use]
+pub fn request_index(id: RequestId) -> usize {
+    usize::try_from(id & u128::from(u32::MAX)).unwrap_or(usize::MAX)
+}
+
+fn request_id(index: usize) -> RequestId {
+    let hash = stable_hash(REQUEST_SEED, &[&index.to_le_bytes()]);
+    (u128::from(hash) << 64) | index as u128
+}
+
+impl World {
+    fn new(spec: RunSpec) -> World {
+        let site = &spec.site;
+        let seed_of = |host: usize| stable_hash(spec.seed, &[&host.to_le_bytes()]);
+        let hosts = (0..site.hosts.len()).map(|host| {
+            let brain = Brain::new(spec.policy, site, host, seed_of(host), &spec.replayed);
+            Host { brain, wake: None }
+        });
+        let engines = site.engines.iter().map(|engine| Engine::new(site.models[engine.model].spec));
+        let count = spec.arrivals.len();
+        let engine_count = site.engines.len();
+        let rolled_out = spec.fault.rolled_out();
+        World {
+            agenda: Agenda::new(),
+            rng: ChaCha8Rng::seed_from_u64(stable_hash(spec.seed, &[b"world"])),
+            hosts: hosts.collect(),
+            engines: engines.collect(),
+            generations: vec![0; engine_count],
+            down: vec![false; engine_count],
+            attempts: BTreeMap::new(),
+            records: vec![Record::default(); count],
+            host_of: (0..count).map(|index| index % site.hosts.len()).collect(),
+            history: vec![History::default(); count],
+            sessions: BTreeMap::new(),
+            cache_sequence: vec![0; engine_count],
+            ratings: RatingQueue::default(),
+            judges: Judges::new(site, spec.seed),
+            configuration: site.configuration(rolled_out),
+            store: MemoryStore::default(),
+            exposed: BTreeSet::new(),
+            versions: VersionOutcome::default(),
+            spec,
+        }
+    }
+
+    fn start(&mut self) {
+        let arrivals = self.spec.arrivals.clone();
+        let client_delay = self.spec.site.client_delay();
+        for (index, arrival) in arrivals.iter().enumerate() {
+            self.agenda.push(arrival.at + client_delay, Occurrence::Arrive(index));
+        }
+        let servers = self.spec.site.servers(self.spec.fault.rolled_out());
+        let alive = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
+        let configuration = Arc::new(self.configuration.clone());
+        for host in 0..self.hosts.len() {
+            self.tell(host, Event::Configured(configuration.clone()));
+            self.tell(host, Event::Confirmed(true));
+            self.tell(host, Event::Servers(servers.clone()));
+            self.tell(host, Event::Hosts { alive });
+        }
+        if self.hosts.iter().any(|host| host.brain.reads_feeds()) {
+            for engine in 0..self.engines.len() {
+                let offset = Duration::from_millis(37 * engine as u64);
+                self.agenda.push_after(offset, Occurrence::PublishLoad(engine));
+            }
+            self.start_judges(&configuration);
+        }
+        match self.spec.fault {
+            Fault::CutDataCentre { from, .. } => self.agenda.push(from, Occurrence::CutBegins),
+            Fault::SlowServer { model, factor } => {
+                self.agenda.push(Time::ZERO, Occurrence::SlowBegins { model, factor });
+            }
+            Fault::BadSettled { model, from, .. } => {
+                let name = self.spec.site.version(model, FIRST_VERSION);
+                self.agenda.push(from, Occurrence::FaultBegins(name));
+            }
+            _ => {}
+        }
+    }
+
+    fn occur(&mut self, occurrence: Occurrence) {
+        match occurrence {
+            Occurrence::Arrive(index) => self.arrive(index),
+            Occurrence::GiveUp(index) => self.give_up(index),
+            Occurrence::Submit(attempt) => self.submit(attempt),
+            Occurrence::CancelAt(attempt) => self.cancel_at_engine(attempt),
+            Occurrence::EngineWake { engine, generation } => self.engine_wakes(engine, generation),
+            Occurrence::Head(attempt) => self.head(attempt),
+            Occurrence::Whole(attempt) => self.whole(attempt),
+            Occurrence::Fail(attempt, failure) => self.fail(attempt, failure),
+            Occurrence::FirstByteDue(attempt) => self.first_byte_due(attempt),
+            Occurrence::Tell { host, event } => self.tell(host, *event),
+            Occurrence::Gossip { from, host, event } => self.hear(from, host, *event),
+            Occurrence::HostWake(host) => self.host_wakes(host),
+            Occurrence::PublishLoad(engine) => self.publish_load(engine),
+            Occurrence::EngineUp(engine) => self.down[engine] = false,
+            Occurrence::CutBegins => self.cut_begins(),
+            Occurrence::SlowBegins { model, factor } => self.slow_begins(model, factor),
+            Occurrence::Judge { host, event } => self.judge(host, *event),
+            Occurrence::JudgeWake(host) => self.judge_wakes(host),
+            Occurrence::ExchangeTallies => self.exchange_tallies(),
+            Occurrence::Configure => self.announce_configuration(),
+            Occurrence::FaultBegins(name) => self.fault_begins(name),
+        }
+    }
+
+    fn arrive(&mut self, index: usize) {
+        let request = Box::new(self.request(index));
+        let give_up = self.spec.arrivals[index].at + self.spec.site.deadline() + CALLER_PATIENCE;
+        self.agenda.push(give_up, Occurrence::GiveUp(index));
+        self.tell(self.host_of[index], Event::Arrived(request));
+    }
+
+    fn request(&self, index: usize) -> Request {
+        let arrival = &self.spec.arrivals[index];
+        let class = &self.spec.site.classes[arrival.class];
+        let session = arrival.session.map(|session| SessionPin {
+            session: format!("session-{session}"),
+            version: self.sessions.get(&session).cloned(),
+        });
+        Request {
+            id: request_id(index),
+            workspace: self.spec.site.workspaces[arrival.workspace].clone(),
+            caller: arrival.caller,
+            target: Target::Chat {
+                class: class.name.clone(),
+                model: None,
+                session,
+                prompt_tokens: arrival.prompt_tokens,
+                max_output_tokens: class.spec.output_tok * 2,
+                prefix: arrival.prefix,
+                prefix_tokens: arrival.prefix_tokens,
+                streamed: class.spec.streamed,
+            },
+            priority: Priority::Normal,
+            idempotency: Idempotency::Idempotent,
+            deadline: self.agenda.to_instant(arrival.at + self.spec.site.deadline()),
+            fingerprint: arrival.fingerprint,
+        }
+    }
+
+    fn give_up(&mut self, index: usize) {
+        let record = &self.records[index];
+        if record.answer.is_none() && record.refused.is_none() {
+            let request = request_id(index);
+            self.tell(self.host_of[index], Event::CallerGone { request });
+            self.records[index].refused.get_or_insert(ErrorKind::CallerGone);
+        }
+    }
+
+    /// Delivers an event and performs the commands; what follows at once is delivered too.
+    fn tell(&mut self, host: usize, event: Event) {
+        let now = self.agenda.instant();
+        let mut pending = VecDeque::from([event]);
+        while let Some(event) = pending.pop_front() {
+            let commands = self.hosts[host].brain.handle(event, now);
+            for command in commands {
+                pending.extend(self.perform(host, command));
+            }
+        }
+        self.schedule_wake(host);
+    }
+
+    fn schedule_wake(&mut self, host: usize) {
+        let Some(due) = self.hosts[host].brain.next_wake() else {
+            return;
+        };
+        let due = self.agenda.to_time(due).max(self.agenda.now());
+        if self.hosts[host].wake.is_none_or(|wake| due < wake) {
+            self.hosts[host].wake = Some(due);
+            self.agenda.push(due, Occurrence::HostWake(host));
+        }
+    }
+
+    fn host_wakes(&mut self, host: usize) {
+        let now = self.agenda.now();
+        if self.hosts[host].wake.is_some_and(|wake| wake <= now) {
+            self.hosts[host].wake = None;
+            self.tell(host, Event::Tick);
+        }
+    }
+
+    /// Performs a command; returns the event that answers it at once.
+    fn perform(&mut self, host: usize, command: Command) -> Option<Event> {
+        match command {
+            Command::Dispatch(order) => return self.dispatch(host, order),
+            Command::Cancel(attempt) => self.cancel(attempt),
+            Command::Deliver { request, attempt } => self.deliver(request, attempt),
+            Command::Claim(request) => return Some(Event::ClaimGranted { request }),
+            Command::Bill(request) => return Some(Event::Billed { request }),
+            Command::Complete { request, attempt, model_version } => {
+                self.complete(request, attempt, model_version);
+            }
+            Command::Refuse { request, kind } => {
+                self.records[request_index(request)].refused.get_or_insert(kind);
+            }
+            Command::Rate(request) => self.rate(host, request),
+            Command::Evidence(evidence) => self.evidence(host, &evidence),
+            Command::Suspect(content) => self.gossip(host, &Event::Suspected(content)),
+            Command::Quarantine(content) => self.gossip(host, &Event::Quarantined(content)),
+            Command::Leaving(server) => self.gossip(host, &Event::Leaving(server)),
+        }
+        None
+    }
+
+    fn deliver(&mut self, request: RequestId, attempt: AttemptId) {
+        let index = request_index(request);
+        self.records[index].delivered = Some(attempt);
+        let begun = self.attempts.get(&attempt).is_some_and(|attempt| attempt.first_byte);
+        if begun {
+            self.caller_sees_first_token(index);
+        }
+    }
+
+    fn caller_sees_first_token(&mut self, index: usize) {
+        let after = self.agenda.now() + self.spec.site.client_delay();
+        let after = after.saturating_sub(self.spec.arrivals[index].at);
+        self.records[index].first_token.get_or_insert(after);
+    }
+
+    fn complete(
+        &mut self,
+        request: RequestId,
+        attempt: AttemptId,
+        model_version: Option<ModelVersion>,
+    ) {
+        let index = request_index(request);
+        let Some(done) = self.attempts.get(&attempt).copied() else {
+            return;
+        };
+        let after = self.agenda.now() + self.spec.site.client_delay();
+        let arrival = &self.spec.arrivals[index];
+        let record = &mut self.records[index];
+        record.useful_cost = done.cost;
+        record.answer = Some(Answer {
+            after: after.saturating_sub(arrival.at),
+            model: done.order.model,
+            next_version: done.order.next_version,
+            acceptable: done.acceptable,
+        });
+        if let Some((session, version)) = arrival.session.zip(model_version) {
+            self.sessions.insert(session, version);
+        }
+    }
+
+    fn finish(mut self, last: Time) -> RunResult {
+        let duration = self.agenda.now().min(last);
+        self.versions.exposed = self.exposed.len();
+        let callers: BTreeSet<CallerId> =
+            self.spec.arrivals.iter().map(|arrival| arrival.caller).collect();
+        self.versions.callers = callers.len();
+        self.versions.settled = self.rolled_out_is_settled();
+        let total = duration.as_secs_f64().max(f64::MIN_POSITIVE);
+        let busy = self.engines.iter().map(|engine| engine.busy().as_secs_f64() / total);
+        RunResult {
+            utilisation: busy.collect(),
+            records: self.records,
+            versions: self.versions,
+            duration,
+        }
+    }
+}
