Send work only to engines that have the version loaded

Cause: the holders of a prompt's prefix were candidates whatever they had loaded, so that the best model's requests went to engines of the cheap one; the policy simulator now refuses such a dispatch. Change: a candidate must serve the destination.

--- a/crates/measure/examples/policy.rs
+++ b/crates/measure/examples/policy.rs
@@ -36,7 +36,8 @@
             for (policy, outcomes) in runner.compare(&comparison) {
                 let s = &outcomes[0].summary;
                 println!(
-                    "{policy:<26} cost {:.2} below {:.3} excess {:+.3} ft95 {:.2} ft99 {:.2} p50 {:.1} p99 {:.1} in time {:.3} waste {:.3} retry {:.3} cascade {:.2} models {:.2?}",
+                    "{policy:<26} vetoes {} cost {:.2} below {:.3} excess {:+.3} ft95 {:.2} ft99 {:.2} p50 {:.1} p99 {:.1} in time {:.3} waste {:.3} retry {:.3} cascade {:.2} models {:.2?}",
+                    outcomes[0].versions.false_vetoes,
                     s.relative_cost,
                     s.below_target,
                     s.excess,
--- a/crates/measure/src/policy/world/attempts.rs
+++ b/crates/measure/src/policy/world/attempts.rs
@@ -48,6 +48,8 @@
 impl World {
     pub(super) fn dispatch(&mut self, host: usize, order: Order) -> Option<Event> {
         let index = request_index(order.request);
+        let serves = self.spec.site.engines[order.engine].model;
+        assert_eq!(serves, order.model, "the engine does not serve the model");
         let attempt = self.new_attempt(host, order);
         self.attempts.insert(order.attempt, attempt);
         self.history[index].running += 1;
--- a/crates/route/src/servers/mod.rs
+++ b/crates/route/src/servers/mod.rs
@@ -201,8 +201,11 @@
         }
         let usable = |slot: &usize| {
             let server = self.server(*slot);
-            let has_room = server.is_some_and(|server| server.has_room(destination, now));
-            has_room && !avoided.contains(slot)
+            // Holders of a prefix are known by their cache events, whatever they have loaded.
+            let fits = server.is_some_and(|server| {
+                serves(&server.listed, destination) && server.has_room(destination, now)
+            });
+            fits && !avoided.contains(slot)
         };
         let candidates = self.candidates(group, work, now, rng);
         let best = candidates
@@ -425,6 +428,14 @@
     }
 }
 
+fn serves(server: &BackendServer, destination: &Destination) -> bool {
+    match (&server.serves, destination) {
+        (Serves::Engine { loaded, .. }, Destination::Version(version)) => loaded.contains(version),
+        (Serves::Service(offered), Destination::Service(wanted)) => offered == wanted,
+        (Serves::Engine { .. } | Serves::Service(_), _) => false,
+    }
+}
+
 fn destinations(server: &BackendServer) -> Vec<Destination> {
     match &server.serves {
         Serves::Engine { loaded, .. } => loaded.iter().cloned().map(Destination::Version).collect(),
