Tell the judge of a time-out as latency, not as failure

Change: a time-out, which by its definition means a server that is only slow, is told as the latency that was waited. Conclusion: a version that never answers is not vetoed for it once settled; a canary is, on latency.

--- a/crates/route/src/router/retry.rs
+++ b/crates/route/src/router/retry.rs
@@ -132,12 +132,22 @@
             | AttemptFailure::ServerError
             | AttemptFailure::Cancelled => {}
         }
-        let by_version = matches!(
-            failure,
-            AttemptFailure::ServerDied | AttemptFailure::ServerError | AttemptFailure::TimedOut
-        );
-        if by_version {
-            self.evidence(id, ended, EvidenceKind::Ended { failed: true }, out);
+        match failure {
+            AttemptFailure::ServerDied | AttemptFailure::ServerError => {
+                self.evidence(id, ended, EvidenceKind::Ended { failed: true }, out);
+            }
+            AttemptFailure::TimedOut => {
+                // A server that is only slow speaks about its load first: the judge hears of latency, not of failure.
+                let first_byte = now.saturating_duration_since(ended.started);
+                let per_token = Duration::ZERO;
+                self.evidence(id, ended, EvidenceKind::Latency { first_byte, per_token }, out);
+            }
+            AttemptFailure::Refused
+            | AttemptFailure::Rejected
+            | AttemptFailure::ConnectionLost
+            | AttemptFailure::SilentConnection
+            | AttemptFailure::WrongAttempt
+            | AttemptFailure::Cancelled => {}
         }
     }
 
