--- a/crates/measure/src/policy/record.rs
+++ b/crates/measure/src/policy/record.rs
@@ -2,6 +2,7 @@
 
 use foxtailhoist_model::AttemptId;
 use foxtailhoist_model::ErrorKind;
+use serde::Serialize;
 
 use crate::policy::clock::Time;
 
@@ -46,7 +47,7 @@
 }
 
 /// What became of versions and vetoes in a run.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize)]
 pub struct VersionOutcome {
     /// When the first host vetoed the faulty version.
     pub vetoed_at: Option<Time>,
--- a/crates/measure/src/policy/runs.rs
+++ b/crates/measure/src/policy/runs.rs
@@ -8,6 +8,7 @@
 use crate::policy::clock::Time;
 use crate::policy::fault::Fault;
 use crate::policy::kind::Policy;
+use crate::policy::record::Record;
 use crate::policy::record::VersionOutcome;
 use crate::policy::site::Site;
 use crate::policy::summary::Summary;
@@ -126,9 +127,7 @@
     /// Model of each request's answer; the best where it has none.
     fn chosen_models(&self, result: &RunResult) -> Vec<usize> {
         let best = self.site.best_model();
-        let model = |record: &crate::policy::record::Record| {
-            record.answer.map_or(best, |answer| answer.model)
-        };
+        let model = |record: &Record| record.answer.map_or(best, |answer| answer.model);
         result.records.iter().map(model).collect()
     }
 
