--- /dev/null
+++ b/crates/core/commands/check.rs
@@ -0,0 +1,30 @@
+//! `check`: settings and configuration, without running anything.
+
+use std::path::Path;
+use std::path::PathBuf;
+
+use foxtailhoist_settings::load_settings;
+
+use crate::commands::operate;
+use crate::failure::Failure;
+
+/// Checks the files that were named.
+///
+/// # Errors
+///
+/// Returns every fault with its file, line and field.
+pub fn check(settings: Option<&Path>, configuration: Option<&Path>) -> Result<(), Failure> {
+    let mut from_settings: Option<PathBuf> = None;
+    if let Some(file) = settings {
+        let settings =
+            load_settings(file).map_err(|faults| Failure::Settings(faults.to_string()))?;
+        println!("{}: settings of {} in {}", file.display(), settings.host, settings.data_centre);
+        from_settings = settings.configuration;
+    }
+    if let Some(file) = configuration.map(Path::to_path_buf).or(from_settings) {
+        let configuration = operate::read_configuration(&file)?;
+        let presets: Vec<&str> = configuration.presets.keys().map(String::as_str).collect();
+        println!("{}: preset {} of {}", file.display(), configuration.preset, presets.join(", "));
+    }
+    Ok(())
+}
--- a/crates/core/commands/dev.rs
+++ b/crates/core/commands/dev.rs
@@ -4,7 +4,6 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::time::Duration;
 
 use foxtailhoist_host::operator::OperatorCommand;
@@ -12,24 +11,20 @@
 use foxtailhoist_model::ListedHost;
 use foxtailhoist_model::Presence;
 use foxtailhoist_platform::ClientSettings;
-use foxtailhoist_platform::HttpBackend;
-use foxtailhoist_platform::HttpHostList;
-use foxtailhoist_platform::HttpObjectApi;
-use foxtailhoist_platform::HttpPeers;
-use foxtailhoist_platform::HttpRating;
 use foxtailhoist_route::session::SessionKeys;
-use foxtailhoist_server::Edges;
 use foxtailhoist_server::Identity;
 use foxtailhoist_server::KeyRing;
 use foxtailhoist_server::Limits;
 use foxtailhoist_server::Listen;
 use foxtailhoist_server::Server;
 use foxtailhoist_server::ServerConfig;
+use foxtailhoist_settings::PlatformAddresses;
 use foxtailhoist_standin::Deployment;
 use foxtailhoist_standin::DeploymentAddresses;
 use foxtailhoist_standin::DeploymentSpec;
 
 use crate::client;
+use crate::commands::edges;
 use crate::commands::operate;
 use crate::commands::signal;
 use crate::failure::Failure;
@@ -160,26 +155,27 @@
             incarnation: 1,
         },
         listen: listen(options.port, index),
+        advertise: None,
         keys: keys(),
         limits: Limits::default(),
         seeds: Vec::new(),
         seed: options.seed.wrapping_add(index),
     };
     let failed = |e: foxtailhoist_server::StartError| Failure::Unreachable(e.to_string());
-    Server::start(cfg, edges(&host, addresses)?).await.map_err(failed)
+    Server::start(
+        cfg,
+        edges::http(&host, PEER_KEY, &platform(addresses), ClientSettings::default())?,
+    )
+    .await
+    .map_err(failed)
 }
 
-fn edges(host: &str, addresses: &DeploymentAddresses) -> Result<Edges, Failure> {
-    let settings = ClientSettings::default();
-    let peers = HttpPeers::new(host.to_owned(), PEER_KEY, settings)
-        .ok_or_else(|| Failure::Settings("the peer key cannot stand in a header".to_owned()))?;
-    Ok(Edges {
-        objects: Arc::new(HttpObjectApi::new(addresses.object_api, settings)),
-        host_list: Arc::new(HttpHostList::new(addresses.host_list, settings)),
-        backends: Arc::new(HttpBackend::new(settings)),
-        ratings: Arc::new(HttpRating::new(addresses.rating, settings)),
-        peers: Arc::new(peers),
-    })
+fn platform(addresses: &DeploymentAddresses) -> PlatformAddresses {
+    PlatformAddresses {
+        object_api: addresses.object_api,
+        host_list: addresses.host_list,
+        rating: addresses.rating,
+    }
 }
 
 fn keys() -> KeyRing {
@@ -226,7 +222,7 @@
     println!();
     println!("# a chat completion");
     println!(
-        "curl -s -i http://{callers}/v1/chat/completions -H 'authorization: Bearer key-bakers' \\"
+        "curl -s -i http://{callers}/v1/chat/completions -H 'authorization: Bearer key-baker-help' \\"
     );
     println!(
         "  -H 'x-task-class: tagging' -d '{{\"messages\":[{{\"role\":\"user\",\"content\":\"Tag: starter smells\"}}]}}'"
@@ -234,7 +230,7 @@
     println!();
     println!("# a streamed one, in a session");
     println!(
-        "curl -s -N -i http://{callers}/v1/chat/completions -H 'authorization: Bearer key-bakers' \\"
+        "curl -s -N -i http://{callers}/v1/chat/completions -H 'authorization: Bearer key-baker-help' \\"
     );
     println!(
         "  -H 'x-session: s1' -d '{{\"stream\":true,\"messages\":[{{\"role\":\"user\",\"content\":\"Why is it sluggish?\"}}]}}'"
@@ -242,13 +238,13 @@
     println!();
     println!("# a call of a plain service");
     println!(
-        "curl -s -i http://{callers}/v1/services/crock-app/orders -H 'authorization: Bearer key-bakers'"
+        "curl -s -i http://{callers}/v1/services/crock-app/orders -H 'authorization: Bearer key-baker-help'"
     );
     println!();
     println!("# a renewal, twice with one key: it runs once");
     println!("for i in 1 2; do curl -s -i -X POST http://{callers}/v1/services/crock-app/renew \\");
     println!(
-        "  -H 'authorization: Bearer key-bakers' -H 'idempotency-key: renewal-1' -d '{{\"household\":7}}'; done"
+        "  -H 'authorization: Bearer key-renewals' -H 'idempotency-key: renewal-1' -d '{{\"household\":7}}'; done"
     );
     println!();
     println!("# a preset switch, and what every host has in force");
--- a/crates/core/commands/measure_path.rs
+++ b/crates/core/commands/measure_path.rs
@@ -162,7 +162,7 @@
     }
 
     fn routed(callers: SocketAddr) -> Way {
-        let headers = vec![("authorization", "Bearer key-bakers".to_owned())];
+        let headers = vec![("authorization", "Bearer key-baker-help".to_owned())];
         Way {
             url: format!("http://{callers}/v1/chat/completions"),
             headers,
--- a/crates/core/commands/mod.rs
+++ b/crates/core/commands/mod.rs
@@ -1,9 +1,12 @@
 //! One module for each kind of command.
 
+mod check;
 mod dev;
+mod edges;
 mod measure_path;
 mod operate;
 mod print;
+mod serve;
 mod signal;
 
 use tokio::runtime::Runtime;
@@ -38,9 +41,9 @@
         Command::Versions(flags, command) => block_on(operate::version(flags, command))?,
         Command::Usage(flags) => block_on(operate::usage(flags))?,
         Command::Measure(measurement, flags) => measure(measurement, flags)?,
-        Command::Serve { settings } => return not_built(&format!("serve {}", settings.display())),
+        Command::Serve { settings } => block_on(serve::serve(&settings))?,
         Command::Check { settings, configuration } => {
-            return not_built(&format!("check of {settings:?} and {configuration:?}"));
+            check::check(settings.as_deref(), configuration.as_deref())?
         }
         Command::ReportBurn(flags, format) => {
             return not_built(&format!("report burn from {} as {format:?}", flags.address));
--- a/crates/core/commands/operate.rs
+++ b/crates/core/commands/operate.rs
@@ -81,7 +81,7 @@
 ///
 /// Returns every fault with its file, line and field.
 pub fn read_configuration(file: &Path) -> Result<Configuration, Failure> {
-    foxtailhoist_settings::read_configuration(file)
+    foxtailhoist_settings::load_configuration(file)
         .map_err(|faults| Failure::Settings(faults.to_string()))
 }
 
--- /dev/null
+++ b/crates/core/commands/serve.rs
@@ -0,0 +1,142 @@
+//! `serve`: one entry host, until it is asked to stop.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use foxtailhoist_host::operator::OperatorCommand;
+use foxtailhoist_model::ErrorKind;
+use foxtailhoist_platform::ClientSettings;
+use foxtailhoist_platform::ClientSettingsBuilder;
+use foxtailhoist_route::session::SessionKeys;
+use foxtailhoist_server::Identity;
+use foxtailhoist_server::KeyRing;
+use foxtailhoist_server::Limits;
+use foxtailhoist_server::Listen;
+use foxtailhoist_server::Server;
+use foxtailhoist_server::ServerConfig;
+use foxtailhoist_settings::Settings;
+use foxtailhoist_settings::load_settings;
+
+use crate::commands::edges;
+use crate::commands::operate;
+use crate::commands::signal;
+use crate::failure::Failure;
+use crate::logging;
+
+/// Time that a host waits for a configuration before it offers the one of its settings.
+const CONFIGURATION_WAIT: Duration = Duration::from_secs(3);
+
+/// Runs an entry host with the settings of a file.
+///
+/// # Errors
+///
+/// Fails when the settings are not valid or an address cannot be listened on.
+pub async fn serve(file: &Path) -> Result<(), Failure> {
+    let settings = load_settings(file).map_err(|faults| Failure::Settings(faults.to_string()))?;
+    let _logger = logging::start(&settings.log)?;
+    let edges = edges::http(
+        &settings.host,
+        settings.keys.peer.expose(),
+        &settings.platform,
+        client(&settings),
+    )?;
+    let failed = |e: foxtailhoist_server::StartError| Failure::Unreachable(e.to_string());
+    let server = Server::start(server_config(&settings), edges).await.map_err(failed)?;
+    log::info!("event=started host={} callers={}", settings.host, server.addresses().callers);
+    offer_configuration(&server, &settings).await?;
+    signal::stop_requested().await;
+    log::info!("event=stopping host={}", settings.host);
+    let in_time = server.close().await;
+    log::info!("event=stopped host={} in_time={in_time}", settings.host);
+    if in_time {
+        Ok(())
+    } else {
+        Err(Failure::Failed("not everything ended within the time allowed".to_owned()))
+    }
+}
+
+/// Proposes the configuration of the settings where the object API has none yet.
+async fn offer_configuration(server: &Server, settings: &Settings) -> Result<(), Failure> {
+    let Some(file) = &settings.configuration else {
+        return Ok(());
+    };
+    let configuration = Box::new(operate::read_configuration(file)?);
+    tokio::time::sleep(CONFIGURATION_WAIT).await;
+    if server.is_ready() {
+        return Ok(());
+    }
+    let operator = settings.host.clone();
+    let why = format!("first configuration, from {}", file.display());
+    let order = OperatorCommand::ConfigPropose { operator, why, configuration };
+    match server.operator(order).await {
+        Ok(_) => log::info!("event=configuration_offered"),
+        // Another host was first.
+        Err(refusal) if refusal.kind == ErrorKind::Conflict => {}
+        Err(refusal) => {
+            log::warn!("event=configuration_not_offered reason=\"{}\"", refusal.message)
+        }
+    }
+    Ok(())
+}
+
+fn server_config(settings: &Settings) -> ServerConfig {
+    ServerConfig {
+        identity: Identity {
+            host: settings.host.clone(),
+            data_centre: settings.data_centre.clone(),
+            incarnation: incarnation(),
+        },
+        listen: Listen {
+            callers: settings.listen.callers,
+            operators: settings.listen.operators,
+            peers: settings.listen.peers,
+        },
+        advertise: Some(settings.advertise),
+        keys: keys(settings),
+        limits: limits(settings),
+        seeds: settings.seeds.clone(),
+        seed: rand::random(),
+    }
+}
+
+/// A host keeps nothing, so the time of its start stands for the number of its starts.
+fn incarnation() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn keys(settings: &Settings) -> KeyRing {
+    let keys = &settings.keys;
+    let operators: BTreeMap<String, String> =
+        keys.operators.iter().map(|(name, key)| (name.clone(), key.expose().to_owned())).collect();
+    let sessions = SessionKeys {
+        present: keys.session.expose().as_bytes().to_vec(),
+        previous: keys.previous_session.as_ref().map(|key| key.expose().as_bytes().to_vec()),
+    };
+    KeyRing::new(&operators, keys.peer.expose(), sessions)
+}
+
+fn limits(settings: &Settings) -> Limits {
+    let size = |number: u64| usize::try_from(number).unwrap_or(usize::MAX);
+    Limits {
+        body_bytes: size(settings.limits.body_bytes),
+        header_bytes: size(settings.limits.header_bytes),
+        requests: size(settings.limits.concurrent_requests),
+        streams: size(settings.limits.concurrent_streams),
+        body_timeout: settings.timeouts.request_read,
+        stop_timeout: settings.timeouts.stop,
+        ..Limits::default()
+    }
+}
+
+fn client(settings: &Settings) -> ClientSettings {
+    let timeouts = &settings.timeouts;
+    ClientSettingsBuilder::new()
+        .connect_timeout(timeouts.connect)
+        .head_timeout(timeouts.head)
+        .idle_timeout(timeouts.idle)
+        .probe_timeout(timeouts.probe)
+        .build()
+}
--- a/crates/host/src/by_config.rs
+++ b/crates/host/src/by_config.rs
@@ -42,7 +42,7 @@
                 self.note(Note::ConfigurationConfirmed(confirmed));
             }
             adopter::Effect::StoreConfirmed { revision, age } => {
-                self.push(Step::Peers(peers::Event::StoreConfirmed { revision, age }));
+                self.push(Step::Peers(peers::Event::Confirmed { revision, age }));
             }
             adopter::Effect::StoreFellBack { store, in_force } => {
                 self.note(Note::StoreFellBack { shown: store, in_force });
--- a/crates/host/src/by_journal.rs
+++ b/crates/host/src/by_journal.rs
@@ -16,6 +16,7 @@
 use crate::EntryHost;
 use crate::HostMessage;
 use crate::calls::Owner;
+use crate::entry_host::BillState;
 use crate::entry_host::Step;
 use crate::entry_host::Stopping;
 use crate::event::Effect;
@@ -38,10 +39,8 @@
             }
             journal::Effect::Send { to, message } => self.send(to, &HostMessage::Journal(message)),
             journal::Effect::Claimed { request, key, result } => self.claimed(request, key, result),
-            journal::Effect::Billed { request, .. } => {
-                self.push(Step::Router(route::Event::Billed { request }))
-            }
-            journal::Effect::OutcomeSafe { .. } => {}
+            journal::Effect::Billed { request, .. } => self.billed(request),
+            journal::Effect::OutcomeSafe { request } => self.outcome_safe(request),
             journal::Effect::Stopped => {
                 if self.stopping == Stopping::Closing {
                     self.stopping = Stopping::Done;
@@ -51,6 +50,21 @@
         }
     }
 
+    /// An answer goes out when its bill is safe and, for a claimed request, its outcome too: the caller's next repeat
+    /// must find it.
+    fn billed(&mut self, request: RequestId) {
+        match self.unsafe_outcomes.get_mut(&request) {
+            Some(bill) => *bill = BillState::Safe,
+            None => self.push(Step::Router(route::Event::Billed { request })),
+        }
+    }
+
+    fn outcome_safe(&mut self, request: RequestId) {
+        if self.unsafe_outcomes.remove(&request) == Some(BillState::Safe) {
+            self.push(Step::Router(route::Event::Billed { request }));
+        }
+    }
+
     /// Sends a message to a peer whose address is known; the sender's own time-out covers one that is not.
     pub(crate) fn send(&mut self, to: EntryHostId, message: &HostMessage) {
         match self.peers.address(&to) {
--- a/crates/host/src/by_peers.rs
+++ b/crates/host/src/by_peers.rs
@@ -1,6 +1,5 @@
 //! What the membership asks for.
 
-use std::sync::Arc;
 use std::time::Instant;
 
 use foxtailhoist_config::adopter;
@@ -33,7 +32,16 @@
             }
             peers::Effect::Hosts(members) => self.hosts_changed(&members),
             peers::Effect::Adopt(configuration) => {
-                self.push(Step::Adopter(adopter::Event::FromPeer(Arc::clone(&configuration))));
+                self.push(Step::Adopter(adopter::Event::FromPeer(configuration)));
+            }
+            peers::Effect::PeerRevision(revision) => {
+                self.push(Step::Adopter(adopter::Event::PeerRevision(revision)));
+            }
+            peers::Effect::PeerConfirmed { revision, age } => {
+                self.push(Step::Adopter(adopter::Event::PeerConfirmed { revision, age }));
+            }
+            peers::Effect::SessionFound { token, model_version } => {
+                self.session_found(token, model_version)
             }
             peers::Effect::Learned(announcement) => self.learn(announcement, now),
             peers::Effect::Tallies(tallies) => {
--- a/crates/host/src/by_router.rs
+++ b/crates/host/src/by_router.rs
@@ -17,6 +17,7 @@
 use foxtailhoist_route::event as route;
 
 use crate::EntryHost;
+use crate::entry_host::BillState;
 use crate::entry_host::Step;
 use crate::event::Effect;
 use crate::event::Note;
@@ -44,6 +45,7 @@
                 self.bill(request, model_version, usage, now)
             }
             route::Effect::Complete(completion) => {
+                self.pin_session(&completion);
                 self.end_request(completion.request);
                 self.effects.push(Effect::Complete(Box::new(completion)));
             }
@@ -61,6 +63,7 @@
             route::Effect::RetireConnections(server) => {
                 self.effects.push(Effect::RetireConnections(server))
             }
+            route::Effect::ShareQuality(shared) => self.share_quality(&shared),
             route::Effect::Order(order) => self.effects.push(Effect::Order(order)),
         }
     }
@@ -100,6 +103,7 @@
         };
         if let Some(key) = self.claims.get(&request).cloned() {
             let outcome = ClaimOutcome::Ran { status: answer.status, body: answer.body };
+            self.unsafe_outcomes.insert(request, BillState::Pending);
             self.push(Step::Journal(journal::Event::Outcome { key, request, outcome }));
         }
     }
--- a/crates/host/src/entry_host.rs
+++ b/crates/host/src/entry_host.rs
@@ -19,6 +19,7 @@
 use foxtailhoist_model::ClaimKey;
 use foxtailhoist_model::Configuration;
 use foxtailhoist_model::Invariants;
+use foxtailhoist_model::Request;
 use foxtailhoist_model::RequestId;
 use foxtailhoist_model::StoreResult;
 use foxtailhoist_model::WorkspaceId;
@@ -72,8 +73,13 @@
     pub(crate) running: BTreeMap<RequestId, WorkspaceId>,
     /// Claims that were granted to running requests.
     pub(crate) claims: BTreeMap<RequestId, ClaimKey>,
+    /// Claimed requests whose outcome is not safe yet.
+    pub(crate) unsafe_outcomes: BTreeMap<RequestId, BillState>,
     /// Heads of finished answers whose outcome is to be recorded.
     pub(crate) finished: BTreeMap<AttemptId, FinishedAnswer>,
+    /// Requests that wait for the version of their session, by the token of the look-up.
+    pub(crate) lookups: BTreeMap<u64, Box<Request>>,
+    pub(crate) next_lookup: u64,
     pub(crate) stopping: Stopping,
     pub(crate) effects: Vec<Effect>,
     pending: VecDeque<Step>,
@@ -88,6 +94,13 @@
     pub body: Vec<u8>,
 }
 
+/// Whether the bill of a claimed request is safe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BillState {
+    Pending,
+    Safe,
+}
+
 /// How far a planned stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Stopping {
@@ -124,10 +137,10 @@
         let rollout_config = RolloutConfig::new(cfg.host.clone()).with_enforcement(cfg.enforcement);
         let adopter_config =
             AdopterConfig { stale_after: STALE_AFTER, enforcement: cfg.enforcement };
-        let mut host = EntryHost {
+        EntryHost {
             router: Router::new(router_config, seed),
             journal: Journal::new(journal_config(&cfg), seed.wrapping_add(1)),
-            peers: Peers::new(peers_config(&cfg), seed.wrapping_add(2)),
+            peers: Peers::new(peers_config(&cfg), seed.wrapping_add(2), now),
             rollout: Rollout::new(rollout_config, seed.wrapping_add(3)),
             adopter: Adopter::new(adopter_config, seed.wrapping_add(4), now),
             operators: Operators::new(seed.wrapping_add(5)),
@@ -141,16 +154,17 @@
             leading: false,
             running: BTreeMap::new(),
             claims: BTreeMap::new(),
+            unsafe_outcomes: BTreeMap::new(),
             finished: BTreeMap::new(),
             stopping: Stopping::No,
             effects: Vec::new(),
             pending: VecDeque::new(),
             tally_at: None,
             clock: Clock { at: now, wall },
+            lookups: BTreeMap::new(),
+            next_lookup: 0,
             cfg,
-        };
-        host.pending.push_back(Step::Peers(peers::Event::HostList(host.cfg.seeds.clone())));
-        host
+        }
     }
 
     /// Takes one event and returns what is to be done, in order.
@@ -231,11 +245,9 @@
         match event {
             Event::Request(request) => {
                 self.running.insert(request.id, request.workspace.clone());
-                self.push(Step::Router(route::Event::Arrived(request)));
-            }
-            Event::CallerGone { request } => {
-                self.push(Step::Router(route::Event::CallerGone { request }))
+                self.take_request(request);
             }
+            Event::CallerGone { request } => self.caller_gone(request),
             Event::Attempt { attempt, news } => self.take_attempt(attempt, news),
             Event::Store { call, result } => self.take_store(call, result, now),
             Event::HostList { entry_hosts, backend_servers } => {
@@ -301,6 +313,10 @@
             Some(HostMessage::Peers(message)) => {
                 self.push(Step::Peers(peers::Event::Message { from, message }))
             }
+            Some(HostMessage::Quality(shared)) => {
+                let shared = Arc::new(shared);
+                self.push(Step::Router(route::Event::PeerQuality { from, shared }));
+            }
             // A host of another release; what it says is lost, which every sender allows for.
             None => {}
         }
@@ -368,6 +384,12 @@
 }
 
 fn peers_config(cfg: &HostConfig) -> PeersConfig {
-    PeersConfig::new(&cfg.host, &cfg.data_centre, cfg.incarnation, cfg.peer_address)
-        .enforcement(cfg.enforcement)
+    PeersConfig {
+        host: cfg.host.clone(),
+        address: cfg.peer_address,
+        data_centre: cfg.data_centre.clone(),
+        incarnation: cfg.incarnation,
+        seeds: cfg.seeds.clone(),
+        enforcement: cfg.enforcement,
+    }
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -19,6 +19,7 @@
 mod operators;
 mod readers;
 mod servers;
+mod sessions;
 mod tally;
 mod vetoes;
 
--- a/crates/host/src/message.rs
+++ b/crates/host/src/message.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use foxtailhoist_journal::JournalMessage;
 use foxtailhoist_peers::PeerMessage;
+use foxtailhoist_route::shared::SharedQuality;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -12,6 +13,7 @@
 pub enum HostMessage {
     Journal(JournalMessage),
     Peers(PeerMessage),
+    Quality(SharedQuality),
 }
 
 impl HostMessage {
--- a/crates/journal/src/entry.rs
+++ b/crates/journal/src/entry.rs
@@ -88,6 +88,13 @@
     /// Whether a request waits for the entry's commit in the store.
     #[must_use]
     pub fn is_urgent(&self) -> bool {
+        // A repeat of the request asks for the outcome, so it must not wait for a group either.
+        matches!(self, Entry::Claim { .. } | Entry::Outcome { .. })
+    }
+
+    /// Whether the entry is of no use to its request until it is in the store.
+    #[must_use]
+    pub fn needs_commit(&self) -> bool {
         matches!(self, Entry::Claim { .. })
     }
 
--- a/crates/journal/src/own.rs
+++ b/crates/journal/src/own.rs
@@ -106,7 +106,7 @@
     /// Whether the entry may be kept by peers while it waits for its commit.
     #[must_use]
     pub fn may_park(&self) -> bool {
-        !self.entry.is_urgent()
+        !self.entry.needs_commit()
     }
 
     /// Whether a home may hold the entry.
--- a/crates/measure/src/policy/brain.rs
+++ b/crates/measure/src/policy/brain.rs
@@ -136,7 +136,7 @@
         Effect::Suspect(fingerprint) => Command::Suspect(fingerprint),
         Effect::Quarantine(fingerprint) => Command::Quarantine(fingerprint),
         Effect::Leaving(server) => Command::Leaving(server),
-        Effect::RetireConnections(_) | Effect::Order(_) => return None,
+        Effect::RetireConnections(_) | Effect::Order(_) | Effect::ShareQuality(_) => return None,
     };
     Some(command)
 }
--- a/crates/peers/src/event.rs
+++ b/crates/peers/src/event.rs
@@ -37,8 +37,6 @@
     Confirmed { revision: Revision, age: Duration },
     /// This host observed something that its peers must know.
     Announce(Announcement),
-    /// The store confirmed that the revision in force here was its newest, `age` ago.
-    StoreConfirmed { revision: Revision, age: std::time::Duration },
     /// This host's own evidence about a version, cumulative since its start.
     Tally { model_version: ModelVersion, tally: Tally },
     /// A session that the caller names without a sealed token keeps this version.
--- a/crates/peers/src/peers/mod.rs
+++ b/crates/peers/src/peers/mod.rs
@@ -250,6 +250,12 @@
         members
     }
 
+    /// Where a known entry host is reached, one that leaves included.
+    #[must_use]
+    pub fn address(&self, host: &EntryHostId) -> Option<SocketAddr> {
+        self.members.address(host)
+    }
+
     /// Versions that are vetoed, with the epoch of the veto.
     #[must_use]
     pub fn vetoes(&self) -> BTreeMap<ModelVersion, u64> {
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -21,6 +21,8 @@
 pub struct ServerConfig {
     pub identity: Identity,
     pub listen: Listen,
+    /// Where peers reach this host; the address that it listens on when absent.
+    pub advertise: Option<SocketAddr>,
     pub keys: KeyRing,
     pub limits: Limits,
     /// Peers to contact before the host list was read.
@@ -56,8 +58,9 @@
     pub withheld_bytes: usize,
     /// Pieces of an answer that wait for a slow reader.
     pub pieces: usize,
-    /// Requests in progress.
+    /// Requests in progress, and streamed ones among them.
     pub requests: usize,
+    pub streams: usize,
     /// Longest wait for running answers at a planned stop.
     pub stop_timeout: Duration,
     /// Time between reads of the host list and of each backend server's feed.
@@ -82,7 +85,8 @@
             body_timeout: Duration::from_secs(10),
             withheld_bytes: 8 << 20,
             pieces: 32,
-            requests: 4096,
+            requests: 8192,
+            streams: 4096,
             stop_timeout: Duration::from_secs(120),
             poll_interval: Duration::from_secs(1),
         }
--- a/crates/server/src/registry.rs
+++ b/crates/server/src/registry.rs
@@ -119,6 +119,11 @@
         self.requests.len()
     }
 
+    /// Streamed answers in progress.
+    pub fn streams(&self) -> usize {
+        self.requests.values().filter(|entry| entry.content.streamed).count()
+    }
+
     /// Ends a request: its caller learns the verdict.
     pub fn end(&mut self, request: RequestId, verdict: Verdict) {
         if let Some(entry) = self.requests.remove(&request) {
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -9,6 +9,9 @@
 use foxtailhoist_host::EntryHost;
 use foxtailhoist_host::HostConfig;
 use foxtailhoist_host::event::Event;
+use foxtailhoist_host::operator::OperatorCommand;
+use foxtailhoist_host::operator::OperatorReply;
+use foxtailhoist_model::Refusal;
 use salvo::Listener;
 use salvo::conn::TcpListener;
 use salvo::conn::tcp::TcpAcceptor;
@@ -77,7 +80,7 @@
             host: cfg.identity.host.clone(),
             data_centre: cfg.identity.data_centre.clone(),
             incarnation: cfg.identity.incarnation,
-            peer_address: addresses.peers,
+            peer_address: cfg.advertise.unwrap_or(addresses.peers),
             seeds: cfg.seeds.clone(),
             enforcement: foxtailhoist_model::Enforcement::Count,
         };
@@ -107,6 +110,15 @@
         self.shell.is_ready()
     }
 
+    /// Carries out an operator's command on this host.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal.
+    pub async fn operator(&self, order: OperatorCommand) -> Result<OperatorReply, Refusal> {
+        self.shell.operator(order).await
+    }
+
     /// Stops in order: not ready, no new requests, running answers finished, journal and peers closed.
     /// Returns whether everything ended within the time allowed.
     pub async fn close(self) -> bool {
--- a/crates/server/src/shell.rs
+++ b/crates/server/src/shell.rs
@@ -209,7 +209,9 @@
         content: Content,
     ) -> Result<CallerEnd, Refusal> {
         let mut state = self.lock();
-        if state.registry.requests() >= self.limits.requests {
+        let full = state.registry.requests() >= self.limits.requests
+            || content.streamed && state.registry.streams() >= self.limits.streams;
+        if full {
             let refusal = Refusal::new(
                 ErrorKind::Overloaded,
                 "too many requests in progress; come back later",
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -8,6 +8,7 @@
 
 use foxtailhoist_model::DataCentreId;
 use foxtailhoist_model::EntryHostId;
+use foxtailhoist_model::ListedHost;
 use foxtailhoist_model::OperatorId;
 
 use crate::fault::Faults;
@@ -15,6 +16,7 @@
 use crate::raw::RawKeys;
 use crate::raw::RawListen;
 use crate::raw::RawPlatform;
+use crate::raw::RawSeed;
 use crate::raw::RawTimeouts;
 use crate::secret::Secret;
 use crate::source::Source;
@@ -57,7 +59,7 @@
     /// Where peers reach this host.
     pub advertise: SocketAddr,
     /// Peers to start from, besides the host list's.
-    pub seeds: Vec<SocketAddr>,
+    pub seeds: Vec<ListedHost>,
     pub platform: PlatformAddresses,
     pub keys: Keys,
     pub timeouts: Timeouts,
@@ -184,7 +186,7 @@
     let data_centre = source.section("data_centre");
     let listen = source.section::<RawListen>("listen");
     let advertise: Option<String> = source.section("advertise");
-    let seeds: Option<Vec<String>> = source.optional_section("seeds");
+    let seeds: Option<Vec<RawSeed>> = source.optional_section("seeds");
     let platform = source.section::<RawPlatform>("platform");
     let keys = source.section::<RawKeys>("keys");
     let timeouts = source.optional_section::<RawTimeouts>("timeouts").unwrap_or_default();
@@ -196,7 +198,7 @@
     // Each section that could be read is checked, whatever became of the others.
     let listen = listen.and_then(|raw| raw.check(&mut source));
     let advertise = advertise.and_then(|text| crate::raw::read_advertise(&text, &mut source));
-    let seeds = crate::raw::read_seeds(&seeds.unwrap_or_default(), &mut source);
+    let seeds = crate::raw::read_seeds(seeds.unwrap_or_default(), &mut source);
     let platform = platform.and_then(|raw| raw.check(&mut source));
     let keys = keys.and_then(|raw| raw.check(&mut source));
     let timeouts = timeouts.check(&mut source);
--- a/crates/settings/src/process_checks.rs
+++ b/crates/settings/src/process_checks.rs
@@ -26,8 +26,13 @@
     }
     check_listen(&settings.listen, &mut checks);
     for (index, seed) in settings.seeds.iter().enumerate() {
-        let holds = *seed != settings.advertise;
-        checks.require(holds, root.key("seeds").index(index), seed, "another entry host's address");
+        let holds = seed.address != settings.advertise;
+        checks.require(
+            holds,
+            root.key("seeds").index(index).key("address"),
+            seed.address,
+            "another entry host's address",
+        );
     }
     check_keys(&settings.keys, &mut checks);
     check_timeouts(&settings.timeouts, &mut checks);
--- a/crates/settings/src/raw.rs
+++ b/crates/settings/src/raw.rs
@@ -6,7 +6,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use foxtailhoist_model::DataCentreId;
+use foxtailhoist_model::EntryHostId;
+use foxtailhoist_model::ListedHost;
 use foxtailhoist_model::OperatorId;
+use foxtailhoist_model::Presence;
 use serde::Deserialize;
 
 use crate::duration::DURATION_EXPECTED;
@@ -33,6 +37,21 @@
     peers: String,
 }
 
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RawSeed {
+    host: EntryHostId,
+    data_centre: DataCentreId,
+    address: String,
+}
+
+impl RawSeed {
+    fn at(self, address: SocketAddr) -> ListedHost {
+        let RawSeed { host, data_centre, .. } = self;
+        ListedHost { id: host, address, data_centre, presence: Presence::Live }
+    }
+}
+
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct RawPlatform {
@@ -167,10 +186,14 @@
     Some(address)
 }
 
-pub(crate) fn read_seeds(texts: &[String], source: &mut Source) -> Vec<SocketAddr> {
+pub(crate) fn read_seeds(raw_seeds: Vec<RawSeed>, source: &mut Source) -> Vec<ListedHost> {
     let path = FieldPath::default().key("seeds");
-    let seeds = texts.iter().enumerate();
-    seeds.filter_map(|(index, text)| read_address(text, path.index(index), source)).collect()
+    let mut seeds = Vec::new();
+    for (index, raw) in raw_seeds.into_iter().enumerate() {
+        let address = read_address(&raw.address, path.index(index).key("address"), source);
+        seeds.extend(address.map(|address| raw.at(address)));
+    }
+    seeds
 }
 
 fn read_address(text: &str, path: FieldPath, source: &mut Source) -> Option<SocketAddr> {
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -78,8 +78,8 @@
     "0.0.0.0",
     "peers can connect"
 )]
-#[case::seed("127.0.0.1:8282", "nobody", "seeds[1]", "nobody", "an IP number")]
-#[case::own_seed("127.0.0.1:8282", "127.0.0.1:8082", "seeds[1]", "8082", "another")]
+#[case::seed("127.0.0.1:8282", "nobody", "seeds[1].address", "nobody", "an IP number")]
+#[case::own_seed("127.0.0.1:8282", "127.0.0.1:8082", "seeds[1].address", "8082", "another")]
 #[case::short_key(
     "inline: merrimack-operator-key-anna",
     "inline: short",
