Bound the report's memory by the sum of the names

Cause: one counter for each combination of workspace, version, server, preset and revision grows with their product, and hours were merged up to 16,384 combinations, far beyond a host's memory for control. Change: each dimension is counted by itself; only workspaces are counted by the minute; latencies are kept by the hour. Names beyond a bound are counted as (other), so totals stay exact. Metrics of a fleet have bounds of their own. An observation from before what is kept is dropped. The test of the bounds is replaced by one that checks names and totals along every dimension, and one more checks that a fleet's merge keeps them.

--- a/crates/report/src/breakdown.rs
+++ b/crates/report/src/breakdown.rs
@@ -6,7 +6,6 @@
 use foxtailhoist_model::ErrorKind;
 use foxtailhoist_model::ModelVersion;
 use foxtailhoist_model::PresetId;
-use foxtailhoist_model::Revision;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -15,8 +14,9 @@
 use crate::calendar::Minute;
 use crate::counters::Counters;
 use crate::metrics::Metrics;
-use crate::observation::Labels;
 use crate::observation::is_callers_fault;
+use crate::series::Revisions;
+use crate::series::SeriesKey;
 
 /// Contributors that a report names in each dimension.
 const CONTRIBUTORS_LIMIT: usize = 5;
@@ -50,8 +50,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PresetUse {
     pub preset: PresetId,
-    pub first_revision: Revision,
-    pub last_revision: Revision,
+    /// Absent for presets beyond the limit.
+    pub revisions: Option<Revisions>,
     /// Begin of the first and the last bucket with its requests.
     pub first: Minute,
     pub last: Minute,
@@ -93,23 +93,39 @@
     versions: BTreeMap<ModelVersion, Use>,
     servers: BTreeMap<String, Counters>,
     data_centres: BTreeMap<String, Counters>,
-    presets: BTreeMap<PresetId, PresetUse>,
+    presets: BTreeMap<PresetId, Use>,
+    revisions: BTreeMap<PresetId, Revisions>,
     hours: BTreeMap<Minute, Counters>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Use {
     first: Minute,
     last: Minute,
     counters: Counters,
 }
 
+impl Use {
+    fn new(begin: Minute) -> Use {
+        Use { first: begin, last: begin, counters: Counters::default() }
+    }
+
+    fn add(&mut self, begin: Minute, counters: &Counters) {
+        self.first = self.first.min(begin);
+        self.last = self.last.max(begin);
+        self.counters.add(counters);
+    }
+}
+
 impl Breakdown {
     pub(crate) fn new(metrics: &Metrics, now: SystemTime) -> Breakdown {
         let mut breakdown = Breakdown::default();
         for timed in metrics.window(now, REPORT_WINDOW) {
-            for (labels, counters) in timed.bucket.series() {
-                breakdown.add(timed.begin, labels, counters);
+            for (key, counters) in timed.series.iter() {
+                breakdown.add(timed.begin, key, counters);
+            }
+            for (preset, revisions) in timed.series.revisions() {
+                breakdown.widen(preset, *revisions);
             }
         }
         breakdown
@@ -131,7 +147,17 @@
 
     /// Presets in the order in which they came into force.
     pub(crate) fn presets(&self) -> Vec<PresetUse> {
-        let mut presets: Vec<PresetUse> = self.presets.values().cloned().collect();
+        let mut presets: Vec<PresetUse> = self
+            .presets
+            .iter()
+            .map(|(preset, used)| PresetUse {
+                preset: preset.clone(),
+                revisions: self.revisions.get(preset).copied(),
+                first: used.first,
+                last: used.last,
+                requests: used.counters.requests(),
+            })
+            .collect();
         presets.sort_by_key(|preset| preset.first);
         presets.truncate(ROWS_LIMIT);
         presets
@@ -164,39 +190,39 @@
             .collect()
     }
 
-    fn add(&mut self, begin: Minute, labels: &Labels, counters: &Counters) {
-        self.totals.add(counters);
-        let hour = begin / MINUTES_PER_HOUR * MINUTES_PER_HOUR;
-        self.hours.entry(hour).or_default().add(counters);
-        self.data_centres.entry(labels.data_centre.clone()).or_default().add(counters);
-        if let Some(server) = &labels.server {
-            self.servers.entry(server.clone()).or_default().add(counters);
-        }
-        if let Some(version) = &labels.model_version {
-            let new = || Use { first: begin, last: begin, counters: Counters::default() };
-            let used = self.versions.entry(version.clone()).or_insert_with(new);
-            used.first = used.first.min(begin);
-            used.last = used.last.max(begin);
-            used.counters.add(counters);
+    fn add(&mut self, begin: Minute, key: &SeriesKey, counters: &Counters) {
+        match key {
+            SeriesKey::Workspace(_) => {
+                // Every request has a workspace, so these sum to all of them.
+                self.totals.add(counters);
+                let hour = begin / MINUTES_PER_HOUR * MINUTES_PER_HOUR;
+                self.hours.entry(hour).or_default().add(counters);
+            }
+            SeriesKey::Version(version) => {
+                self.versions
+                    .entry(version.clone())
+                    .or_insert_with(|| Use::new(begin))
+                    .add(begin, counters);
+            }
+            SeriesKey::Server(server) => {
+                self.servers.entry(server.clone()).or_default().add(counters);
+            }
+            SeriesKey::DataCentre(data_centre) => {
+                self.data_centres.entry(data_centre.clone()).or_default().add(counters);
+            }
+            SeriesKey::Preset(preset) => {
+                self.presets
+                    .entry(preset.clone())
+                    .or_insert_with(|| Use::new(begin))
+                    .add(begin, counters);
+            }
         }
-        self.add_preset(begin, labels, counters);
     }
 
-    fn add_preset(&mut self, begin: Minute, labels: &Labels, counters: &Counters) {
-        let new = || PresetUse {
-            preset: labels.preset.clone(),
-            first_revision: labels.revision,
-            last_revision: labels.revision,
-            first: begin,
-            last: begin,
-            requests: 0,
-        };
-        let preset = self.presets.entry(labels.preset.clone()).or_insert_with(new);
-        preset.first_revision = preset.first_revision.min(labels.revision);
-        preset.last_revision = preset.last_revision.max(labels.revision);
-        preset.first = preset.first.min(begin);
-        preset.last = preset.last.max(begin);
-        preset.requests += counters.requests();
+    fn widen(&mut self, preset: &PresetId, revisions: Revisions) {
+        let known = self.revisions.entry(preset.clone()).or_insert(revisions);
+        known.first = known.first.min(revisions.first);
+        known.last = known.last.max(revisions.last);
     }
 
     fn largest(&self, dimension: Dimension, rows: Vec<(String, &Counters)>) -> Vec<Contributor> {
--- /dev/null
+++ b/crates/report/src/distributions.rs
@@ -0,0 +1,71 @@
+//! Latencies of the workspaces within one hour.
+
+use std::collections::BTreeMap;
+
+use foxtailhoist_model::WorkspaceId;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::latencies::Latencies;
+use crate::observation::CompletedRequest;
+use crate::series::OTHER;
+
+/// Workspaces with distributions of their own in an hour; further ones share one.
+pub const DISTRIBUTIONS_LIMIT: usize = 64;
+
+/// Distributions by workspace.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct DistributionSet {
+    workspaces: BTreeMap<WorkspaceId, Distributions>,
+}
+
+/// Latencies of one workspace.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Distributions {
+    pub first_token: Latencies,
+    pub total: Latencies,
+}
+
+impl DistributionSet {
+    pub(crate) fn record(&mut self, request: &CompletedRequest) {
+        let distributions = self.of(&request.labels.workspace);
+        distributions.total.record(request.total);
+        if let Some(first_token) = request.first_token {
+            distributions.first_token.record(first_token);
+        }
+    }
+
+    /// Adds another set.
+    pub(crate) fn merge(&mut self, other: &DistributionSet) {
+        for (workspace, theirs) in &other.workspaces {
+            self.of(workspace).merge(theirs);
+        }
+    }
+
+    /// Gives up the live histograms' memory.
+    pub(crate) fn seal(&mut self) {
+        for distributions in self.workspaces.values_mut() {
+            distributions.first_token.seal();
+            distributions.total.seal();
+        }
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&WorkspaceId, &Distributions)> {
+        self.workspaces.iter()
+    }
+
+    fn of(&mut self, workspace: &str) -> &mut Distributions {
+        let is_known = self.workspaces.contains_key(workspace);
+        let has_room = self.workspaces.len() < DISTRIBUTIONS_LIMIT;
+        let name = if is_known || has_room { workspace } else { OTHER };
+        self.workspaces.entry(name.to_owned()).or_default()
+    }
+}
+
+impl Distributions {
+    pub(crate) fn merge(&mut self, other: &Distributions) {
+        self.first_token.merge(&other.first_token);
+        self.total.merge(&other.total);
+    }
+}
--- /dev/null
+++ b/crates/report/src/exposure.rs
@@ -0,0 +1,76 @@
+//! How many callers were exposed to each version until it was vetoed.
+
+use std::collections::BTreeMap;
+
+use foxtailhoist_model::ModelVersion;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::calendar::Minute;
+
+/// Versions whose exposure is kept; the one first exposed longest ago goes first.
+pub const VERSIONS_LIMIT: usize = 256;
+
+/// Callers that were exposed to a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Exposure {
+    /// Distinct callers until the veto, or so far; summed over hosts, so an upper bound.
+    pub callers: u64,
+    pub since: Minute,
+    pub vetoed: Option<Minute>,
+}
+
+/// Exposure by version.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub(crate) struct ExposureTable {
+    versions: BTreeMap<ModelVersion, Exposure>,
+}
+
+impl ExposureTable {
+    pub(crate) fn versions(&self) -> &BTreeMap<ModelVersion, Exposure> {
+        &self.versions
+    }
+
+    /// Notes the callers exposed so far; none are added after a veto.
+    pub(crate) fn expose(&mut self, minute: Minute, version: &ModelVersion, callers: u64) {
+        let exposure = self.entry(minute, version);
+        if exposure.vetoed.is_none() {
+            exposure.callers = exposure.callers.max(callers);
+        }
+    }
+
+    pub(crate) fn veto(&mut self, minute: Minute, version: &ModelVersion) {
+        self.entry(minute, version).vetoed.get_or_insert(minute);
+    }
+
+    pub(crate) fn merge(&mut self, other: &ExposureTable) {
+        for (version, theirs) in &other.versions {
+            let ours = self.entry(theirs.since, version);
+            ours.callers += theirs.callers;
+            ours.since = ours.since.min(theirs.since);
+            ours.vetoed = match (ours.vetoed, theirs.vetoed) {
+                (Some(ours), Some(theirs)) => Some(ours.min(theirs)),
+                (ours, theirs) => ours.or(theirs),
+            };
+        }
+    }
+
+    fn entry(&mut self, minute: Minute, version: &ModelVersion) -> &mut Exposure {
+        if !self.versions.contains_key(version) {
+            self.make_room();
+        }
+        let new = Exposure { callers: 0, since: minute, vetoed: None };
+        self.versions.entry(version.clone()).or_insert(new)
+    }
+
+    fn make_room(&mut self) {
+        if self.versions.len() < VERSIONS_LIMIT {
+            return;
+        }
+        let oldest = self.versions.iter().min_by_key(|(_, exposure)| exposure.since);
+        if let Some(version) = oldest.map(|(version, _)| version.clone()) {
+            self.versions.remove(&version);
+        }
+    }
+}
--- a/crates/report/src/metrics.rs
+++ b/crates/report/src/metrics.rs
@@ -1,7 +1,8 @@
 //! What an entry host keeps for the report, in minutes and hours, and how two hosts' metrics become one.
 //!
-//! The last two hours are kept by the minute and the last three days by the hour: the windows of the burn rates need no
-//! more. Everything is a sum of whole numbers or of equal cells, so merging is exact, and the order does not matter.
+//! Workspaces are counted by the minute for the last hour and by the hour for three days: the windows of the burn rates
+//! need no more. All other dimensions, and latencies, are kept by the hour only. Everything is a sum of whole numbers or of equal cells, so merging is
+//! exact, and the order does not matter.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -11,71 +12,101 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::bucket::Bucket;
 use crate::calendar::MINUTES_PER_HOUR;
 use crate::calendar::Minute;
 use crate::calendar::minute_of;
 use crate::calendar::minutes;
+use crate::counters::Counters;
+use crate::distributions::DistributionSet;
+use crate::exposure::Exposure;
+use crate::exposure::ExposureTable;
 use crate::objective::FIRST_TOKEN_TARGET;
 use crate::observation::CompletedRequest;
 use crate::observation::Labels;
 use crate::observation::Observation;
-use crate::observation::RefusedRequest;
+use crate::series::FLEET_LIMITS;
+use crate::series::HOST_LIMITS;
+use crate::series::SeriesLimits;
+use crate::series::SeriesSet;
 
-/// Time that is kept by the minute.
-pub const MINUTES_KEPT: Duration = Duration::from_secs(2 * 60 * 60);
+/// Time that is counted by the minute, at least; whole hours leave together.
+pub const MINUTES_KEPT: Duration = Duration::from_secs(60 * 60);
 /// Time that is kept at all; a little above the longest window.
 pub const HOURS_KEPT: Duration = Duration::from_secs(74 * 60 * 60);
 /// A peer's buckets from further ahead than this are left out: its clock is wrong.
 pub const CLOCK_SKEW_LIMIT: Duration = Duration::from_secs(5 * 60);
-/// Versions whose exposure is kept; the one first exposed longest ago goes first.
-pub const VERSIONS_LIMIT: usize = 256;
 
 /// Metrics of one or more hosts.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Metrics {
-    /// By the minute with which they begin.
-    minutes: BTreeMap<Minute, Bucket>,
-    /// By the minute with which they begin.
-    hours: BTreeMap<Minute, Bucket>,
-    exposure: BTreeMap<ModelVersion, Exposure>,
+    /// Recent counts of the workspaces, by the minute with which they begin.
+    minutes: BTreeMap<Minute, SeriesSet>,
+    /// Older counts of the workspaces, and all of what else is kept, by the minute with which they begin.
+    hours: BTreeMap<Minute, HourBucket>,
+    exposure: ExposureTable,
     /// Buckets of peers that were left out for a clock that is ahead.
     skipped_buckets: u64,
+    #[serde(skip, default = "host_limits")]
+    limits: SeriesLimits,
 }
 
-/// Callers that were exposed to a version.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Exposure {
-    /// Distinct callers until the veto, or so far; summed over hosts, so an upper bound.
-    pub callers: u64,
-    pub since: Minute,
-    pub vetoed: Option<Minute>,
+/// What happened within an hour. The workspaces' counts stand in the minutes as long as those are kept.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct HourBucket {
+    series: SeriesSet,
+    distributions: DistributionSet,
+}
+
+/// Counts and the minute with which they begin.
+#[derive(Clone, Copy, Debug)]
+pub struct TimedSeries<'a> {
+    pub begin: Minute,
+    pub series: &'a SeriesSet,
+}
+
+impl Default for Metrics {
+    /// Metrics of a host that records, within [`HOST_LIMITS`].
+    fn default() -> Metrics {
+        Metrics::within(HOST_LIMITS)
+    }
 }
 
 impl Metrics {
-    /// Counts an observation; `at` is the host's calendar time.
+    /// Metrics into which those of a whole fleet are merged, within [`FLEET_LIMITS`].
+    #[must_use]
+    pub fn of_fleet() -> Metrics {
+        Metrics::within(FLEET_LIMITS)
+    }
+
+    fn within(limits: SeriesLimits) -> Metrics {
+        Metrics {
+            minutes: BTreeMap::new(),
+            hours: BTreeMap::new(),
+            exposure: ExposureTable::default(),
+            skipped_buckets: 0,
+            limits,
+        }
+    }
+
+    /// Counts an observation; `at` is the host's calendar time. One from before what is kept is dropped.
     pub fn record(&mut self, at: SystemTime, observation: &Observation) {
         let minute = minute_of(at);
-        let buckets_before = self.minutes.len();
+        if self.newest().is_some_and(|newest| minute < oldest_kept(newest)) {
+            return;
+        }
         match observation {
-            Observation::Completed(request) => self.bucket(minute).complete(request),
-            Observation::Refused(request) => self.bucket(minute).refuse(request),
+            Observation::Completed(request) => self.complete(minute, request),
+            Observation::Refused(request) => {
+                self.count(minute, &request.labels, |counters| counters.refuse(request));
+            }
             Observation::Rated { labels, acceptable } => {
-                self.bucket(minute).rate(labels, *acceptable);
+                self.count(minute, labels, |counters| counters.rate(*acceptable));
             }
             Observation::Exposed { model_version, callers } => {
-                self.expose(minute, model_version, *callers);
-            }
-            Observation::Vetoed { model_version } => {
-                self.expose(minute, model_version, 0);
-                if let Some(exposure) = self.exposure.get_mut(model_version) {
-                    exposure.vetoed.get_or_insert(minute);
-                }
+                self.exposure.expose(minute, model_version, *callers);
             }
-        }
-        if self.minutes.len() != buckets_before {
-            self.compact();
+            Observation::Vetoed { model_version } => self.exposure.veto(minute, model_version),
         }
     }
 
@@ -83,24 +114,28 @@
     pub fn merge(&mut self, other: &Metrics, now: SystemTime) {
         let latest = minute_of(now + CLOCK_SKEW_LIMIT);
         self.skipped_buckets += other.skipped_buckets;
-        self.skipped_buckets += merge_buckets(&mut self.minutes, &other.minutes, latest);
-        self.skipped_buckets += merge_buckets(&mut self.hours, &other.hours, latest);
-        for (version, theirs) in &other.exposure {
-            match self.exposure.get_mut(version) {
-                Some(ours) => ours.merge(*theirs),
-                None => {
-                    self.make_room_for_version();
-                    self.exposure.insert(version.clone(), *theirs);
-                }
+        for (begin, series) in &other.minutes {
+            if *begin > latest {
+                self.skipped_buckets += 1;
+            } else {
+                self.minutes.entry(*begin).or_default().merge(series, self.limits);
+            }
+        }
+        for (begin, bucket) in &other.hours {
+            if *begin > latest {
+                self.skipped_buckets += 1;
+            } else {
+                self.hours.entry(*begin).or_default().merge(bucket, self.limits);
             }
         }
+        self.exposure.merge(&other.exposure);
         self.compact();
     }
 
     /// Exposure by version.
     #[must_use]
     pub fn exposure(&self) -> &BTreeMap<ModelVersion, Exposure> {
-        &self.exposure
+        self.exposure.versions()
     }
 
     /// Buckets of peers that were left out because their clock is ahead.
@@ -109,135 +144,121 @@
         self.skipped_buckets
     }
 
-    /// Buckets that overlap the window before `now`, oldest first. Minutes are exact; an hour that the window only
-    /// touches is included whole.
+    /// Counts within the window before `now`, oldest first. Minutes are exact; an hour that the window only touches is
+    /// included whole.
     pub fn window(
         &self,
         now: SystemTime,
         length: Duration,
-    ) -> impl Iterator<Item = TimedBucket<'_>> {
-        let end = minute_of(now);
-        let start = end.saturating_sub(minutes(length));
-        let hours = self
-            .hours
-            .iter()
-            .filter(move |(begin, _)| **begin + MINUTES_PER_HOUR > start + 1 && **begin <= end)
-            .map(|(begin, bucket)| TimedBucket { begin: *begin, bucket });
-        let minutes = self
-            .minutes
-            .range(start.saturating_add(1)..=end.max(start.saturating_add(1)))
-            .map(|(begin, bucket)| TimedBucket { begin: *begin, bucket });
-        hours.chain(minutes)
-    }
-
-    /// Number of buckets.
+    ) -> impl Iterator<Item = TimedSeries<'_>> {
+        let (start, end) = bounds(now, length);
+        let hours = self.hours_within(start, end);
+        let hours = hours.map(|(begin, bucket)| TimedSeries { begin, series: &bucket.series });
+        let minutes = self.minutes.range(start..end);
+        hours.chain(minutes.map(|(begin, series)| TimedSeries { begin: *begin, series }))
+    }
+
+    /// Latencies within the window before `now`, by the hour.
+    pub(crate) fn distributions(
+        &self,
+        now: SystemTime,
+        length: Duration,
+    ) -> impl Iterator<Item = &DistributionSet> {
+        let (start, end) = bounds(now, length);
+        self.hours_within(start, end).map(|(_, bucket)| &bucket.distributions)
+    }
+
+    /// Number of minutes and hours that are kept.
     #[must_use]
-    pub fn len(&self) -> usize {
+    pub fn buckets(&self) -> usize {
         self.minutes.len() + self.hours.len()
     }
 
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
+    fn hours_within(
+        &self,
+        start: Minute,
+        end: Minute,
+    ) -> impl Iterator<Item = (Minute, &HourBucket)> {
+        let first = start.saturating_sub(MINUTES_PER_HOUR - 1);
+        self.hours.range(first..end).map(|(begin, bucket)| (*begin, bucket))
     }
 
-    fn bucket(&mut self, minute: Minute) -> &mut Bucket {
-        if !self.minutes.contains_key(&minute) {
-            self.minutes.values_mut().for_each(Bucket::seal);
-        }
-        self.minutes.entry(minute).or_default()
+    fn complete(&mut self, minute: Minute, request: &CompletedRequest) {
+        let slow = request.first_token.is_some_and(|time| time > FIRST_TOKEN_TARGET);
+        self.count(minute, &request.labels, |counters| counters.complete(request, slow));
+        self.hour(minute).distributions.record(request);
     }
 
-    fn expose(&mut self, minute: Minute, version: &ModelVersion, callers: u64) {
-        if !self.exposure.contains_key(version) {
-            self.make_room_for_version();
-        }
-        let new = Exposure { callers: 0, since: minute, vetoed: None };
-        let exposure = self.exposure.entry(version.clone()).or_insert(new);
-        if exposure.vetoed.is_none() {
-            exposure.callers = exposure.callers.max(callers);
+    fn count(&mut self, minute: Minute, labels: &Labels, change: impl Fn(&mut Counters)) {
+        let limits = self.limits;
+        self.workspaces(minute).count_workspace(labels, limits, &change);
+        self.hour(minute).series.count_others(labels, limits, &change);
+    }
+
+    /// Bucket of a minute's hour; a new one takes the live histograms' memory from the others.
+    fn hour(&mut self, minute: Minute) -> &mut HourBucket {
+        let hour = hour_of(minute);
+        if !self.hours.contains_key(&hour) {
+            self.hours.values_mut().for_each(|bucket| bucket.distributions.seal());
         }
+        self.hours.entry(hour).or_default()
     }
 
-    fn make_room_for_version(&mut self) {
-        if self.exposure.len() < VERSIONS_LIMIT {
-            return;
+    /// Workspaces' counts of a minute; an old one's are those of its hour.
+    fn workspaces(&mut self, minute: Minute) -> &mut SeriesSet {
+        let is_new = !self.minutes.contains_key(&minute);
+        self.minutes.entry(minute).or_default();
+        if is_new {
+            self.compact();
         }
-        let oldest = self.exposure.iter().min_by_key(|(_, exposure)| exposure.since);
-        if let Some(version) = oldest.map(|(version, _)| version.clone()) {
-            self.exposure.remove(&version);
+        match self.minutes.get_mut(&minute) {
+            Some(series) => series,
+            None => &mut self.hours.entry(hour_of(minute)).or_default().series,
         }
     }
 
     /// Turns old minutes into hours and drops old hours.
     fn compact(&mut self) {
-        let newest_minute = self.minutes.last_key_value().map(|(begin, _)| *begin);
-        let newest_hour = self.hours.last_key_value().map(|(begin, _)| *begin);
-        let Some(newest) = newest_minute.max(newest_hour) else { return };
-        // Whole hours leave at once, so that an hour is never kept both ways.
-        let first_kept =
-            newest.saturating_sub(minutes(MINUTES_KEPT)) / MINUTES_PER_HOUR * MINUTES_PER_HOUR;
+        let Some(newest) = self.newest() else { return };
+        // Whole hours leave together, so that an hour's counts are never split.
+        let first_kept = hour_of(newest.saturating_sub(minutes(MINUTES_KEPT)));
         let kept = self.minutes.split_off(&first_kept);
-        for (minute, bucket) in std::mem::replace(&mut self.minutes, kept) {
-            let hour = minute / MINUTES_PER_HOUR * MINUTES_PER_HOUR;
-            self.hours.entry(hour).or_default().merge(&bucket);
+        for (minute, series) in std::mem::replace(&mut self.minutes, kept) {
+            let hour = self.hours.entry(hour_of(minute)).or_default();
+            hour.series.merge(&series, self.limits);
         }
-        let oldest = newest.saturating_sub(minutes(HOURS_KEPT));
-        self.hours = self.hours.split_off(&oldest);
+        self.hours = self.hours.split_off(&oldest_kept(newest));
     }
-}
 
-/// A bucket and the minute with which it begins.
-#[derive(Clone, Copy, Debug)]
-pub struct TimedBucket<'a> {
-    pub begin: Minute,
-    pub bucket: &'a Bucket,
+    fn newest(&self) -> Option<Minute> {
+        let minute = self.minutes.last_key_value().map(|(begin, _)| *begin);
+        let hour = self.hours.last_key_value().map(|(begin, _)| *begin);
+        minute.max(hour)
+    }
 }
 
-impl Exposure {
-    fn merge(&mut self, other: Exposure) {
-        self.callers += other.callers;
-        self.since = self.since.min(other.since);
-        self.vetoed = match (self.vetoed, other.vetoed) {
-            (Some(ours), Some(theirs)) => Some(ours.min(theirs)),
-            (ours, theirs) => ours.or(theirs),
-        };
+impl HourBucket {
+    fn merge(&mut self, other: &HourBucket, limits: SeriesLimits) {
+        self.series.merge(&other.series, limits);
+        self.distributions.merge(&other.distributions);
     }
 }
 
-impl Bucket {
-    fn complete(&mut self, request: &CompletedRequest) {
-        let slow = request.first_token.is_some_and(|time| time > FIRST_TOKEN_TARGET);
-        self.counters(&request.labels).complete(request, slow);
-        let distributions = self.distributions(&request.labels.workspace);
-        distributions.total.record(request.total);
-        if let Some(first_token) = request.first_token {
-            distributions.first_token.record(first_token);
-        }
-    }
+fn host_limits() -> SeriesLimits {
+    HOST_LIMITS
+}
 
-    fn refuse(&mut self, request: &RefusedRequest) {
-        self.counters(&request.labels).refuse(request);
-    }
+/// Begin of the oldest hour that is kept.
+fn oldest_kept(newest: Minute) -> Minute {
+    hour_of(newest.saturating_sub(minutes(HOURS_KEPT)))
+}
 
-    fn rate(&mut self, labels: &Labels, acceptable: bool) {
-        self.counters(labels).rate(acceptable);
-    }
+fn hour_of(minute: Minute) -> Minute {
+    minute / MINUTES_PER_HOUR * MINUTES_PER_HOUR
 }
 
-/// Adds the buckets that do not begin after `latest`; returns how many do.
-fn merge_buckets(
-    ours: &mut BTreeMap<Minute, Bucket>,
-    theirs: &BTreeMap<Minute, Bucket>,
-    latest: Minute,
-) -> u64 {
-    let mut skipped = 0;
-    for (begin, bucket) in theirs {
-        if *begin > latest {
-            skipped += 1;
-        } else {
-            ours.entry(*begin).or_default().merge(bucket);
-        }
-    }
-    skipped
+/// First minute of a window, and the minute after its last; the one that is not over yet is the last.
+fn bounds(now: SystemTime, length: Duration) -> (Minute, Minute) {
+    let end = minute_of(now) + 1;
+    (end.saturating_sub(minutes(length)), end)
 }
--- a/crates/report/src/report.rs
+++ b/crates/report/src/report.rs
@@ -14,7 +14,6 @@
 use crate::breakdown::HourPoint;
 use crate::breakdown::PresetUse;
 use crate::breakdown::VersionUse;
-use crate::bucket::Distributions;
 use crate::burn::Alarm;
 use crate::burn::Burn;
 use crate::burn::REPORT_WINDOW;
@@ -25,9 +24,12 @@
 use crate::calendar::minutes;
 use crate::counters::Counters;
 use crate::counters::Events;
+use crate::distributions::Distributions;
+use crate::latencies::Latencies;
 use crate::metrics::Metrics;
 use crate::objective::Objective;
 use crate::objective::Objectives;
+use crate::series::SeriesKey;
 
 /// Service-level burn report. Minutes are since the Unix epoch.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -187,8 +189,10 @@
 ) -> BTreeMap<WorkspaceId, Counters> {
     let mut sums: BTreeMap<WorkspaceId, Counters> = BTreeMap::new();
     for timed in metrics.window(now, length) {
-        for (labels, counters) in timed.bucket.series() {
-            sums.entry(labels.workspace.clone()).or_default().add(counters);
+        for (key, counters) in timed.series.iter() {
+            if let SeriesKey::Workspace(workspace) = key {
+                sums.entry(workspace.clone()).or_default().add(counters);
+            }
         }
     }
     sums
@@ -196,8 +200,8 @@
 
 fn distributions(metrics: &Metrics, now: SystemTime) -> BTreeMap<WorkspaceId, Distributions> {
     let mut sums: BTreeMap<WorkspaceId, Distributions> = BTreeMap::new();
-    for timed in metrics.window(now, REPORT_WINDOW) {
-        for (workspace, distributions) in timed.bucket.distributions_by_workspace() {
+    for hour in metrics.distributions(now, REPORT_WINDOW) {
+        for (workspace, distributions) in hour.iter() {
             sums.entry(workspace.clone()).or_default().merge(distributions);
         }
     }
@@ -228,7 +232,7 @@
     Objective::ALL.into_iter().map(report).collect()
 }
 
-fn quantiles(latencies: &crate::latencies::Latencies) -> Option<Quantiles> {
+fn quantiles(latencies: &Latencies) -> Option<Quantiles> {
     let ms = |share| latencies.quantile(share).map(|time| time.as_millis() as u64);
     Some(Quantiles { p50_ms: ms(0.5)?, p95_ms: ms(0.95)?, p99_ms: ms(0.99)? })
 }
--- a/crates/report/src/table.rs
+++ b/crates/report/src/table.rs
@@ -126,7 +126,10 @@
             preset.preset.clone(),
             minute_text(preset.first),
             minute_text(preset.last),
-            format!("{} to {}", preset.first_revision, preset.last_revision),
+            preset.revisions.map_or_else(
+                || "-".to_owned(),
+                |revisions| format!("{} to {}", revisions.first, revisions.last),
+            ),
             count(preset.requests),
         ]);
     }
--- a/crates/report/tests/merge.rs
+++ b/crates/report/tests/merge.rs
@@ -8,13 +8,15 @@
 use foxtailhoist_model::ErrorKind;
 use foxtailhoist_model::ModelVersion;
 use foxtailhoist_report::CLOCK_SKEW_LIMIT;
-use foxtailhoist_report::FOLDED_SERIES_LIMIT;
+use foxtailhoist_report::HOST_LIMITS;
 use foxtailhoist_report::Labels;
 use foxtailhoist_report::Latencies;
 use foxtailhoist_report::Metrics;
+use foxtailhoist_report::OTHER;
 use foxtailhoist_report::Objectives;
 use foxtailhoist_report::Observation;
 use foxtailhoist_report::Report;
+use foxtailhoist_report::SeriesKey;
 use rstest::rstest;
 
 use common::ago;
@@ -84,8 +86,8 @@
     for minutes in (0..7 * 24 * 60).rev() {
         metrics.record(ago(minutes), &completed(labels("baker-help"), 100));
     }
-    // Two to three hours by the minute, the rest of 74 hours by the hour.
-    assert!(metrics.len() <= 3 * 60 + 75, "{} buckets", metrics.len());
+    // One to two hours by the minute, and 74 to 75 hours by the hour.
+    assert!(metrics.buckets() <= 2 * 60 + 75, "{} buckets", metrics.buckets());
     let report = Report::build(&metrics, &Objectives::default(), now());
     let counted = report.totals.completed;
     assert!((72 * 60..73 * 60).contains(&counted), "{counted} requests of 3 days");
@@ -93,16 +95,68 @@
 
 #[test]
 fn labels_are_bounded_and_no_request_is_lost() {
+    let requests = 4 * HOST_LIMITS.servers as u64;
     let mut metrics = Metrics::default();
-    let requests = 4 * FOLDED_SERIES_LIMIT as u64;
     for index in 0..requests {
-        let server = Some(format!("engine-{index}"));
-        let labels = Labels { server, ..labels(&format!("workspace-{index}")) };
+        let named = |kind: &str| format!("{kind}-{index}");
+        let labels = Labels {
+            workspace: named("workspace"),
+            model_version: Some(ModelVersion::new("levain-small", &named("v"))),
+            server: Some(named("engine")),
+            data_centre: named("data-centre"),
+            preset: named("preset"),
+            revision: index,
+        };
         metrics.record(now(), &completed(labels, 100));
     }
+    let window: Vec<_> = metrics.window(now(), Duration::from_secs(60)).collect();
+    let mut names = std::collections::BTreeMap::new();
+    let mut counted = std::collections::BTreeMap::new();
+    for (key, counters) in window.iter().flat_map(|timed| timed.series.iter()) {
+        let dimension = match key {
+            SeriesKey::Workspace(_) => "workspaces",
+            SeriesKey::Version(_) => "versions",
+            SeriesKey::Server(_) => "servers",
+            SeriesKey::DataCentre(_) => "data_centres",
+            SeriesKey::Preset(_) => "presets",
+        };
+        *names.entry(dimension).or_insert(0) += 1;
+        *counted.entry(dimension).or_insert(0) += counters.completed;
+    }
+    // One more than each limit: the one that stands for the others.
+    let limits = [
+        ("data_centres", HOST_LIMITS.data_centres + 1),
+        ("presets", HOST_LIMITS.presets + 1),
+        ("servers", HOST_LIMITS.servers + 1),
+        ("versions", HOST_LIMITS.versions + 1),
+        ("workspaces", HOST_LIMITS.workspaces + 1),
+    ];
+    assert_eq!(names.into_iter().collect::<Vec<_>>(), limits);
+    assert!(counted.values().all(|count| *count == requests), "{counted:?}");
     let report = Report::build(&metrics, &Objectives::default(), now());
     assert_eq!(report.totals.completed, requests);
-    assert_eq!(report.workspaces.len(), FOLDED_SERIES_LIMIT + 1);
+    assert!(report.workspaces.iter().any(|workspace| workspace.workspace == OTHER));
+}
+
+#[test]
+fn a_fleet_keeps_what_each_host_could_tell_apart() {
+    let mut fleet = Metrics::of_fleet();
+    let hosts = 4;
+    for host in 0..hosts {
+        let mut metrics = Metrics::default();
+        for index in 0..HOST_LIMITS.servers {
+            let server = Some(format!("engine-{host}-{index}"));
+            let labels = Labels { server, ..labels("baker-help") };
+            metrics.record(now(), &completed(labels, 100));
+        }
+        fleet.merge(&metrics, now());
+    }
+    let servers = fleet
+        .window(now(), Duration::from_secs(60))
+        .flat_map(|timed| timed.series.iter())
+        .filter(|(key, _)| matches!(key, SeriesKey::Server(_)))
+        .count();
+    assert_eq!(servers, hosts * HOST_LIMITS.servers);
 }
 
 #[test]
