Test the clients against answers that are cut, crossed or out of shape

Cause: the stand-ins only send well-formed answers, and the peers' client had no test. Change: a server of raw bytes drives the answer reader (events across line ends, missing ends, foreign attempt ids, oversize lines, bodies without a stated length) and the peers' client (key, time-out, broken connection, retirement).

--- /dev/null
+++ b/crates/platform/tests/answers.rs
@@ -0,0 +1,238 @@
+//! Answers that are cut, mixed up or out of shape never pass for whole ones.
+
+mod common;
+
+use std::time::Duration;
+
+use foxtailhoist_model::ModelVersion;
+use foxtailhoist_model::Priority;
+use foxtailhoist_platform::AttemptOutput;
+use foxtailhoist_platform::AttemptRequest;
+use foxtailhoist_platform::BackendApi;
+use foxtailhoist_platform::ClientSettingsBuilder;
+use foxtailhoist_platform::HttpBackend;
+use foxtailhoist_route::event::AttemptFailure;
+use futures::StreamExt;
+use rstest::rstest;
+
+use common::Answer;
+use common::RawServer;
+use common::Script;
+
+const OWN_ID: &str = "x-attempt-id: 00000000000000000000000000000007\r\n";
+
+fn client() -> HttpBackend {
+    let settings = ClientSettingsBuilder::new().idle_timeout(Duration::from_millis(300)).build();
+    HttpBackend::new(settings)
+}
+
+fn attempt(server: &RawServer, is_engine: bool) -> AttemptRequest {
+    AttemptRequest {
+        attempt: 7,
+        address: server.address,
+        model_version: is_engine.then(|| ModelVersion::new("levain-small", "v1")),
+        method: "POST".to_owned(),
+        path: "/renew?household=7".to_owned(),
+        body: "{}".into(),
+        content_type: "application/json".to_owned(),
+        streamed: false,
+        priority: Priority::Urgent,
+        remaining: Duration::from_secs(3),
+        first_byte_timeout: Duration::from_secs(3),
+        resume_after: 0,
+        idempotency_key: Some("order-1".to_owned()),
+    }
+}
+
+/// Payloads of an answer, or the failure that ended it.
+async fn read(
+    client: &HttpBackend,
+    request: AttemptRequest,
+) -> Result<Vec<String>, AttemptFailure> {
+    let mut start = client.start(request).await?;
+    let mut payloads = Vec::new();
+    while let Some(output) = start.pieces.next().await {
+        match output? {
+            AttemptOutput::Piece { bytes, .. } => {
+                payloads.push(String::from_utf8(bytes.to_vec()).unwrap());
+            }
+            AttemptOutput::End(_) => return Ok(payloads),
+        }
+    }
+    panic!("the answer has neither an end nor a failure");
+}
+
+fn respond(head: &str, body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 {head}\r\n{body}").into_bytes()
+}
+
+fn chunked(body: &str, end: &str) -> Vec<u8> {
+    let head = format!("200 OK\r\n{OWN_ID}content-type: text/event-stream\r\n");
+    let head = format!("{head}transfer-encoding: chunked\r\n");
+    respond(&head, &format!("{:x}\r\n{body}\r\n{end}", body.len()))
+}
+
+#[tokio::test]
+async fn an_attempt_carries_its_headers() {
+    let server = RawServer::start(Answer::Bytes(respond(
+        &format!("200 OK\r\n{OWN_ID}content-length: 2\r\n"),
+        "ok",
+    )))
+    .await;
+    assert_eq!(read(&client(), attempt(&server, false)).await, Ok(vec!["ok".to_owned()]));
+    let received = server.received();
+    let head = &received[0].head;
+    for line in [
+        "post /renew?household=7 http/1.1",
+        OWN_ID.trim_end(),
+        "x-priority: urgent",
+        "x-deadline-ms: 3000",
+        "idempotency-key: order-1",
+        "content-type: application/json",
+    ] {
+        assert!(head.contains(line), "{line} is not in {head}");
+    }
+    assert_eq!(received[0].body, b"{}");
+    server.close().await;
+}
+
+#[rstest]
+#[case::no_id("200 OK\r\ncontent-length: 2\r\n", AttemptFailure::WrongAttempt)]
+#[case::other_id(
+    "200 OK\r\nx-attempt-id: 8\r\ncontent-length: 2\r\n",
+    AttemptFailure::WrongAttempt
+)]
+#[case::not_run_of_nobody(
+    "503 No\r\nx-not-run: 1\r\ncontent-length: 2\r\n",
+    AttemptFailure::ServerError
+)]
+#[case::not_run_of_another(
+    "503 No\r\nx-not-run: 1\r\nx-attempt-id: 8\r\ncontent-length: 2\r\n",
+    AttemptFailure::WrongAttempt
+)]
+#[case::not_run(
+    "503 No\r\nx-not-run: 1\r\nx-attempt-id: 7\r\ncontent-length: 2\r\n",
+    AttemptFailure::Rejected
+)]
+#[case::unmarked("503 No\r\nx-attempt-id: 7\r\ncontent-length: 2\r\n", AttemptFailure::ServerError)]
+#[tokio::test]
+async fn heads_are_believed_only_with_the_attempts_id(
+    #[case] head: &str,
+    #[case] failure: AttemptFailure,
+) {
+    let server = RawServer::start(Answer::Bytes(respond(head, "{}"))).await;
+    assert_eq!(read(&client(), attempt(&server, true)).await, Err(failure));
+    server.close().await;
+}
+
+#[tokio::test]
+async fn events_are_cut_at_their_borders_only() {
+    let server = {
+        let body = ": comment\r\nevent: message\r\ndata: {\"choices\":[],\r\ndata: \"id\":\"a\"}\r\n\r\n\
+                    data:{\"id\":\"b\"}\n\ndata: [DONE]\n\n";
+        RawServer::start(Answer::Bytes(chunked(body, "0\r\n\r\n"))).await
+    };
+    let payloads = read(&client(), attempt(&server, true)).await.unwrap();
+    assert_eq!(payloads, ["{\"choices\":[],\n\"id\":\"a\"}", "{\"id\":\"b\"}"]);
+    server.close().await;
+}
+
+#[rstest]
+#[case::ends_without_the_marker(
+    Answer::Bytes(chunked("data: {}\n\n", "0\r\n\r\n")),
+    AttemptFailure::ConnectionLost
+)]
+#[case::breaks_off(Answer::Last(chunked("data: {}\n\n", "")), AttemptFailure::ConnectionLost)]
+#[case::not_json(Answer::Bytes(chunked("data: {\n\n", "")), AttemptFailure::ServerError)]
+#[case::reports_an_error(
+    Answer::Bytes(chunked("data: {\"error\":{\"message\":\"no\"}}\n\n", "")),
+    AttemptFailure::ServerError
+)]
+#[case::line_without_end(
+    Answer::Bytes(chunked(&format!("data: {}", "a".repeat(300_000)), "")),
+    AttemptFailure::ServerError
+)]
+#[case::event_without_end(
+    Answer::Bytes(chunked(&"data: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\n".repeat(9_000), "")),
+    AttemptFailure::ServerError
+)]
+#[tokio::test]
+async fn a_stream_without_its_end_is_a_failure(
+    #[case] answer: Answer,
+    #[case] failure: AttemptFailure,
+) {
+    let server = RawServer::start(answer).await;
+    assert_eq!(read(&client(), attempt(&server, true)).await, Err(failure));
+    server.close().await;
+}
+
+#[rstest]
+#[case::shorter_than_stated(
+    Answer::Last(respond(&format!("200 OK\r\n{OWN_ID}content-length: 9\r\n"), "half")),
+    false,
+    AttemptFailure::ConnectionLost
+)]
+#[case::no_length_stated(
+    Answer::Last(respond(&format!("200 OK\r\n{OWN_ID}"), "half")),
+    false,
+    AttemptFailure::ConnectionLost
+)]
+#[case::not_a_completion(
+    Answer::Bytes(respond(&format!("200 OK\r\n{OWN_ID}content-length: 4\r\n"), "half")),
+    true,
+    AttemptFailure::ServerError
+)]
+#[case::stalls(
+    Answer::Bytes(respond(&format!("200 OK\r\n{OWN_ID}content-length: 9\r\n"), "half")),
+    false,
+    AttemptFailure::TimedOut
+)]
+#[tokio::test]
+async fn a_body_without_its_end_is_a_failure(
+    #[case] answer: Answer,
+    #[case] is_engine: bool,
+    #[case] failure: AttemptFailure,
+) {
+    let server = RawServer::start(answer).await;
+    assert_eq!(read(&client(), attempt(&server, is_engine)).await, Err(failure));
+    server.close().await;
+}
+
+#[tokio::test]
+async fn a_broken_answer_of_a_server_that_is_gone_tells_of_its_death() {
+    let cut = respond(&format!("200 OK\r\n{OWN_ID}content-length: 9\r\n"), "half");
+    let script = Script { probe: Answer::Last(vec![]), other: Answer::Last(cut) };
+    let server = RawServer::start_with(script).await;
+    let failure = read(&client(), attempt(&server, false)).await;
+    assert_eq!(failure, Err(AttemptFailure::ServerDied));
+    server.close().await;
+}
+
+#[tokio::test]
+async fn a_refusal_of_the_content_reaches_the_caller() {
+    let server = RawServer::start(Answer::Bytes(respond(
+        &format!("400 Bad\r\n{OWN_ID}content-length: 7\r\n"),
+        "no good",
+    )))
+    .await;
+    let start = client().start(attempt(&server, true)).await.unwrap();
+    assert_eq!(start.status, 400);
+    server.close().await;
+}
+
+#[tokio::test]
+async fn a_retired_server_gets_a_new_connection() {
+    let server = RawServer::start(Answer::Bytes(respond(
+        &format!("200 OK\r\n{OWN_ID}content-length: 2\r\n"),
+        "ok",
+    )))
+    .await;
+    let client = client();
+    read(&client, attempt(&server, false)).await.unwrap();
+    read(&client, attempt(&server, false)).await.unwrap();
+    client.retire(server.address);
+    read(&client, attempt(&server, false)).await.unwrap();
+    let connections: Vec<usize> = server.received().iter().map(|it| it.connection).collect();
+    assert_eq!(connections, [1, 1, 2]);
+    server.close().await;
+}
