Copy parked bills again after restarts, and run random faults

A random run over all faults (store, hosts, links, views) ended with bills lost that were told to be safe: a host that restarts under its name loses what it kept, and its peers did not notice. A start is now announced to the peers, who copy again or take over.

--- a/crates/journal/src/delivery.rs
+++ b/crates/journal/src/delivery.rs
@@ -170,16 +170,14 @@
     fn direct(&mut self, id: EntryId, now: Instant) {
         let Some(own) = self.own.find(id) else { return };
         let home = self.places.home(own.shard).clone();
-        let usable = !self.places.is_home(own.shard) && !self.places.is_bypassed(&home, now);
+        let was_declined = !own.is_exposed();
         match own.route.clone() {
-            Route::Undetermined if usable => self.send_home(id, home, now),
-            Route::Undetermined => self.write_here(id, now),
-            Route::Home { home: sent_to, .. } if sent_to != home || !usable => {
-                if usable {
-                    self.send_home(id, home, now)
-                } else {
-                    self.write_here(id, now)
-                }
+            Route::Undetermined => self.send_or_write(id, home, now),
+            Route::Home { home: sent_to, .. } if sent_to != home => {
+                self.send_or_write(id, home, now);
+            }
+            Route::Home { .. } if was_declined || self.places.is_bypassed(&home, now) => {
+                self.write_here(id, now);
             }
             Route::Home { sent_at, accepted, .. } => {
                 let patience = self.home_patience(accepted);
@@ -192,18 +190,35 @@
                     self.write_here(id, now);
                 }
             }
-            Route::Local { since } if usable && now >= since + REVIEW_INTERVAL => {
-                let shard = own.shard;
-                let mut withdrawn = false;
-                self.with_shard(shard, now, |shard, _| withdrawn = shard.withdraw(id));
-                if withdrawn {
-                    self.send_home(id, home, now);
-                }
+            Route::Local { since } if now >= since + REVIEW_INTERVAL => {
+                self.return_home(id, home, now);
             }
             Route::Local { .. } => {}
         }
     }
 
+    fn send_or_write(&mut self, id: EntryId, home: EntryHostId, now: Instant) {
+        if home != self.cfg.host && self.places.try_home(&home, now) {
+            self.send_home(id, home, now);
+        } else {
+            self.write_here(id, now);
+        }
+    }
+
+    /// Hands an entry back to a home that may work again, unless a write of it is under way here.
+    fn return_home(&mut self, id: EntryId, home: EntryHostId, now: Instant) {
+        let Some(own) = self.own.find(id) else { return };
+        let shard = own.shard;
+        if home == self.cfg.host || !self.places.try_home(&home, now) {
+            return;
+        }
+        let mut withdrawn = false;
+        self.with_shard(shard, now, |shard, _| withdrawn = shard.withdraw(id));
+        if withdrawn {
+            self.send_home(id, home, now);
+        }
+    }
+
     /// How long the home may take to answer.
     fn home_patience(&self, accepted: bool) -> Duration {
         if accepted { self.cfg.bill_window + REVIEW_INTERVAL } else { self.cfg.home_timeout }
@@ -231,8 +246,7 @@
     /// Asks peers to keep a bill or an outcome until enough do.
     fn ask_holders(&mut self, id: EntryId, now: Instant) {
         let Some(own) = self.own.find_mut(id) else { return };
-        let attended = own.origin != Origin::Unattended || self.stopping.is_some();
-        if !own.may_park() || !attended {
+        if !own.may_park() {
             return;
         }
         let places = &self.places;
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -11,6 +11,7 @@
 use foxtailhoist_model::ClaimOutcome;
 use foxtailhoist_model::ClaimResult;
 use foxtailhoist_model::EntryHostId;
+use foxtailhoist_model::Incarnation;
 use foxtailhoist_model::Invariant;
 use foxtailhoist_model::Invariants;
 use foxtailhoist_model::RequestId;
@@ -34,6 +35,7 @@
 use crate::event::CallId;
 use crate::event::Effect;
 use crate::event::Event;
+use crate::event::HostPlace;
 use crate::gate::StoreGate;
 use crate::ledger::Retention;
 use crate::outbox::Outbox;
@@ -67,6 +69,11 @@
     pub(crate) heads: BTreeMap<ShardId, KnownHead>,
     /// Peers that asked for a shard's head before it was known.
     pub(crate) head_waiters: BTreeMap<ShardId, BTreeSet<EntryHostId>>,
+    /// Peers that have not seen this host's start, and when they are told next.
+    pub(crate) start_unseen: BTreeSet<EntryHostId>,
+    pub(crate) announce_start_at: Option<Instant>,
+    /// Latest start of each peer that was seen.
+    pub(crate) incarnations: BTreeMap<EntryHostId, Incarnation>,
     pub(crate) outbox: Outbox,
     pub(crate) effects: Vec<Effect>,
     pub(crate) decided: Vec<Decided>,
@@ -111,6 +118,9 @@
             running: BTreeMap::new(),
             heads: BTreeMap::new(),
             head_waiters: BTreeMap::new(),
+            start_unseen: BTreeSet::new(),
+            announce_start_at: None,
+            incarnations: BTreeMap::new(),
             outbox: Outbox::default(),
             effects: Vec::new(),
             decided: Vec::new(),
@@ -134,7 +144,7 @@
             Event::Message { from, message } => self.receive(from, message, now),
             Event::SendFailed { to } => self.bypass(&to, now),
             Event::Hosts(hosts) => {
-                self.places.replace(hosts);
+                self.replace_hosts(hosts);
                 self.own.review_all(now);
                 self.parked.review_all(now);
             }
@@ -160,6 +170,7 @@
             .chain(self.own.next_review())
             .chain(self.parked.next_review())
             .chain(stop)
+            .chain(self.announce_start_at.filter(|_| !self.start_unseen.is_empty()))
             .filter(|at| *at > now)
             .chain(gate)
             .min()
@@ -227,6 +238,19 @@
         self.own.insert(OwnEntry::new(entry, shard, origin, now));
     }
 
+    /// Takes a new set of hosts alive; those that were not in it before may not know of this host's start.
+    fn replace_hosts(&mut self, hosts: Vec<HostPlace>) {
+        let is_new = |host: &EntryHostId| *host != self.cfg.host && !self.places.is_alive(host);
+        let new: Vec<EntryHostId> =
+            hosts.iter().map(|place| place.host.clone()).filter(is_new).collect();
+        self.places.replace(hosts);
+        self.start_unseen.extend(new);
+        let places = &self.places;
+        self.start_unseen.retain(|host| places.is_alive(host));
+        self.incarnations.retain(|host, _| places.is_alive(host));
+        self.announce_start_at = None;
+    }
+
     fn finish_call(&mut self, call: CallId, result: &StoreResult, now: Instant) {
         let Some(shard) = self.calls.finish(call) else { return };
         self.gate.finish(result, now, &mut self.rng);
@@ -249,6 +273,7 @@
 
     /// Carries on with everything that is due.
     fn advance(&mut self, now: Instant) {
+        self.announce_start(now);
         loop {
             self.review_due(now);
             for shard in 0..self.cfg.shards {
--- a/crates/journal/src/message.rs
+++ b/crates/journal/src/message.rs
@@ -4,6 +4,7 @@
 //! crossed message is harmless.
 
 use foxtailhoist_model::ClaimResult;
+use foxtailhoist_model::Incarnation;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -32,6 +33,10 @@
     Park { entries: Vec<HeldEntry> },
     /// From a peer: it keeps these.
     Parked { ids: Vec<EntryId> },
+    /// To a peer: this host started and keeps nothing that it kept before.
+    Started { incarnation: Incarnation },
+    /// From a peer: it knows of the start.
+    StartSeen { incarnation: Incarnation },
     /// To a peer: these are committed.
     Release { ids: Vec<EntryId> },
 }
--- a/crates/journal/src/own.rs
+++ b/crates/journal/src/own.rs
@@ -192,6 +192,19 @@
         }
     }
 
+    /// Drops what a peer was known to keep.
+    pub fn forget_copies(&mut self, peer: &EntryHostId) {
+        for own in self.entries.values_mut() {
+            own.holders.remove(peer);
+            own.asked.remove(peer);
+            if let Route::Home { home, .. } = &own.route
+                && home == peer
+            {
+                own.route = Route::Undetermined;
+            }
+        }
+    }
+
     /// Has every entry looked at now.
     pub fn review_all(&mut self, now: Instant) {
         let ids: Vec<EntryId> = self.entries.keys().copied().collect();
--- a/crates/journal/src/parked.rs
+++ b/crates/journal/src/parked.rs
@@ -15,7 +15,9 @@
 pub struct ParkedEntry {
     pub held: HeldEntry,
     pub owner: EntryHostId,
-    adopt_at: Instant,
+    pub at: Instant,
+    /// The owner lost it in a restart.
+    pub is_orphan: bool,
     review_at: Instant,
 }
 
@@ -29,7 +31,13 @@
 impl ParkedTable {
     /// Keeps an entry, to be looked at `review_at`; false when there is no room.
     #[must_use]
-    pub fn insert(&mut self, held: HeldEntry, owner: EntryHostId, review_at: Instant) -> bool {
+    pub fn insert(
+        &mut self,
+        held: HeldEntry,
+        owner: EntryHostId,
+        now: Instant,
+        review_at: Instant,
+    ) -> bool {
         let id = held.entry.id();
         if self.entries.contains_key(&id) {
             return true;
@@ -38,7 +46,7 @@
             return false;
         }
         self.reviews.insert((review_at, id));
-        self.entries.insert(id, ParkedEntry { held, owner, adopt_at: review_at, review_at });
+        self.entries.insert(id, ParkedEntry { held, owner, at: now, is_orphan: false, review_at });
         true
     }
 
@@ -53,12 +61,6 @@
         self.entries.get(&id)
     }
 
-    /// Whether the owner has taken so long that this host commits the entry itself.
-    #[must_use]
-    pub fn is_overdue(&self, id: EntryId, now: Instant) -> bool {
-        self.entries.get(&id).is_some_and(|entry| entry.adopt_at <= now)
-    }
-
     /// Sets when an entry is looked at next.
     pub fn review_at(&mut self, id: EntryId, at: Instant) {
         if let Some(entry) = self.entries.get_mut(&id) {
@@ -68,6 +70,15 @@
         }
     }
 
+    /// Has the entries of an owner that lost them in a restart looked at now.
+    pub fn orphan(&mut self, owner: &EntryHostId, now: Instant) {
+        let is_of = |entry: &&mut ParkedEntry| entry.owner == *owner;
+        for entry in self.entries.values_mut().filter(is_of) {
+            entry.is_orphan = true;
+        }
+        self.review_all(now);
+    }
+
     /// Has every entry looked at now.
     pub fn review_all(&mut self, now: Instant) {
         let ids: Vec<EntryId> = self.entries.keys().copied().collect();
--- a/crates/journal/src/places.rs
+++ b/crates/journal/src/places.rs
@@ -24,7 +24,15 @@
     own: EntryHostId,
     own_data_centre: DataCentreId,
     hosts: BTreeMap<EntryHostId, DataCentreId>,
-    bypassed_until: BTreeMap<EntryHostId, Instant>,
+    bypassed: BTreeMap<EntryHostId, Bypass>,
+}
+
+/// A host that did not answer or declined.
+#[derive(Clone, Copy, Debug)]
+struct Bypass {
+    until: Instant,
+    /// One entry was sent to it since, to see whether it works again.
+    probing: bool,
 }
 
 impl Places {
@@ -35,7 +43,7 @@
             own: own.to_owned(),
             own_data_centre: data_centre.to_owned(),
             hosts: BTreeMap::from([(own.to_owned(), data_centre.to_owned())]),
-            bypassed_until: BTreeMap::new(),
+            bypassed: BTreeMap::new(),
         }
     }
 
@@ -44,7 +52,7 @@
         self.hosts = hosts.into_iter().map(|place| (place.host, place.data_centre)).collect();
         self.hosts.insert(self.own.clone(), self.own_data_centre.clone());
         let hosts = &self.hosts;
-        self.bypassed_until.retain(|host, _| hosts.contains_key(host));
+        self.bypassed.retain(|host, _| hosts.contains_key(host));
     }
 
     #[must_use]
@@ -69,14 +77,31 @@
     pub fn bypass(&mut self, host: &EntryHostId, now: Instant) -> bool {
         let was_bypassed = self.is_bypassed(host, now);
         if self.is_alive(host) {
-            self.bypassed_until.insert(host.clone(), now + BYPASS);
+            let bypass = Bypass { until: now + BYPASS, probing: false };
+            self.bypassed.insert(host.clone(), bypass);
         }
         !was_bypassed
     }
 
+    /// Takes note that a host works again.
+    pub fn answered(&mut self, host: &EntryHostId) {
+        self.bypassed.remove(host);
+    }
+
     #[must_use]
     pub fn is_bypassed(&self, host: &EntryHostId, now: Instant) -> bool {
-        self.bypassed_until.get(host).is_some_and(|until| now < *until)
+        self.bypassed.get(host).is_some_and(|bypass| !bypass.probing && now < bypass.until)
+    }
+
+    /// Whether something may be sent to a home now. After a bypass one probe at a time may, until it is answered.
+    #[must_use]
+    pub fn try_home(&mut self, host: &EntryHostId, now: Instant) -> bool {
+        let Some(bypass) = self.bypassed.get_mut(host) else { return true };
+        if now < bypass.until {
+            return false;
+        }
+        *bypass = Bypass { until: now + BYPASS, probing: true };
+        true
     }
 
     /// Peers that may keep an entry: first one of another data centre, then by hash.
--- a/crates/journal/src/serving.rs
+++ b/crates/journal/src/serving.rs
@@ -1,8 +1,10 @@
 //! What the journal does for its peers: commits for them where it is home, keeps entries, answers.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use foxtailhoist_model::EntryHostId;
+use foxtailhoist_model::Incarnation;
 
 use crate::cx::Waiter;
 use crate::entry::EntryId;
@@ -17,6 +19,9 @@
 use crate::own::OwnEntry;
 use crate::own::Route;
 
+/// Time between two messages to a peer that has not seen this host's start.
+const START_INTERVAL: Duration = Duration::from_secs(2);
+
 impl Journal {
     pub(crate) fn receive(&mut self, from: EntryHostId, message: JournalMessage, now: Instant) {
         match message {
@@ -32,20 +37,25 @@
             JournalMessage::Head { shard, head } => self.learn_head(shard, head, now),
             JournalMessage::Park { entries } => self.park(&from, entries, now),
             JournalMessage::Parked { ids } => self.parked(&from, &ids, now),
+            JournalMessage::Started { incarnation } => self.peer_started(&from, incarnation, now),
+            JournalMessage::StartSeen { incarnation } => self.start_seen(&from, incarnation),
             JournalMessage::Release { ids } => {
                 ids.into_iter().for_each(|id| self.parked.remove(id))
             }
         }
     }
 
-    /// Takes over parked entries whose owner is gone or has taken long.
+    /// Takes over a parked entry whose owner is gone; asks an owner that takes long whether it is committed.
     pub(crate) fn review_parked(&mut self, id: EntryId, now: Instant) {
         let Some(parked) = self.parked.find(id) else { return };
-        let owner_gone = !self.places.is_alive(&parked.owner);
-        let adopt = owner_gone || self.parked.is_overdue(id, now);
-        let held = parked.held.clone();
-        self.parked.review_at(id, now + self.cfg.adopt_after);
-        if !adopt {
+        let (held, owner) = (parked.held.clone(), parked.owner.clone());
+        let is_orphan = parked.is_orphan;
+        let age = now.saturating_duration_since(parked.at);
+        self.parked.review_at(id, now + age.max(self.cfg.ask_owner_after));
+        if self.places.is_alive(&owner) && !is_orphan {
+            if age >= self.cfg.ask_owner_after {
+                self.outbox.to(&owner).parked.push(id);
+            }
             return;
         }
         let shard = held.entry.shard(self.cfg.shards);
@@ -71,6 +81,36 @@
         }
     }
 
+    /// Tells the peers that have not seen it yet that this host started.
+    pub(crate) fn announce_start(&mut self, now: Instant) {
+        if self.start_unseen.is_empty() || self.announce_start_at.is_some_and(|at| now < at) {
+            return;
+        }
+        self.announce_start_at = Some(now + START_INTERVAL);
+        let incarnation = self.cfg.incarnation;
+        for peer in &self.start_unseen {
+            self.outbox.to(peer).single.push(JournalMessage::Started { incarnation });
+        }
+    }
+
+    /// A peer keeps nothing any more of what it kept before its start.
+    fn peer_started(&mut self, from: &EntryHostId, incarnation: Incarnation, now: Instant) {
+        self.outbox.to(from).single.push(JournalMessage::StartSeen { incarnation });
+        let known = self.incarnations.insert(from.clone(), incarnation);
+        if known == Some(incarnation) {
+            return;
+        }
+        self.own.forget_copies(from);
+        self.own.review_all(now);
+        self.parked.orphan(from, now);
+    }
+
+    fn start_seen(&mut self, from: &EntryHostId, incarnation: Incarnation) {
+        if incarnation == self.cfg.incarnation {
+            self.start_unseen.remove(from);
+        }
+    }
+
     fn append(&mut self, from: &EntryHostId, entries: Vec<HeldEntry>, now: Instant) {
         for held in entries {
             let id = held.entry.id();
@@ -87,6 +127,7 @@
     }
 
     fn accepted(&mut self, from: &EntryHostId, ids: &[EntryId], now: Instant) {
+        self.places.answered(from);
         for id in ids {
             let Some(own) = self.own.find_mut(*id) else { continue };
             if let Route::Home { home, accepted, .. } = &mut own.route {
@@ -135,8 +176,8 @@
     fn park(&mut self, from: &EntryHostId, entries: Vec<HeldEntry>, now: Instant) {
         for held in entries {
             let id = held.entry.id();
-            let review_at = now + self.cfg.adopt_after;
-            if self.stopping.is_none() && self.parked.insert(held, from.clone(), review_at) {
+            let review_at = now + self.cfg.ask_owner_after;
+            if self.stopping.is_none() && self.parked.insert(held, from.clone(), now, review_at) {
                 self.outbox.to(from).parked.push(id);
             }
         }
--- a/crates/journal/src/shard.rs
+++ b/crates/journal/src/shard.rs
@@ -324,6 +324,7 @@
                     self.last_write = None;
                 }
                 self.end_read(cx);
+                self.decide_outcomes(&segments, cx);
                 self.decide_pending(cx);
             }
             AttemptEnd::NotWritten { end_read: false } => {}
@@ -345,6 +346,17 @@
         self.wanted = false;
     }
 
+    /// Answers the waiting outcomes that are in these segments, also where their claim is past its retention.
+    fn decide_outcomes(&mut self, segments: &[Segment], cx: &mut Cx<'_>) {
+        let entries = segments.iter().flat_map(|segment| &segment.entries);
+        for id in entries.filter(|entry| matches!(entry, Entry::Outcome { .. })).map(Entry::id) {
+            if let Some(entry) = self.pending.remove(id) {
+                let waiters = entry.waiters.into_iter().collect();
+                cx.decided.push(Decided { id, verdict: Verdict::Committed, waiters });
+            }
+        }
+    }
+
     /// Answers the waiting entries that the ledger decides.
     fn decide_pending(&mut self, cx: &mut Cx<'_>) {
         let ids: Vec<EntryId> = self.pending.ids().collect();
--- /dev/null
+++ b/crates/journal/tests/random.rs
@@ -0,0 +1,285 @@
+//! Random runs that mix all faults, with the invariants on and a check over everything at the end.
+
+mod world;
+
+use std::time::Duration;
+
+use foxtailhoist_journal::event::Event;
+use foxtailhoist_model::ClaimOutcome;
+use foxtailhoist_model::ClaimResult;
+use proptest::prelude::ProptestConfig;
+use proptest::test_runner::RngSeed;
+use proptest::test_runner::TestRunner;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use world::SIX;
+use world::StoreFaults;
+use world::World;
+use world::ran;
+use world::short;
+
+const MINUTE: Duration = Duration::from_secs(60);
+const CASES: u32 = 24;
+const STEPS: u32 = 400;
+
+/// What a step does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Bill,
+    Claim,
+    RepeatClaim,
+    Wait,
+    LongWait,
+    StoreDown,
+    StoreSlow,
+    StoreLosesAnswers,
+    StoreLate,
+    StoreStale,
+    StoreWhole,
+    Kill,
+    Replace,
+    ReplaceAll,
+    Stop,
+    Pause,
+    Resume,
+    SplitViews,
+    WholeView,
+    CutLink,
+    MendLinks,
+}
+
+/// Steps by weight.
+const STEPS_BY_WEIGHT: [(Step, u32); 21] = [
+    (Step::Bill, 60),
+    (Step::Claim, 40),
+    (Step::RepeatClaim, 20),
+    (Step::Wait, 60),
+    (Step::LongWait, 3),
+    (Step::StoreDown, 3),
+    (Step::StoreSlow, 2),
+    (Step::StoreLosesAnswers, 3),
+    (Step::StoreLate, 3),
+    (Step::StoreStale, 3),
+    (Step::StoreWhole, 12),
+    (Step::Kill, 2),
+    (Step::Replace, 3),
+    (Step::ReplaceAll, 1),
+    (Step::Stop, 2),
+    (Step::Pause, 3),
+    (Step::Resume, 4),
+    (Step::SplitViews, 2),
+    (Step::WholeView, 4),
+    (Step::CutLink, 4),
+    (Step::MendLinks, 4),
+];
+
+struct Run {
+    world: World,
+    rng: ChaCha8Rng,
+    next_request: u128,
+    answered: usize,
+}
+
+impl Run {
+    fn new(seed: u64) -> Run {
+        Run {
+            world: World::six(seed, |cfg| short(cfg).shards(2)).with_layout(2, 1),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            next_request: 1,
+            answered: 0,
+        }
+    }
+
+    fn choose(&mut self) -> Step {
+        let total: u32 = STEPS_BY_WEIGHT.iter().map(|(_, weight)| weight).sum();
+        let mut at = self.rng.random_range(0..total);
+        for (step, weight) in STEPS_BY_WEIGHT {
+            if at < weight {
+                return step;
+            }
+            at -= weight;
+        }
+        Step::Wait
+    }
+
+    fn host(&mut self) -> String {
+        SIX[self.rng.random_range(0..SIX.len())].0.to_owned()
+    }
+
+    fn step(&mut self, step: Step) {
+        let host = self.host();
+        let request = self.next_request;
+        let faults = StoreFaults::default();
+        match step {
+            Step::Bill => {
+                self.next_request += 1;
+                self.world.bill(&host, request);
+            }
+            Step::Claim => {
+                self.next_request += 1;
+                self.world.claim(&host, &format!("k{request}"), request);
+            }
+            Step::RepeatClaim => {
+                let back = self.rng.random_range(0..request.min(30));
+                self.world.claim(&host, &format!("k{}", request - back), request - back);
+            }
+            Step::Wait => self.wait(Duration::from_millis(500)),
+            Step::LongWait => self.wait(MINUTE * 2),
+            Step::StoreDown => self.world.faults = StoreFaults { down: true, ..faults },
+            Step::StoreSlow => {
+                self.world.faults = StoreFaults { call_time: Duration::from_secs(2), ..faults };
+            }
+            Step::StoreLosesAnswers => {
+                self.world.faults = StoreFaults { lost_answers: 0.3, ..faults };
+            }
+            Step::StoreLate => {
+                let late_by = Duration::from_secs(self.rng.random_range(4..200));
+                self.world.faults = StoreFaults { late_effects: 0.3, late_by, ..faults };
+            }
+            Step::StoreStale => self.world.faults = StoreFaults { stale_reads: 0.5, ..faults },
+            Step::StoreWhole => self.world.faults = faults,
+            Step::Kill => self.kill_one(&host),
+            Step::Replace => self.replace(&host),
+            Step::ReplaceAll => self.replace_all(),
+            Step::Stop => self.world.event(&host, Event::Stop),
+            Step::Pause => self.world.pause(&host),
+            Step::Resume => self.resume_all(),
+            Step::SplitViews => self.split_views(),
+            Step::WholeView => self.world.announce(),
+            Step::CutLink => {
+                let other = self.host();
+                self.world.network.insert((host, other));
+            }
+            Step::MendLinks => self.world.network.clear(),
+        }
+        self.answer_claims();
+    }
+
+    fn wait(&mut self, time: Duration) {
+        let mut left = time;
+        while left > Duration::ZERO {
+            let part = left.min(Duration::from_millis(100));
+            self.world.run(part);
+            self.answer_claims();
+            left -= part;
+        }
+    }
+
+    /// Ends the requests whose claims were granted since: most ran, some did not.
+    fn answer_claims(&mut self) {
+        let told: Vec<_> = self.world.claims[self.answered..].to_vec();
+        self.answered = self.world.claims.len();
+        for told in told.into_iter().filter(|told| told.what.1 == ClaimResult::Granted) {
+            let outcome = match self.rng.random_range(0..10) {
+                0..6 => ran(),
+                6..9 => ClaimOutcome::NotRun,
+                _ => continue,
+            };
+            let key = told.what.0.idempotency_key;
+            self.world.outcome(&told.host, &key, told.request, outcome);
+        }
+    }
+
+    /// Kills a host.
+    fn kill_one(&mut self, host: &str) {
+        self.let_hosts_copy();
+        if self.world.hosts().len() == SIX.len() {
+            self.world.kill(host);
+            self.world.announce();
+        }
+        self.wait(Duration::from_secs(2));
+    }
+
+    /// Gives the hosts time to copy what others lost: three hosts that fail at once may lose a parked bill.
+    fn let_hosts_copy(&mut self) {
+        self.resume_all();
+        self.world.network.clear();
+        self.world.announce();
+        self.wait(Duration::from_secs(2));
+    }
+
+    fn replace(&mut self, host: &str) {
+        self.let_hosts_copy();
+        let missing = SIX.into_iter().find(|(host, _)| !self.world.is_alive(host));
+        let data_centre = SIX.into_iter().find(|(other, _)| *other == host).map(|(_, at)| at);
+        match missing {
+            Some((host, data_centre)) => self.world.start_host(host, data_centre),
+            None => self.world.start_host(host, data_centre.expect("one of the six")),
+        }
+        self.world.announce();
+        self.wait(Duration::from_secs(2));
+    }
+
+    /// Replaces all hosts once nothing is held any more, as an operator's graceful stop does.
+    fn replace_all(&mut self) {
+        self.recover();
+        for (host, data_centre) in SIX {
+            self.world.start_host(host, data_centre);
+        }
+        self.world.announce();
+    }
+
+    fn resume_all(&mut self) {
+        for (host, _) in SIX {
+            self.world.resume(host);
+        }
+    }
+
+    fn split_views(&mut self) {
+        let hosts = self.world.hosts();
+        let (left, right) = hosts.split_at(hosts.len() / 2);
+        for part in [left, right] {
+            let alive: Vec<&str> = part.iter().map(String::as_str).collect();
+            for host in &alive {
+                self.world.announce_to(host, &alive);
+            }
+        }
+    }
+
+    /// Ends all faults and waits until every entry is committed.
+    fn recover(&mut self) {
+        self.world.faults = StoreFaults::default();
+        self.world.network.clear();
+        self.resume_all();
+        self.world.announce();
+        self.wait(MINUTE);
+        for (host, data_centre) in SIX {
+            if !self.world.is_alive(host) {
+                self.world.start_host(host, data_centre);
+            }
+        }
+        self.world.announce();
+        self.wait(MINUTE);
+        self.world.settle(MINUTE * 10);
+    }
+}
+
+fn run(seed: u64, steps: u32) -> World {
+    let mut run = Run::new(seed);
+    for _ in 0..steps {
+        let step = run.choose();
+        run.step(step);
+    }
+    run.recover();
+    run.world.check();
+    run.world
+}
+
+#[test]
+fn random_faults_grant_no_key_twice_and_bill_each_answer_once() {
+    let config = ProptestConfig {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        ..ProptestConfig::default()
+    };
+    let mut runner = TestRunner::new(config);
+    runner
+        .run(&proptest::num::u64::ANY, |seed| {
+            run(seed, STEPS);
+            Ok(())
+        })
+        .expect("no run breaks a rule");
+}
