Plan a session's first request for all its turns

A session keeps the version that answered first, so a cascade whose cheap answer is accepted binds every later turn to the cheap model, unseen. Plans now value a first request with the turns that follow it, whose mean number is learned for each class, and exploration pays for them too.

--- a/crates/route/src/quality/explore.rs
+++ b/crates/route/src/quality/explore.rs
@@ -7,7 +7,6 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use super::Asked;
 use super::plan::Candidate;
 use super::plan::Plan;
 use super::plan::Stage;
@@ -25,8 +24,6 @@
 const REFERENCE_SHARE: f64 = 0.01;
 /// Answers of the best model, whose truth is known, before anything else is tried.
 const MIN_REFERENCE: f64 = 20.0;
-/// Requests that follow the first of a session, and keep its version.
-const SESSION_TURNS: f64 = 4.0;
 /// Least that an exploration is taken to cost.
 const MIN_PRICE: f64 = 0.005;
 
@@ -57,7 +54,7 @@
         &mut self,
         planned: &Plan,
         candidates: &[Candidate],
-        asked: Asked<'_>,
+        followers: f64,
         may_withhold: bool,
     ) -> Option<Plan> {
         let (best, cheaper) = candidates.split_last()?;
@@ -79,8 +76,7 @@
             return Some(Plan { stages: vec![first, last] });
         }
         let loss = best.estimate.share - explored.estimate.share + explored.estimate.standard_error;
-        let turns = if asked.starts_session { SESSION_TURNS } else { 1.0 };
-        let price = turns * loss.max(MIN_PRICE);
+        let price = (1.0 + followers) * loss.max(MIN_PRICE);
         if price > self.balance {
             return None;
         }
--- a/crates/route/src/quality/mod.rs
+++ b/crates/route/src/quality/mod.rs
@@ -41,6 +41,7 @@
 use plan::ClassInput;
 pub(crate) use plan::Plan;
 pub(crate) use plan::Stage;
+pub(crate) use tokens::Kind;
 use tokens::Tokens;
 use window::Answer;
 use window::Window;
@@ -115,11 +116,9 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Asked<'a> {
     pub(crate) workspace: &'a WorkspaceId,
-    pub(crate) class: &'a TaskClass,
-    /// Its answer cannot be withheld and replaced.
-    pub(crate) streamed: bool,
-    /// Later requests of a session will keep the version chosen.
-    pub(crate) starts_session: bool,
+    pub(crate) kind: &'a Kind,
+    /// The request keeps its session's version.
+    pub(crate) follows: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -128,8 +127,7 @@
     workspace: Option<u32>,
     /// Hash of the versions allowed and of the preset's rules.
     rules: u64,
-    class: TaskClass,
-    streamed: bool,
+    kind: Kind,
 }
 
 /// A plan and whether it explores.
@@ -215,17 +213,24 @@
             return Planned { plan: Plan { stages: Vec::new() }, explores: false };
         };
         let direct = Plan::direct(ModelVersion::clone(&best.model_version));
-        let cheaper = self.mechanisms.cheaper_models && preset.cheaper_for.contains(asked.class);
+        let cheaper =
+            self.mechanisms.cheaper_models && preset.cheaper_for.contains(&asked.kind.class);
+        if cheaper && asked.follows {
+            self.tokens.observe_follower(asked.workspace, &asked.kind.class);
+        }
         if !cheaper || models.len() < 2 {
             return Planned { plan: direct, explores: false };
         }
-        self.tokens.observe_request(asked.workspace, asked.class, asked.streamed);
+        self.tokens.observe_request(asked.workspace, asked.kind);
         let slack = self.slack(preset, &models, asked);
         let planned = self.cached_plan(asked, &models, preset, slack);
         if self.mechanisms.exploration && self.explorer.due(slack, rng) {
-            let candidates = self.candidates(asked.class, None, &models);
-            let may_withhold = !asked.streamed && self.mechanisms.cascade && self.mixture.is_some();
-            let explored = self.explorer.choose(&planned, &candidates, asked, may_withhold);
+            let candidates = self.candidates(&asked.kind.class, None, &models);
+            let starts = asked.kind.starts_session;
+            let followers = if starts { self.tokens.followers(&asked.kind.class) } else { 0.0 };
+            let may_withhold =
+                !asked.kind.streamed && self.mechanisms.cascade && self.mixture.is_some();
+            let explored = self.explorer.choose(&planned, &candidates, followers, may_withhold);
             if let Some(plan) = explored {
                 return Planned { plan, explores: true };
             }
@@ -267,11 +272,10 @@
         slack: f64,
     ) -> Plan {
         let number = self.workspace(asked.workspace);
-        let own = self.own_worth.get(asked.class).and_then(|own| own.get(&number)).copied();
+        let own = self.own_worth.get(&asked.kind.class).and_then(|own| own.get(&number)).copied();
         let workspace = Some(number).filter(|_| own.unwrap_or(0.0) >= MIN_OWN_WORTH);
         let rules = rules(models, preset);
-        let key =
-            PlanKey { workspace, rules, class: asked.class.clone(), streamed: asked.streamed };
+        let key = PlanKey { workspace, rules, kind: asked.kind.clone() };
         if let Some(plan) = self.plans.get(&key) {
             return plan.clone();
         }
@@ -283,8 +287,9 @@
             .iter()
             .map(|part| ClassInput {
                 weight: part.weight,
-                candidates: self.candidates(&part.class, workspace, models),
-                cascade: !part.streamed && self.mechanisms.cascade,
+                candidates: self.candidates(&part.kind.class, workspace, models),
+                cascade: !part.kind.streamed && self.mechanisms.cascade,
+                followers: part.followers,
                 dependence: self.dependence,
             })
             .collect();
@@ -293,8 +298,7 @@
             if self.plans.len() >= MAX_PLANS {
                 self.plans.pop_first();
             }
-            let streamed = part.streamed;
-            let key = PlanKey { workspace, rules, class: part.class, streamed };
+            let key = PlanKey { workspace, rules, kind: part.kind };
             self.plans.insert(key, plan);
         }
         let direct = || Plan::direct(ModelVersion::clone(&models[models.len() - 1].model_version));
@@ -340,7 +344,7 @@
             QualityTarget::BelowBest(slack) => slack,
             QualityTarget::AtLeast(share) => {
                 let best = models.last().map(|best| &best.model_version);
-                let best = best.map(|best| self.estimate(asked.class, best, None).share);
+                let best = best.map(|best| self.estimate(&asked.kind.class, best, None).share);
                 (best.unwrap_or(share) - share).max(0.0)
             }
         }
--- a/crates/route/src/quality/plan.rs
+++ b/crates/route/src/quality/plan.rs
@@ -7,6 +7,7 @@
 
 use foxtailhoist_model::ModelVersion;
 
+use super::mixture::Accepted;
 use super::mixture::Mixture;
 use super::window::Estimate;
 
@@ -53,6 +54,8 @@
     pub(crate) candidates: Vec<Candidate>,
     /// Cheap answers may be withheld and replaced.
     pub(crate) cascade: bool,
+    /// Later requests of a session that keep the version which answers the first.
+    pub(crate) followers: f64,
     /// Fall of a model's share for each point of doubt in another's answer.
     pub(crate) dependence: f64,
 }
@@ -126,7 +129,7 @@
         (0..best).filter(|index| class.candidates[*index].estimate.worth >= MIN_WORTH).collect();
     let mut consider = |stages: &[(usize, Option<f64>)]| {
         let way = class.value(stages, mixture);
-        if way.loss <= max_loss && way.cost < ways[0].cost {
+        if way.loss <= max_loss * (1.0 + class.followers) && way.cost < ways[0].cost {
             ways.push(way);
         }
     };
@@ -160,26 +163,28 @@
         let reference = self.candidates[best].estimate.share;
         let mut reached = 1.0;
         let mut cost = 0.0;
-        let mut good = 0.0;
+        let mut loss = reference;
         let mut doubt = 0.0;
         for (index, threshold) in stages {
             let candidate = &self.candidates[*index];
             let caution = if *index == best { 0.0 } else { CAUTION };
-            let share = candidate.estimate.share - caution * candidate.estimate.standard_error;
-            let share = (share - self.dependence * doubt).clamp(0.01, 0.999);
-            cost += reached * candidate.cost;
-            let Some((threshold, mixture)) = threshold.zip(mixture) else {
-                good += reached * share;
-                break;
+            let usual = candidate.estimate.share - caution * candidate.estimate.standard_error;
+            let share = (usual - self.dependence * doubt).clamp(0.01, 0.999);
+            let accepted = match threshold.zip(mixture) {
+                Some((threshold, mixture)) => mixture.accepted(share, threshold),
+                None => Accepted { share: 1.0, good: share },
             };
-            let accepted = mixture.accepted(share, threshold);
-            good += reached * accepted.good;
+            // The rest of a session stays with the version whose answer was accepted, unseen.
+            let followers = reached * accepted.share * self.followers;
+            cost += reached * candidate.cost + followers * candidate.cost;
+            loss -= reached * accepted.good;
+            loss += followers * (reference - usual);
             let rejected = (1.0 - accepted.share).max(1e-6);
             let rejected_share = ((share - accepted.good) / rejected).clamp(0.0, 1.0);
             doubt += share - rejected_share;
             reached *= rejected;
         }
-        Way { stages: stages.to_vec(), cost, loss: reference - good }
+        Way { stages: stages.to_vec(), cost, loss }
     }
 }
 
--- a/crates/route/src/router/arrive.rs
+++ b/crates/route/src/router/arrive.rs
@@ -28,6 +28,7 @@
 use crate::life::Step;
 use crate::permit::Permit;
 use crate::quality::Asked;
+use crate::quality::Kind;
 use crate::queue::Pushed;
 use crate::servers::Chosen;
 use crate::servers::NoPlace;
@@ -241,12 +242,14 @@
         // What was planned earlier may be withdrawn by now.
         let current = entry.present_stage().is_some_and(|stage| is_allowed(&stage.model_version));
         if !current && let Some(preset) = self.permissions.preset() {
-            let asked = Asked {
-                workspace: &entry.request.workspace,
-                class,
+            let pin = session.as_ref().map(|session| &session.version);
+            let kind = Kind {
+                class: class.clone(),
                 streamed: streamed || entry.request.at_most_once(),
-                starts_session: session.as_ref().is_some_and(|pin| pin.version.is_none()),
+                starts_session: pin.is_some_and(Option::is_none),
             };
+            let follows = pin.is_some_and(Option::is_some);
+            let asked = Asked { workspace: &entry.request.workspace, kind: &kind, follows };
             let planned = self.quality.plan(asked, &allowed, preset, now, &mut self.rng);
             self.stats.explorations += u64::from(planned.explores);
             entry.plan = Some(planned.plan);
