Expect answers of their class's usual length

It now expects the class's mean, learns speeds without the crowding it expected, and gives what is not streamed time until it is whole. Exploration pays the expected loss, not an upper bound, and skips models without hope.

--- a/crates/route/src/entry.rs
+++ b/crates/route/src/entry.rs
@@ -129,8 +129,8 @@
         self.request.deadline.saturating_duration_since(now)
     }
 
-    /// Work of the next attempt.
-    pub(crate) fn work(&self) -> Work {
+    /// Work of the next attempt; `usual_output` is the mean of the class's answers in tokens.
+    pub(crate) fn work(&self, usual_output: Option<f64>) -> Work {
         match &self.request.target {
             Target::Chat {
                 prompt_tokens,
@@ -141,9 +141,11 @@
                 ..
             } => Work {
                 prompt_tokens: *prompt_tokens,
-                output_tokens: match *max_output_tokens {
-                    0 => DEFAULT_OUTPUT_TOKENS,
-                    bound => bound,
+                output_tokens: match (usual_output, *max_output_tokens) {
+                    (Some(usual), 0) => usual as u32,
+                    (Some(usual), bound) => bound.min(usual as u32),
+                    (None, 0) => DEFAULT_OUTPUT_TOKENS,
+                    (None, bound) => bound,
                 },
                 prefix: Some(*prefix).filter(|_| *prefix_tokens > 0),
                 prefix_tokens: *prefix_tokens,
--- a/crates/route/src/quality/explore.rs
+++ b/crates/route/src/quality/explore.rs
@@ -24,6 +24,10 @@
 const REFERENCE_SHARE: f64 = 0.01;
 /// Answers of the best model, whose truth is known, before anything else is tried.
 const MIN_REFERENCE: f64 = 20.0;
+/// Standard errors above its estimate at which a model must still be useful to be explored further.
+const HOPE: f64 = 1.5;
+/// Loss against the best model up to which a model that answers alone can be useful.
+const MAX_USEFUL_LOSS: f64 = 0.03;
 /// Least that an exploration is taken to cost.
 const MIN_PRICE: f64 = 0.005;
 
@@ -65,7 +69,12 @@
         if best.estimate.worth < MIN_REFERENCE {
             return None;
         }
-        let unknown = cheaper.iter().filter(|candidate| candidate.estimate.worth < WELL_KNOWN);
+        let unknown = cheaper.iter().filter(|candidate| {
+            let estimate = candidate.estimate;
+            let hope = estimate.share + HOPE * estimate.standard_error;
+            let hopeful = may_withhold || hope >= best.estimate.share - MAX_USEFUL_LOSS;
+            estimate.worth < WELL_KNOWN && hopeful
+        });
         let explored = unknown.min_by(|a, b| a.estimate.worth.total_cmp(&b.estimate.worth))?;
         if may_withhold {
             let first = Stage {
@@ -75,7 +84,7 @@
             let last = Stage { model_version: best.model_version.clone(), accept_from: None };
             return Some(Plan { stages: vec![first, last] });
         }
-        let loss = best.estimate.share - explored.estimate.share + explored.estimate.standard_error;
+        let loss = best.estimate.share - explored.estimate.share;
         let price = (1.0 + followers) * loss.max(MIN_PRICE);
         if price > self.balance {
             return None;
--- a/crates/route/src/quality/mod.rs
+++ b/crates/route/src/quality/mod.rs
@@ -238,6 +238,11 @@
         Planned { plan: planned, explores: false }
     }
 
+    /// Mean tokens of a class's answers, once there were any.
+    pub(crate) fn usual_output(&self, class: Option<&TaskClass>) -> Option<f64> {
+        self.tokens.usual_output(class?)
+    }
+
     /// Takes in what a peer learned.
     pub(crate) fn learn(&mut self, from: EntryHostId, shared: Arc<SharedQuality>, now: Instant) {
         self.peers.learn(from, shared, now);
--- a/crates/route/src/quality/tokens.rs
+++ b/crates/route/src/quality/tokens.rs
@@ -124,6 +124,11 @@
         self.classes.get(class).map_or((1000.0, 200.0), |means| (means.prompt, means.output))
     }
 
+    /// Mean tokens of a class's answers, once there were any.
+    pub(crate) fn usual_output(&self, class: &TaskClass) -> Option<f64> {
+        self.classes.get(class).map(|means| means.output)
+    }
+
     /// Mix of the given classes, of one workspace or of all.
     pub(crate) fn mix(
         &self,
--- a/crates/route/src/router/arrive.rs
+++ b/crates/route/src/router/arrive.rs
@@ -36,6 +36,8 @@
 /// Shortest and longest wait for a first byte before an attempt counts as timed out.
 const MIN_FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(2);
 const MAX_FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Shortest wait for an answer that is not streamed.
+const MIN_WHOLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Expected first byte, or whole answer where nothing is streamed, that a time-out allows for.
 const TIMEOUT_FACTOR: u32 = 5;
 /// Waiting requests that are passed over for ones whose servers have room.
@@ -195,7 +197,7 @@
             return Err(Unplaced::Full);
         };
         entry.alone = self.poison.is_suspect(entry.request.fingerprint, now);
-        let work = entry.work();
+        let work = entry.work(self.quality.usual_output(entry.class()));
         let mut full = false;
         for destination in destinations {
             let chosen =
@@ -303,7 +305,7 @@
         let Some(entry) = self.requests.get_mut(&id) else {
             return;
         };
-        let work = entry.work();
+        let work = entry.work(self.quality.usual_output(entry.class()));
         let Some(server) = self.servers.server(chosen.slot) else {
             return;
         };
@@ -333,10 +335,14 @@
         self.attempts.insert(attempt, id);
         self.stats.dispatched += 1;
         self.stats.prefix_hits += u64::from(chosen.prefix_held);
-        let expected = if work.streamed { chosen.first_byte } else { chosen.total };
-        let first_byte_timeout = (expected * TIMEOUT_FACTOR)
-            .clamp(MIN_FIRST_BYTE_TIMEOUT, MAX_FIRST_BYTE_TIMEOUT)
-            .min(entry.remaining(now));
+        // What is not streamed shows nothing before it is whole.
+        let first_byte_timeout = if work.streamed {
+            (chosen.first_byte * TIMEOUT_FACTOR)
+                .clamp(MIN_FIRST_BYTE_TIMEOUT, MAX_FIRST_BYTE_TIMEOUT)
+        } else {
+            (chosen.total * TIMEOUT_FACTOR).max(MIN_WHOLE_TIMEOUT)
+        };
+        let first_byte_timeout = first_byte_timeout.min(entry.remaining(now));
         let dispatch = Dispatch {
             request: id,
             attempt,
--- a/crates/route/src/router/hedge.rs
+++ b/crates/route/src/router/hedge.rs
@@ -49,7 +49,7 @@
         }
         let destination = slow.destination.clone();
         let avoided: Vec<usize> = entry.avoided.iter().copied().chain([slow.chosen.slot]).collect();
-        let work = entry.work();
+        let work = entry.work(self.quality.usual_output(entry.class()));
         let chosen = self.servers.choose_other(&destination, &work, &avoided, now, &mut self.rng);
         let Ok(chosen) = chosen else {
             return;
--- a/crates/route/src/servers/mod.rs
+++ b/crates/route/src/servers/mod.rs
@@ -100,6 +100,8 @@
     pub(crate) first_byte: Duration,
     pub(crate) total: Duration,
     pub(crate) prefix_held: bool,
+    /// Slow-down of the decoding by other requests that was expected.
+    pub(crate) crowding: f64,
 }
 
 /// Why no server was chosen.
@@ -332,10 +334,12 @@
         if let Some(server) = self.server_mut(chosen.slot) {
             server.succeed();
             server.reserved = false;
-            server.lane(destination, adaptive).speed.observe_decode(seconds, tokens);
+            let lane = server.lane(destination, adaptive);
+            lane.speed.observe_decode(seconds / chosen.crowding, tokens);
+            lane.limiter.observe(seconds / expected.max(0.001));
         }
         if let Some(group) = self.groups.get_mut(destination) {
-            group.speed.observe_decode(seconds, tokens);
+            group.speed.observe_decode(seconds / chosen.crowding, tokens);
             group.total_tail.observe(seconds / expected.max(0.001));
         }
     }
@@ -433,6 +437,7 @@
             first_byte: Duration::from_secs_f64(first_byte),
             total: Duration::from_secs_f64(first_byte + decode),
             prefix_held: held > 0,
+            crowding,
         };
         Some((cost, chosen))
     }
