Take prefill off the books of answers that are not streamed

Cause: the first byte of an answer that is not streamed arrives with its last, so the router took its prefill for ended and never subtracted it; expected times at each server grew without bound. Change: only a streamed first byte ends the prefill.

--- a/crates/route/src/router/attempts.rs
+++ b/crates/route/src/router/attempts.rs
@@ -118,9 +118,11 @@
         now: Instant,
     ) -> Option<(RequestId, Attempt)> {
         let id = self.attempts.remove(&attempt)?;
-        let ended = self.requests.get_mut(&id)?.take_attempt(attempt)?;
-        let had_first_byte = ended.first_byte.is_some();
-        self.servers.end(&ended.chosen, &ended.destination, had_first_byte);
+        let entry = self.requests.get_mut(&id)?;
+        let ended = entry.take_attempt(attempt)?;
+        // The first byte of an answer that is not streamed comes with the last: its prefill is still on the books.
+        let prefill_ended = ended.first_byte.is_some() && entry.request.streamed();
+        self.servers.end(&ended.chosen, &ended.destination, prefill_ended);
         self.pace.freed(now);
         self.pump_due = true;
         Some((id, ended))
