Pass quality estimates between the simulated hosts

Cause: the router now shares what it learned of answers' quality with its peers. Change: the simulator delivers it with the delay of other gossip.

--- a/crates/measure/src/policy/brain.rs
+++ b/crates/measure/src/policy/brain.rs
@@ -17,6 +17,7 @@
 use foxtailhoist_route::event::Effect;
 use foxtailhoist_route::event::Event;
 use foxtailhoist_route::event::Evidence;
+use foxtailhoist_route::shared::SharedQuality;
 
 use crate::policy::baseline::Baseline;
 use crate::policy::kind::Policy;
@@ -45,6 +46,7 @@
     Suspect(Fingerprint),
     Quarantine(Fingerprint),
     Leaving(BackendServerId),
+    ShareQuality(Arc<SharedQuality>),
 }
 
 /// An attempt to be started.
@@ -136,6 +138,7 @@
         Effect::Suspect(fingerprint) => Command::Suspect(fingerprint),
         Effect::Quarantine(fingerprint) => Command::Quarantine(fingerprint),
         Effect::Leaving(server) => Command::Leaving(server),
+        Effect::ShareQuality(shared) => Command::ShareQuality(shared),
         Effect::RetireConnections(_) | Effect::Order(_) => return None,
     };
     Some(command)
--- a/crates/measure/src/policy/world/mod.rs
+++ b/crates/measure/src/policy/world/mod.rs
@@ -387,6 +387,10 @@
             Command::Suspect(content) => self.gossip(host, &Event::Suspected(content)),
             Command::Quarantine(content) => self.gossip(host, &Event::Quarantined(content)),
             Command::Leaving(server) => self.gossip(host, &Event::Leaving(server)),
+            Command::ShareQuality(shared) => {
+                let from = self.spec.site.hosts[host].id.clone();
+                self.gossip(host, &Event::PeerQuality { from, shared });
+            }
         }
         None
     }
