--- /dev/null
+++ b/crates/scenario/src/spec.rs
@@ -0,0 +1,196 @@
+//! The scenario language: one YAML file.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use foxtailhoist_model::Configuration;
+use foxtailhoist_model::DataCentreId;
+use foxtailhoist_model::EntryHostId;
+use foxtailhoist_model::ErrorKind;
+use foxtailhoist_model::ModelVersion;
+use foxtailhoist_model::Revision;
+use foxtailhoist_model::WorkspaceId;
+use serde::Deserialize;
+use thiserror::Error;
+
+use crate::Act;
+use crate::Span;
+use crate::Traffic;
+use crate::WorldConfig;
+use crate::default;
+
+/// A scenario as it stands in its file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// What the scenario shows.
+    pub name: String,
+    #[serde(default = "one")]
+    pub seed: u64,
+    /// Entry hosts by data centre; six over three data centres when absent.
+    #[serde(default)]
+    pub hosts: Option<BTreeMap<EntryHostId, DataCentreId>>,
+    #[serde(default)]
+    pub configuration: Option<Configuration>,
+    #[serde(default)]
+    pub traffic: Vec<Traffic>,
+    #[serde(default)]
+    pub acts: Vec<TimedAct>,
+    /// When the run ends.
+    pub until: Span,
+    #[serde(default)]
+    pub expect: Vec<Expectation>,
+}
+
+/// An act and its time.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TimedAct {
+    pub at: Span,
+    pub act: Act,
+}
+
+/// What the end of the run must show.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Expectation {
+    /// Endings of a traffic's requests.
+    Answers(AnswersExpected),
+    /// Versions that got work, and no others.
+    VersionsUsed(BTreeSet<ModelVersion>),
+    /// The version got no work after the time.
+    NoWorkAfter { version: ModelVersion, after: Span },
+    /// The version got work.
+    WorkAfter { version: ModelVersion, after: Span },
+    /// Most distinct callers that met the version.
+    ExposedAtMost { version: ModelVersion, callers: usize },
+    /// Revision in force on every running host.
+    Revision(Revision),
+    /// Preset in force on every running host.
+    Preset(String),
+    /// Bills of a workspace.
+    Bills { workspace: WorkspaceId, count: u64 },
+    /// Times that the plain service ran each renewal.
+    RunsEachAtMost(u32),
+    /// Times that the plain service ran renewals in all.
+    Runs(u32),
+    /// Operators' commands that were carried out, and those that were refused.
+    Commands { done: usize, refused: usize },
+    /// Versions that every running host holds vetoed.
+    Vetoed(BTreeSet<ModelVersion>),
+    /// Hosts that run.
+    HostsRunning(usize),
+    /// Members that every running host sees.
+    MembersSeen(usize),
+}
+
+/// Endings of one traffic's requests; a count that is absent is not checked.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AnswersExpected {
+    pub traffic: String,
+    #[serde(default)]
+    pub whole: Option<usize>,
+    #[serde(default)]
+    pub whole_at_least: Option<usize>,
+    #[serde(default)]
+    pub replayed: Option<usize>,
+    #[serde(default)]
+    pub replayed_at_least: Option<usize>,
+    #[serde(default)]
+    pub lost_at_most: Option<usize>,
+    /// Refusals by kind; other kinds must not occur.
+    #[serde(default)]
+    pub refused: Option<BTreeMap<ErrorKind, usize>>,
+    /// Kinds of refusal that may occur, any number of times.
+    #[serde(default)]
+    pub refused_only: Option<BTreeSet<ErrorKind>>,
+    /// No ending was `unknown`.
+    #[serde(default)]
+    pub none_unknown: bool,
+}
+
+/// A scenario that cannot be run.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum SpecError {
+    #[error("{file}: {fault}")]
+    Syntax { file: String, fault: String },
+    #[error("{file}:{line}: '{word}': {expected}")]
+    Unknown { file: String, line: usize, word: String, expected: String },
+}
+
+impl Scenario {
+    /// Reads and checks a scenario; `file` names it in errors.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault, with its line and word.
+    pub fn parse(file: &str, text: &str) -> Result<Scenario, SpecError> {
+        let scenario: Scenario = serde_saphyr::from_str(text)
+            .map_err(|e| SpecError::Syntax { file: file.to_owned(), fault: e.to_string() })?;
+        scenario.check_names(file, text)?;
+        Ok(scenario)
+    }
+
+    /// The world in which the scenario takes place.
+    #[must_use]
+    pub fn world(&self) -> WorldConfig {
+        WorldConfig {
+            seed: self.seed,
+            hosts: self.hosts.clone().unwrap_or_else(default::hosts),
+            configuration: self.configuration.clone().unwrap_or_else(default::configuration),
+            traffic: self.traffic.clone(),
+        }
+    }
+
+    fn check_names(&self, file: &str, text: &str) -> Result<(), SpecError> {
+        let hosts = self.hosts.clone().unwrap_or_else(default::hosts);
+        let unknown = |word: &str, expected: &str| SpecError::Unknown {
+            file: file.to_owned(),
+            line: line_of(text, word),
+            word: word.to_owned(),
+            expected: expected.to_owned(),
+        };
+        for host in self.acts.iter().filter_map(|timed| timed.act.host()) {
+            if !hosts.contains_key(host) {
+                return Err(unknown(host, "is not one of the entry hosts"));
+            }
+        }
+        for host in self.traffic.iter().filter_map(|traffic| traffic.to.as_ref()) {
+            if !hosts.contains_key(host) {
+                return Err(unknown(host, "is not one of the entry hosts"));
+            }
+        }
+        for expectation in &self.expect {
+            if let Expectation::Answers(expected) = expectation
+                && !self.traffic.iter().any(|traffic| traffic.name == expected.traffic)
+            {
+                return Err(unknown(&expected.traffic, "is not the name of a traffic"));
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Act {
+    /// Entry host that the act is about.
+    fn host(&self) -> Option<&EntryHostId> {
+        match self {
+            Act::Kill(host) | Act::Restart(host) | Act::Stop(host) | Act::Pause { host, .. } => {
+                Some(host)
+            }
+            Act::Operator { on, .. } => Some(on),
+            _ => None,
+        }
+    }
+}
+
+/// Line of a word, counted from 1; its last place, since names are defined before they are used.
+fn line_of(text: &str, word: &str) -> usize {
+    let lines = text.lines().enumerate();
+    lines.filter(|(_, line)| line.contains(word)).last().map_or(0, |(index, _)| index + 1)
+}
+
+fn one() -> u64 {
+    1
+}
