Test that each stand-in's faults are switched over HTTP

Cause: tests set faults in the process only, while operators and the printed lines of dev use POST /faults. Change: one test for each stand-in posts every field, an unknown field and an empty object.

--- a/crates/standin/tests/platform_services.rs
+++ b/crates/standin/tests/platform_services.rs
@@ -24,6 +24,7 @@
 use foxtailhoist_standin::RatingFaults;
 use foxtailhoist_standin::RatingServer;
 use foxtailhoist_standin::RatingSpec;
+use foxtailhoist_standin::ServiceSpec;
 use foxtailhoist_standin::UNACCEPTABLE_MARK;
 use foxtailhoist_standin::WeightStoreSpec;
 use rstest::rstest;
@@ -70,6 +71,59 @@
     deployment.close().await;
 }
 
+#[rstest]
+#[case::object_api(
+    "object_api",
+    r#"{"down": true, "slow_ms": 5, "lose_answers": true, "stale_reads": true}"#
+)]
+#[case::host_list("host_list", r#"{"lag_ms": 2000}"#)]
+#[case::rating("rating", r#"{"delay_ms": 30, "down": true}"#)]
+#[case::engine(
+    "engine",
+    r#"{"slow_factor": 3.0, "crash_on": "poison", "silent": true, "answer_late_ms": 5, "crossed": true,
+        "bad": [{"version": "levain-small@v2", "unacceptable_share": 0.5, "error_share": 0.1}],
+        "leaving": true, "error_share": 0.2, "break_after": 3}"#
+)]
+#[case::service(
+    "service",
+    r#"{"slow_ms": 5, "crash_on": "poison", "lose_answers": true, "leaving": true}"#
+)]
+#[tokio::test]
+async fn faults_are_switched_over_http(#[case] name: &str, #[case] faults: &str) {
+    let spec = DeploymentSpec::default().engine(common::quick_engine()).service(ServiceSpec {
+        id: "crock-app-nashua".to_owned(),
+        data_centre: "nashua".to_owned(),
+        service: "crock-app".to_owned(),
+    });
+    let deployment = Deployment::start(spec).await.unwrap();
+    let addresses = deployment.addresses();
+    let address = match name {
+        "object_api" => addresses.object_api,
+        "host_list" => addresses.host_list,
+        "rating" => addresses.rating,
+        "engine" => deployment.engines[0].address(),
+        _ => deployment.services[0].address(),
+    };
+    let post = async |body: String| {
+        let client = reqwest::Client::builder().no_proxy().build().unwrap();
+        let request = client.post(format!("http://{address}/faults")).body(body);
+        let answer = request.send().await.unwrap();
+        (answer.status().as_u16(), answer.text().await.unwrap())
+    };
+    let (status, answer) = post(faults.to_owned()).await;
+    assert_eq!(status, 200, "{answer}");
+    let asked: serde_json::Value = serde_json::from_str(faults).unwrap();
+    let taken: serde_json::Value = serde_json::from_str(&answer).unwrap();
+    for (field, value) in asked.as_object().unwrap() {
+        assert_eq!(&taken[field], value, "{field}");
+    }
+    let (status, answer) = post("{\"slow\": 1}".to_owned()).await;
+    assert_eq!(status, 400);
+    assert!(answer.contains("unknown field `slow`"), "{answer}");
+    assert_eq!(post("{}".to_owned()).await.0, 200);
+    deployment.close().await;
+}
+
 #[tokio::test]
 async fn the_rating_service_judges_by_the_mark_and_is_wrong_at_its_share() {
     let spec = RatingSpec { per_second: 10_000.0, delay_ms: 0, wrong_share: 0.25, seed: 3 };
