Keep the plots' labels apart

Cause: four legend entries in one row were wider than their columns, and long names ran out of the bars' margin. Change: the legend takes two columns, and a bar's name is cut at 48 characters; the tables hold it whole.

--- a/crates/report/src/svg.rs
+++ b/crates/report/src/svg.rs
@@ -8,10 +8,17 @@
 use crate::format::escaped;
 
 const WIDTH: f64 = 720.0;
-const LINE_HEIGHT: f64 = 240.0;
+const LINE_HEIGHT: f64 = 260.0;
 const LEFT: f64 = 60.0;
 const RIGHT: f64 = 16.0;
-const TOP: f64 = 30.0;
+/// Room for the legend above the lines.
+const TOP: f64 = 50.0;
+const LEGEND_ROW_HEIGHT: f64 = 18.0;
+const LEGEND_COLUMNS: usize = 2;
+/// Room above the bars.
+const BAR_TOP: f64 = 6.0;
+/// Longest name beside a bar, in characters.
+const BAR_NAME_LIMIT: usize = 48;
 const BOTTOM: f64 = 30.0;
 const BAR_HEIGHT: f64 = 22.0;
 const BAR_LEFT: f64 = 300.0;
@@ -66,14 +73,14 @@
     let highest = bars.iter().map(|bar| bar.value).fold(0.0, f64::max);
     let span = if highest > lowest { highest - lowest } else { 1.0 };
     let x = |value: f64| BAR_LEFT + (value - lowest) / span * (WIDTH - BAR_LEFT - BAR_RIGHT);
-    let height = TOP + bars.len() as f64 * BAR_HEIGHT;
+    let height = BAR_TOP + bars.len() as f64 * BAR_HEIGHT;
     let mut svg = opening(title, height);
     for (index, bar) in bars.iter().enumerate() {
-        let top = TOP + index as f64 * BAR_HEIGHT;
+        let top = BAR_TOP + index as f64 * BAR_HEIGHT;
         let (from, to) = (x(0.0).min(x(bar.value)), x(0.0).max(x(bar.value)));
         let fill = if bar.is_bad { "#b3470f" } else { "#1b4f8a" };
         let width = (to - from).max(1.0);
-        let name = escaped(&bar.name);
+        let name = escaped(&shortened(&bar.name));
         let label = escaped(&bar.label);
         let text_y = top + BAR_HEIGHT * 0.65;
         let _ = writeln!(
@@ -89,7 +96,7 @@
     }
     let _ = writeln!(
         svg,
-        "<line x1=\"{0:.1}\" x2=\"{0:.1}\" y1=\"{TOP}\" y2=\"{height:.1}\" stroke=\"#333\"/>",
+        "<line x1=\"{0:.1}\" x2=\"{0:.1}\" y1=\"{BAR_TOP}\" y2=\"{height:.1}\" stroke=\"#333\"/>",
         x(0.0)
     );
     svg.push_str("</svg>\n");
@@ -153,21 +160,33 @@
             .map(|(time, value)| format!("{:.1},{:.1}", self.x(*time), self.y(*value)))
             .collect();
         let points = points.join(" ");
-        let legend_x = LEFT + index as f64 * (WIDTH - LEFT - RIGHT) / COLOURS.len() as f64;
+        let column_width = (WIDTH - LEFT - RIGHT) / LEGEND_COLUMNS as f64;
+        let legend_x = LEFT + (index % LEGEND_COLUMNS) as f64 * column_width;
+        let legend_y = 12.0 + (index / LEGEND_COLUMNS) as f64 * LEGEND_ROW_HEIGHT;
         let _ = writeln!(
             svg,
             "<polyline points=\"{points}\" fill=\"none\" stroke=\"{colour}\" stroke-width=\"2\" \
              stroke-dasharray=\"{dashes}\"/>\
-             <line x1=\"{legend_x:.1}\" x2=\"{:.1}\" y1=\"12\" y2=\"12\" stroke=\"{colour}\" stroke-width=\"2\" \
-             stroke-dasharray=\"{dashes}\"/>\
-             <text x=\"{:.1}\" y=\"16\">{}</text>",
+             <line x1=\"{legend_x:.1}\" x2=\"{:.1}\" y1=\"{legend_y:.1}\" y2=\"{legend_y:.1}\" \
+             stroke=\"{colour}\" stroke-width=\"2\" stroke-dasharray=\"{dashes}\"/>\
+             <text x=\"{:.1}\" y=\"{:.1}\">{}</text>",
             legend_x + 24.0,
-            legend_x + 28.0,
+            legend_x + 30.0,
+            legend_y + 4.0,
             escaped(&line.name),
         );
     }
 }
 
+/// A name that fits beside a bar.
+fn shortened(name: &str) -> String {
+    if name.chars().count() <= BAR_NAME_LIMIT {
+        return name.to_owned();
+    }
+    let kept: String = name.chars().take(BAR_NAME_LIMIT - 1).collect();
+    format!("{kept}\u{2026}")
+}
+
 fn opening(title: &str, height: f64) -> String {
     let title = escaped(title);
     format!(
