Say in the cost plot that its first and last hour are not whole

Cause: the window rarely begins or ends on a full hour, and the plot showed the shorter hours as dips in cost. Change: the caption says so.

--- a/crates/report/src/html.rs
+++ b/crates/report/src/html.rs
@@ -45,7 +45,11 @@
         push_figure(&mut html, "Error budget left, least first", &self.budget_plot());
         push_figure(&mut html, "Share of events that burnt a budget, by hour", &self.bad_plot());
         push_figure(&mut html, "What burnt the budgets", &self.contributor_plot());
-        push_figure(&mut html, "Cost by hour, and with the best model alone", &self.cost_plot());
+        push_figure(
+            &mut html,
+            "Cost by hour, and with the best model alone (the first and last hour are not whole)",
+            &self.cost_plot(),
+        );
         for table in [
             objectives_table(self),
             latency_table(self),
