--- a/crates/core/commands/mod.rs
+++ b/crates/core/commands/mod.rs
@@ -6,6 +6,7 @@
 mod measure_path;
 mod operate;
 mod print;
+mod scenario;
 mod serve;
 mod signal;
 
@@ -48,7 +49,7 @@
         Command::ReportBurn(flags, format) => {
             return not_built(&format!("report burn from {} as {format:?}", flags.address));
         }
-        Command::Scenario { file } => return not_built(&format!("scenario {}", file.display())),
+        Command::Scenario { file } => scenario::scenario(&file)?,
     }
     Ok(())
 }
