Add tests for guards that no test held

With a guard taken out, these had no failing test: the own-nonce check, keeping the same sequence number till a lost create is resolved, the floor that a usage object says it covers, the look-up of an old bill, and the announcement of a start. Each gets a scenario of its own.

--- a/crates/journal/src/config.rs
+++ b/crates/journal/src/config.rs
@@ -21,6 +21,8 @@
 pub const BILLS_PER_SHARD: usize = 1_048_576;
 /// Most entries of this host that wait for their commit before new claims are refused.
 pub const OWN_ENTRIES: usize = 131_072;
+/// Most granted claims of this host without an outcome before new claims are refused.
+pub const RUNNING_CLAIMS: usize = 16_384;
 /// Most entries kept for other hosts.
 pub const PARKED_ENTRIES: usize = 131_072;
 /// Most entries that a shard's writer holds.
@@ -31,6 +33,8 @@
 pub const SEGMENT_BYTES: usize = 500_000;
 /// Most entries or ids of one message to a peer.
 pub const BATCH_ENTRIES: usize = 256;
+/// Largest sum of entries of one message to a peer, in bytes.
+pub const BATCH_BYTES: usize = 65_536;
 /// Longest head of an answer that an outcome keeps, in bytes.
 pub const OUTCOME_BODY_BYTES: usize = 2_048;
 /// Shortest time between two writes of a shard.
--- a/crates/journal/src/delivery.rs
+++ b/crates/journal/src/delivery.rs
@@ -18,6 +18,7 @@
 use crate::event::Effect;
 use crate::journal::Journal;
 use crate::journal::KnownHead;
+use crate::journal::RunningClaim;
 use crate::message::JournalMessage;
 use crate::message::Verdict;
 use crate::own::Origin;
@@ -65,8 +66,11 @@
             Origin::Claim { request, key } => {
                 let result = claim_result(&verdict);
                 if let (ClaimResult::Granted, Entry::Claim { tag, .. }) = (&result, &own.entry) {
-                    let earlier = self.running.insert(key.clone(), *tag);
-                    self.invariants.check(Invariant::AtMostOneRunPerKey, earlier.is_none(), || {
+                    let running = RunningClaim { tag: *tag, granted_at: now };
+                    let retention = self.cfg.claim_retention.saturating_sub(self.cfg.claim_wait);
+                    let is_past = |claim: RunningClaim| now >= claim.granted_at + retention;
+                    let holds = self.running.insert(key.clone(), running).is_none_or(is_past);
+                    self.invariants.check(Invariant::AtMostOneRunPerKey, holds, || {
                         format!("{key:?} was granted while it runs here")
                     });
                 }
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -24,6 +24,7 @@
 use crate::config::OUTCOME_BODY_BYTES;
 use crate::config::OWN_ENTRIES;
 use crate::config::PARKED_ENTRIES;
+use crate::config::RUNNING_CLAIMS;
 use crate::cx::CallTable;
 use crate::cx::Cx;
 use crate::cx::Decided;
@@ -65,7 +66,7 @@
     pub(crate) own: OwnTable,
     pub(crate) parked: ParkedTable,
     /// Granted claims of this host whose outcome is not known.
-    pub(crate) running: BTreeMap<ClaimKey, ClaimTag>,
+    pub(crate) running: BTreeMap<ClaimKey, RunningClaim>,
     pub(crate) heads: BTreeMap<ShardId, KnownHead>,
     /// Peers that asked for a shard's head before it was known.
     pub(crate) head_waiters: BTreeMap<ShardId, BTreeSet<EntryHostId>>,
@@ -84,6 +85,13 @@
     last_event: Option<Instant>,
 }
 
+/// A granted claim.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RunningClaim {
+    pub tag: ClaimTag,
+    pub granted_at: Instant,
+}
+
 /// End of a shard's log as its home told it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct KnownHead {
@@ -202,12 +210,13 @@
     /// Whether another claim or bill can be held; a request that would need one is refused before it runs.
     #[must_use]
     pub fn has_room(&self) -> bool {
-        self.own.len() < OWN_ENTRIES
+        self.own.len() < OWN_ENTRIES && self.running.len() < RUNNING_CLAIMS
     }
 
     fn claim(&mut self, claim: Claim, now: Instant) {
         let request = claim.request;
         let key = claim.key.clone();
+        self.evict_running(now);
         if !self.has_room() || self.stopping.is_some() {
             let result = ClaimResult::Unavailable;
             self.effects.push(Effect::Claimed { request, key, result });
@@ -218,8 +227,16 @@
         self.hold(Entry::Claim { claim, tag }, Origin::Claim { request, key }, now);
     }
 
+    /// Evicts granted claims whose outcome never came and whose retention has passed, once there are many.
+    fn evict_running(&mut self, now: Instant) {
+        if self.running.len() >= RUNNING_CLAIMS {
+            let retention = self.cfg.claim_retention;
+            self.running.retain(|_, claim| now < claim.granted_at + retention);
+        }
+    }
+
     fn outcome(&mut self, key: ClaimKey, request: RequestId, outcome: ClaimOutcome, now: Instant) {
-        let Some(tag) = self.running.remove(&key) else {
+        let Some(RunningClaim { tag, .. }) = self.running.remove(&key) else {
             self.effects.push(Effect::OutcomeSafe { request });
             return;
         };
--- a/crates/journal/src/outbox.rs
+++ b/crates/journal/src/outbox.rs
@@ -4,6 +4,7 @@
 
 use foxtailhoist_model::EntryHostId;
 
+use crate::config::BATCH_BYTES;
 use crate::config::BATCH_ENTRIES;
 use crate::entry::EntryId;
 use crate::event::Effect;
@@ -49,8 +50,9 @@
 impl Letters {
     fn into_messages(self) -> Vec<JournalMessage> {
         let mut messages = self.single;
-        messages.extend(batches(self.append).map(|entries| JournalMessage::Append { entries }));
-        messages.extend(batches(self.park).map(|entries| JournalMessage::Park { entries }));
+        messages
+            .extend(entry_batches(self.append).map(|entries| JournalMessage::Append { entries }));
+        messages.extend(entry_batches(self.park).map(|entries| JournalMessage::Park { entries }));
         messages.extend(batches(self.accepted).map(|ids| JournalMessage::Accepted { ids }));
         messages.extend(batches(self.declined).map(|ids| JournalMessage::Declined { ids }));
         messages.extend(batches(self.appended).map(|results| JournalMessage::Appended { results }));
@@ -60,6 +62,21 @@
     }
 }
 
+fn entry_batches(entries: Vec<HeldEntry>) -> impl Iterator<Item = Vec<HeldEntry>> {
+    let mut rest = entries.into_iter().peekable();
+    std::iter::from_fn(move || {
+        let mut batch = vec![rest.next()?];
+        let mut bytes = batch[0].entry.encoded_estimate();
+        while batch.len() < BATCH_ENTRIES {
+            let fits = |held: &HeldEntry| bytes + held.entry.encoded_estimate() <= BATCH_BYTES;
+            let Some(held) = rest.next_if(fits) else { break };
+            bytes += held.entry.encoded_estimate();
+            batch.push(held);
+        }
+        Some(batch)
+    })
+}
+
 fn batches<T>(items: Vec<T>) -> impl Iterator<Item = Vec<T>> {
     let mut rest = items.into_iter();
     std::iter::from_fn(move || {
--- a/crates/journal/src/pending.rs
+++ b/crates/journal/src/pending.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use crate::cx::Waiter;
+use crate::entry::ClaimTag;
 use crate::entry::EntryId;
 use crate::message::HeldEntry;
 
@@ -23,7 +24,6 @@
     entries: BTreeMap<EntryId, PendingEntry>,
     arrivals: BTreeMap<u64, EntryId>,
     next_arrival: u64,
-    urgent: usize,
 }
 
 impl Pending {
@@ -36,7 +36,6 @@
             entry.waiters.insert(waiter);
             return;
         }
-        self.urgent += usize::from(held.entry.is_urgent());
         let arrival = self.next_arrival;
         self.next_arrival += 1;
         self.arrivals.insert(arrival, id);
@@ -48,7 +47,6 @@
     pub fn remove(&mut self, id: EntryId) -> Option<PendingEntry> {
         let entry = self.entries.remove(&id)?;
         self.arrivals.remove(&entry.arrival);
-        self.urgent -= usize::from(entry.held.entry.is_urgent());
         Some(entry)
     }
 
@@ -72,7 +70,13 @@
     /// Whether a request waits for an entry's commit.
     #[must_use]
     pub fn has_urgent(&self) -> bool {
-        self.urgent > 0
+        self.claims().next().is_some()
+    }
+
+    /// Ids of claims.
+    pub fn claims(&self) -> impl Iterator<Item = EntryId> {
+        let claims = EntryId::Claim(ClaimTag::MIN)..=EntryId::Claim(ClaimTag::MAX);
+        self.entries.range(claims).map(|(id, _)| *id)
     }
 
     #[must_use]
--- a/crates/journal/src/shard.rs
+++ b/crates/journal/src/shard.rs
@@ -172,7 +172,7 @@
                     self.end_known_at = None;
                     self.phase = Phase::Ready;
                     self.end_read(cx);
-                    self.decide_pending(cx);
+                    self.decide_pending(self.pending.ids().collect(), cx);
                 }
             }
             Phase::Writing(attempt) => {
@@ -241,7 +241,6 @@
     }
 
     fn start_write(&mut self, cx: &mut Cx<'_>) {
-        self.decide_pending(cx);
         match self.group() {
             Group::Nothing => {}
             Group::ReadEnd => {
@@ -325,12 +324,14 @@
                 }
                 self.end_read(cx);
                 self.decide_outcomes(&segments, cx);
-                self.decide_pending(cx);
+                let entries = segments.iter().flat_map(|segment| &segment.entries);
+                let ids = entries.map(Entry::id).chain(self.pending.claims()).collect();
+                self.decide_pending(ids, cx);
             }
             AttemptEnd::NotWritten { end_read: false } => {}
             AttemptEnd::NotWritten { end_read: true } => {
                 self.end_read(cx);
-                self.decide_pending(cx);
+                self.decide_pending(self.pending.claims().collect(), cx);
             }
             AttemptEnd::Void { floor } => {
                 ledger.raise_floor(floor.unwrap_or_default());
@@ -357,9 +358,8 @@
         }
     }
 
-    /// Answers the waiting entries that the ledger decides.
-    fn decide_pending(&mut self, cx: &mut Cx<'_>) {
-        let ids: Vec<EntryId> = self.pending.ids().collect();
+    /// Answers those of the waiting entries that the ledger decides.
+    fn decide_pending(&mut self, ids: Vec<EntryId>, cx: &mut Cx<'_>) {
         for id in ids {
             let Some(entry) = self.pending.find(id) else { continue };
             let Some(verdict) = self.verdict(&entry.held, Some(entry.at)) else { continue };
--- a/crates/journal/tests/crash.rs
+++ b/crates/journal/tests/crash.rs
@@ -200,3 +200,44 @@
     world.settle(MINUTE * 2);
     world.check();
 }
+
+#[test]
+fn copies_lost_in_restarts_are_made_again() {
+    let mut world = World::six(10, short);
+    world.faults.down = true;
+    world.bill("n1", 1);
+    world.run(Duration::from_secs(1));
+    assert_eq!(world.safety(1), Some(BillSafety::Parked));
+    for (host, data_centre) in SIX.into_iter().skip(1) {
+        world.start_host(host, data_centre);
+        world.announce();
+        world.run(Duration::from_secs(3));
+    }
+    world.kill("n1");
+    world.announce();
+    world.faults.down = false;
+    world.settle(MINUTE * 2);
+    assert_eq!(world.usage().get(&1), Some(&1));
+    world.check();
+}
+
+#[test]
+fn a_host_counts_as_its_own_only_the_segments_that_it_wrote() {
+    let mut world = World::six(11, short);
+    for (host, alive) in [("n1", ["n1", "n2"]), ("c1", ["c1", "c2"])] {
+        world.announce_to(host, &alive);
+    }
+    for request in 0..40 {
+        for host in ["n1", "c1", "l1"] {
+            world.claim(host, &format!("{host}-{request}"), request);
+        }
+        world.run(Duration::from_millis(200));
+    }
+    let stats: Vec<_> = world.hosts().iter().map(|host| world.journal(host).stats()).collect();
+    let collisions: u64 = stats.iter().map(|stats| stats.collisions).sum();
+    let written: u64 = stats.iter().map(|stats| stats.segments).sum();
+    assert!(collisions > 0);
+    let last =
+        (0..).take_while(|seq| world.store.object(&format!("journal/0000/{seq:016}")).is_some());
+    assert_eq!(written, last.count() as u64);
+}
--- a/crates/journal/tests/outage.rs
+++ b/crates/journal/tests/outage.rs
@@ -104,3 +104,24 @@
     world.run(Duration::from_secs(2));
     assert_eq!(world.results("renewal")[1], ClaimResult::Granted);
 }
+
+/// The create was sent, its answer is lost, and the store refuses the repeats until after the claim's wait.
+#[test]
+fn a_claim_that_may_still_land_is_not_withdrawn() {
+    let mut world = World::six(5, |cfg| short(cfg).claim_wait(Duration::from_secs(5)));
+    world.claim("n1", "warm-up", 1);
+    world.run(Duration::from_secs(2));
+    let home = world.journal("n1").home(0).clone();
+    world.faults.late_effects = 1.0;
+    world.faults.late_by = Duration::from_secs(10);
+    world.claim(&home, "renewal", 2);
+    world.run(Duration::from_secs(1));
+    world.faults = StoreFaults { down: true, ..StoreFaults::default() };
+    world.run(Duration::from_secs(12));
+    assert_eq!(world.results("renewal"), [ClaimResult::Unavailable]);
+    world.faults = StoreFaults::default();
+    world.settle(MINUTE * 2);
+    world.claim(&home, "renewal", 3);
+    world.run(Duration::from_secs(2));
+    assert_eq!(world.results("renewal")[1], ClaimResult::Granted);
+}
--- a/crates/journal/tests/retention.rs
+++ b/crates/journal/tests/retention.rs
@@ -175,25 +175,51 @@
     assert_eq!(world.results("renewal")[1], ClaimResult::Recorded(ran()));
 }
 
+/// A peer that never heard of the commit takes the bill over when its owner is gone.
 #[test]
 fn an_old_parked_bill_is_looked_up_before_it_is_written() {
     let mut world = World::six(7, short);
     bills(&mut world, 0, 10);
-    world.bill("n1", 9_000);
-    world.run(Duration::from_millis(100));
-    let holder = world
-        .hosts()
-        .into_iter()
-        .find(|host| *host != home(&world) && world.journal(host).stats().parked > 0)
-        .expect("a peer keeps the bill");
-    world.pause(&holder);
+    let home = home(&world);
+    let owner = if home == "n1" { "n2" } else { "n1" };
+    world.bill(owner, 9_000);
+    world.run(Duration::from_millis(50));
+    let is_holder = |host: &String| *host != home && world.journal(host).stats().parked > 0;
+    let holder = world.hosts().into_iter().find(is_holder).expect("a peer keeps the bill");
+    world.network.insert((owner.to_owned(), holder.clone()));
     bills(&mut world, 100, 45);
-    world.resume(&holder);
+    assert!(world.journal(&holder).stats().parked > 0);
+    assert_eq!(world.usage().get(&9_000), Some(&1));
+    world.kill(owner);
+    world.announce();
     world.settle(MINUTE * 2);
     assert_eq!(world.usage().get(&9_000), Some(&1));
     world.check();
 }
 
+#[test]
+fn a_compaction_broken_off_before_the_floor_rose_is_not_repeated_in_the_sums() {
+    let mut world = World::six(9, short);
+    let sums = "usage/2024-10-04/0000/0000";
+    let mut request = 0;
+    while world.store.object(sums).is_none() {
+        request += 1;
+        world.bill("l1", request);
+        for _ in 0..1_000 {
+            if world.store.object(sums).is_none() {
+                world.run(Duration::from_millis(1));
+            }
+        }
+    }
+    let home = home(&world);
+    world.kill(&home);
+    world.announce();
+    bills(&mut world, 10_000, 30);
+    world.settle(MINUTE * 2);
+    assert!(compactions(&world) > 0);
+    world.check();
+}
+
 #[test]
 fn garbage_below_the_floor_is_no_bill() {
     let mut world = World::six(8, short);
