Explore with what plans leave of the slack

Exploration earned a fixed 15% of the slack, so streamed classes stayed unknown while the slack lay unused, and kept looking at withheld cheap answers of models that plans already relied on. One balance now earns the slack of each request and pays for both plans and exploration; looking ends once a plan can rely on a model.

--- a/crates/route/src/quality/explore.rs
+++ b/crates/route/src/quality/explore.rs
@@ -1,8 +1,9 @@
 //! Bounded exploration of cheaper models.
 //!
-//! Every request earns a share of the slack that the quality target leaves. An exploration spends the acceptable
-//! answers that it is expected to cost, so their sum stays within what was earned. Where the answer is withheld until
-//! whole, a cheap answer can be looked at and replaced: that costs money but no quality.
+//! Every request earns the slack that the quality target leaves, and its plan spends the acceptable answers that it is
+//! expected to lose. What plans leave is free for exploration, so most is explored while nothing is known, and the sum
+//! of both stays within the slack. Where the answer is withheld until whole, a cheap answer can be looked at and
+//! replaced: that costs money but no quality.
 
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -11,13 +12,15 @@
 use super::plan::Plan;
 use super::plan::Stage;
 
-/// Share of the slack that exploration earns with each request.
-const SLACK_SHARE: f64 = 0.15;
 /// Acceptable answers that may be lost before any request was made.
 const INITIAL_BALANCE: f64 = 2.0;
+/// Most that is kept of what was left, and of what was overspent.
 const MAX_BALANCE: f64 = 5.0;
+const MIN_BALANCE: f64 = -2.0;
 /// Answers whose truth is known after which a model is not explored further.
-const WELL_KNOWN: f64 = 300.0;
+const WELL_KNOWN: f64 = 800.0;
+/// The same where answers are withheld and replaced.
+const KNOWN_FOR_CASCADE: f64 = 60.0;
 /// Most of the requests that explore.
 const MAX_SHARE: f64 = 0.2;
 /// Share of requests that go to the best model to keep its estimate fresh.
@@ -46,9 +49,13 @@
 }
 
 impl Explorer {
-    /// Earns with a request, and draws whether it may explore.
-    pub(crate) fn due(&mut self, slack: f64, rng: &mut ChaCha8Rng) -> bool {
-        self.balance = (self.balance + slack * SLACK_SHARE).min(MAX_BALANCE);
+    /// Earns the slack of a request, and spends what its plan is expected to lose.
+    pub(crate) fn earn(&mut self, slack: f64, loss: f64) {
+        self.balance = (self.balance + slack - loss).clamp(MIN_BALANCE, MAX_BALANCE);
+    }
+
+    /// Draws whether a request may explore.
+    pub(crate) fn due(&mut self, rng: &mut ChaCha8Rng) -> bool {
         self.roll = rng.random();
         self.roll <= MAX_SHARE
     }
@@ -73,7 +80,9 @@
             let estimate = candidate.estimate;
             let hope = estimate.share + HOPE * estimate.standard_error;
             let hopeful = may_withhold || hope >= best.estimate.share - MAX_USEFUL_LOSS;
-            estimate.worth < WELL_KNOWN && hopeful
+            // A cascade tells more of a model as soon as a plan relies on it.
+            let enough = if may_withhold { KNOWN_FOR_CASCADE } else { WELL_KNOWN };
+            estimate.worth < enough && hopeful
         });
         let explored = unknown.min_by(|a, b| a.estimate.worth.total_cmp(&b.estimate.worth))?;
         if may_withhold {
@@ -82,7 +91,7 @@
                 accept_from: Some(f64::INFINITY),
             };
             let last = Stage { model_version: best.model_version.clone(), accept_from: None };
-            return Some(Plan { stages: vec![first, last] });
+            return Some(Plan { stages: vec![first, last], loss: 0.0 });
         }
         let loss = best.estimate.share - explored.estimate.share;
         let price = (1.0 + followers) * loss.max(MIN_PRICE);
--- a/crates/route/src/quality/mod.rs
+++ b/crates/route/src/quality/mod.rs
@@ -210,13 +210,16 @@
         self.fit_if_due(now);
         let models = one_of_each_price(allowed, rng);
         let Some(best) = models.last() else {
-            return Planned { plan: Plan { stages: Vec::new() }, explores: false };
+            return Planned { plan: Plan { stages: Vec::new(), loss: 0.0 }, explores: false };
         };
         let direct = Plan::direct(ModelVersion::clone(&best.model_version));
         let cheaper =
             self.mechanisms.cheaper_models && preset.cheaper_for.contains(&asked.kind.class);
         if cheaper && asked.follows {
             self.tokens.observe_follower(asked.workspace, &asked.kind.class);
+            // What a session loses was spent at its start.
+            let slack = self.slack(preset, &models, asked);
+            self.explorer.earn(slack, 0.0);
         }
         if !cheaper || models.len() < 2 {
             return Planned { plan: direct, explores: false };
@@ -224,7 +227,8 @@
         self.tokens.observe_request(asked.workspace, asked.kind);
         let slack = self.slack(preset, &models, asked);
         let planned = self.cached_plan(asked, &models, preset, slack);
-        if self.mechanisms.exploration && self.explorer.due(slack, rng) {
+        self.explorer.earn(slack, planned.loss);
+        if self.mechanisms.exploration && self.explorer.due(rng) {
             let candidates = self.candidates(&asked.kind.class, None, &models);
             let starts = asked.kind.starts_session;
             let followers = if starts { self.tokens.followers(&asked.kind.class) } else { 0.0 };
--- a/crates/route/src/quality/plan.rs
+++ b/crates/route/src/quality/plan.rs
@@ -27,6 +27,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Plan {
     pub(crate) stages: Vec<Stage>,
+    /// Acceptable answers that it is expected to lose, in the request and those that will keep its version.
+    pub(crate) loss: f64,
 }
 
 /// One model of a plan.
@@ -72,7 +74,7 @@
 impl Plan {
     /// One model answers.
     pub(crate) fn direct(model_version: ModelVersion) -> Plan {
-        Plan { stages: vec![Stage { model_version, accept_from: None }] }
+        Plan { stages: vec![Stage { model_version, accept_from: None }], loss: 0.0 }
     }
 }
 
@@ -194,6 +196,6 @@
             model_version: class.candidates[*index].model_version.clone(),
             accept_from: *accept_from,
         };
-        Plan { stages: self.stages.iter().map(stage).collect() }
+        Plan { stages: self.stages.iter().map(stage).collect(), loss: self.loss }
     }
 }
