--- a/crates/route/src/quality/explore.rs
+++ b/crates/route/src/quality/explore.rs
@@ -14,6 +14,8 @@
 
 /// Acceptable answers that may be lost before any request was made.
 const INITIAL_BALANCE: f64 = 2.0;
+/// Share of the slack that plans and exploration may spend together.
+const EARNED: f64 = 0.9;
 /// Most that is kept of what was left, and of what was overspent.
 const MAX_BALANCE: f64 = 5.0;
 const MIN_BALANCE: f64 = -2.0;
@@ -23,6 +25,8 @@
 const KNOWN_FOR_CASCADE: f64 = 60.0;
 /// Most of the requests that explore.
 const MAX_SHARE: f64 = 0.2;
+/// The same where answers are withheld and replaced, which costs no quality.
+const MAX_WITHHELD_SHARE: f64 = 0.6;
 /// Share of requests that go to the best model to keep its estimate fresh.
 const REFERENCE_SHARE: f64 = 0.01;
 /// Answers of the best model, whose truth is known, before anything else is tried.
@@ -51,13 +55,13 @@
 impl Explorer {
     /// Earns the slack of a request, and spends what its plan is expected to lose.
     pub(crate) fn earn(&mut self, slack: f64, loss: f64) {
-        self.balance = (self.balance + slack - loss).clamp(MIN_BALANCE, MAX_BALANCE);
+        self.balance = (self.balance + EARNED * slack - loss).clamp(MIN_BALANCE, MAX_BALANCE);
     }
 
     /// Draws whether a request may explore.
-    pub(crate) fn due(&mut self, rng: &mut ChaCha8Rng) -> bool {
+    pub(crate) fn due(&mut self, may_withhold: bool, rng: &mut ChaCha8Rng) -> bool {
         self.roll = rng.random();
-        self.roll <= MAX_SHARE
+        self.roll <= if may_withhold { MAX_WITHHELD_SHARE } else { MAX_SHARE }
     }
 
     /// A plan that explores, if the balance allows one; `candidates` are in order of price, the best last.
--- a/crates/route/src/quality/mod.rs
+++ b/crates/route/src/quality/mod.rs
@@ -228,12 +228,12 @@
         let slack = self.slack(preset, &models, asked);
         let planned = self.cached_plan(asked, &models, preset, slack);
         self.explorer.earn(slack, planned.loss);
-        if self.mechanisms.exploration && self.explorer.due(rng) {
+        let may_withhold =
+            !asked.kind.streamed && self.mechanisms.cascade && self.mixture.is_some();
+        if self.mechanisms.exploration && self.explorer.due(may_withhold, rng) {
             let candidates = self.candidates(&asked.kind.class, None, &models);
             let starts = asked.kind.starts_session;
             let followers = if starts { self.tokens.followers(&asked.kind.class) } else { 0.0 };
-            let may_withhold =
-                !asked.kind.streamed && self.mechanisms.cascade && self.mixture.is_some();
             let explored = self.explorer.choose(&planned, &candidates, followers, may_withhold);
             if let Some(plan) = explored {
                 return Planned { plan, explores: true };
--- a/crates/route/src/quality/window.rs
+++ b/crates/route/src/quality/window.rs
@@ -15,8 +15,8 @@
 /// Answers that a class's share counts as where a workspace's own is estimated.
 const CLASS_ANSWERS: f64 = 150.0;
 /// Worth of a rated answer and of one with a confidence alone, in answers whose truth is known.
-const RATED_WORTH: f64 = 0.8;
-const UNRATED_WORTH: f64 = 0.3;
+const RATED_WORTH: f64 = 0.85;
+const UNRATED_WORTH: f64 = 0.5;
 
 /// Answers and what follows from them.
 #[derive(Debug)]
