--- a/crates/route/src/router/arrive.rs
+++ b/crates/route/src/router/arrive.rs
@@ -28,6 +28,7 @@
 use crate::life::Step;
 use crate::permit::Permit;
 use crate::quality::Asked;
+use crate::quality::Kind;
 use crate::queue::Pushed;
 use crate::servers::Chosen;
 use crate::servers::NoPlace;
@@ -35,6 +36,8 @@
 /// Shortest and longest wait for a first byte before an attempt counts as timed out.
 const MIN_FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(2);
 const MAX_FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Shortest wait for an answer that is not streamed.
+const MIN_WHOLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Expected first byte, or whole answer where nothing is streamed, that a time-out allows for.
 const TIMEOUT_FACTOR: u32 = 5;
 /// Waiting requests that are passed over for ones whose servers have room.
@@ -194,7 +197,7 @@
             return Err(Unplaced::Full);
         };
         entry.alone = self.poison.is_suspect(entry.request.fingerprint, now);
-        let work = entry.work();
+        let work = entry.work(self.quality.usual_output(entry.class()));
         let mut full = false;
         for destination in destinations {
             let chosen =
@@ -241,12 +244,14 @@
         // What was planned earlier may be withdrawn by now.
         let current = entry.present_stage().is_some_and(|stage| is_allowed(&stage.model_version));
         if !current && let Some(preset) = self.permissions.preset() {
-            let asked = Asked {
-                workspace: &entry.request.workspace,
-                class,
+            let pin = session.as_ref().map(|session| &session.version);
+            let kind = Kind {
+                class: class.clone(),
                 streamed: streamed || entry.request.at_most_once(),
-                starts_session: session.as_ref().is_some_and(|pin| pin.version.is_none()),
+                starts_session: pin.is_some_and(Option::is_none),
             };
+            let follows = pin.is_some_and(Option::is_some);
+            let asked = Asked { workspace: &entry.request.workspace, kind: &kind, follows };
             let planned = self.quality.plan(asked, &allowed, preset, now, &mut self.rng);
             self.stats.explorations += u64::from(planned.explores);
             entry.plan = Some(planned.plan);
@@ -300,7 +305,7 @@
         let Some(entry) = self.requests.get_mut(&id) else {
             return;
         };
-        let work = entry.work();
+        let work = entry.work(self.quality.usual_output(entry.class()));
         let Some(server) = self.servers.server(chosen.slot) else {
             return;
         };
@@ -330,10 +335,14 @@
         self.attempts.insert(attempt, id);
         self.stats.dispatched += 1;
         self.stats.prefix_hits += u64::from(chosen.prefix_held);
-        let expected = if work.streamed { chosen.first_byte } else { chosen.total };
-        let first_byte_timeout = (expected * TIMEOUT_FACTOR)
-            .clamp(MIN_FIRST_BYTE_TIMEOUT, MAX_FIRST_BYTE_TIMEOUT)
-            .min(entry.remaining(now));
+        // What is not streamed shows nothing before it is whole.
+        let first_byte_timeout = if work.streamed {
+            (chosen.first_byte * TIMEOUT_FACTOR)
+                .clamp(MIN_FIRST_BYTE_TIMEOUT, MAX_FIRST_BYTE_TIMEOUT)
+        } else {
+            (chosen.total * TIMEOUT_FACTOR).max(MIN_WHOLE_TIMEOUT)
+        };
+        let first_byte_timeout = first_byte_timeout.min(entry.remaining(now));
         let dispatch = Dispatch {
             request: id,
             attempt,
