--- a/crates/measure/src/policy/engine.rs
+++ b/crates/measure/src/policy/engine.rs
@@ -85,6 +85,7 @@
 
 /// Differences of time below this are rounding.
 const EPSILON_S: f64 = 1e-9;
+const EPSILON_TOKENS: f64 = 1e-6;
 
 impl Engine {
     #[must_use]
@@ -248,7 +249,9 @@
         if let Some(end) = self.ends.remove(&attempt) {
             let job = self.decoding.remove(&(end.to_bits(), attempt))?;
             let left = (end - self.decoded).max(0.0);
-            let output_tokens = job.output_tokens.saturating_sub(left as u32);
+            // A token in the making does not count.
+            let left_tokens = (left - EPSILON_TOKENS).ceil() as u32;
+            let output_tokens = job.output_tokens.saturating_sub(left_tokens);
             return Some(Work { prompt_tokens: job.prompt_tokens, output_tokens });
         }
         if let Some(prefill) = self.prefill.take_if(|prefill| prefill.job.attempt == attempt) {
--- a/crates/measure/src/policy/site.rs
+++ b/crates/measure/src/policy/site.rs
@@ -35,6 +35,8 @@
 pub const ENTRY_HOSTS: usize = 6;
 /// One-way delay within a data centre.
 pub const LOCAL_DELAY: Duration = Duration::from_micros(300);
+/// Callers of a roll-out's first step: within 1% of those that a run has.
+pub const FIRST_STEP_CALLERS: u32 = 20;
 /// Version that every model starts with, and the one that is rolled out.
 pub const FIRST_VERSION: &str = "1";
 pub const NEXT_VERSION: &str = "2";
@@ -223,11 +225,11 @@
     }
 }
 
-/// Steps of the roll-outs in these runs; the first is within 1% of the callers.
+/// Steps of the roll-outs in these runs.
 fn rollout_steps() -> Vec<RolloutStep> {
     let step =
         |share, callers| RolloutStep { share, callers, hold_seconds: 180, rated_answers: 40 };
-    vec![step(0.1, 30), step(0.3, 100)]
+    vec![step(0.1, FIRST_STEP_CALLERS), step(0.3, 100)]
 }
 
 fn workspace() -> Workspace {
--- a/crates/measure/src/policy/targets.rs
+++ b/crates/measure/src/policy/targets.rs
@@ -4,12 +4,14 @@
 
 use serde::Serialize;
 
+use crate::policy::fault::Badness;
 use crate::policy::fault::Fault;
 use crate::policy::kind::Policy;
 use crate::policy::record::VersionOutcome;
 use crate::policy::report::DeploymentReport;
 use crate::policy::report::FaultTable;
 use crate::policy::report::Row;
+use crate::policy::site::FIRST_STEP_CALLERS;
 use crate::policy::summary::QUALITY_TOLERANCE;
 
 const FIRST_TOKEN_S: f64 = 0.64;
@@ -18,8 +20,7 @@
 const RETRY_LOAD: f64 = 0.1;
 const RATED_LIMIT: u64 = 50;
 const FAILED_LIMIT: u64 = 20;
-/// Callers of the first step of the roll-outs in these runs, and the share of all callers that they may be.
-const STEP_CALLERS: usize = 30;
+/// Share of all callers that a bad canary may be exposed to.
 const EXPOSED_SHARE: f64 = 0.01;
 
 /// A target, and how the measurement stands to it.
@@ -128,7 +129,7 @@
     }
     match fault.fault {
         Fault::BadCanary { .. } => targets.push(exposure(report, fault)),
-        Fault::BadSettled { .. } => targets.push(veto(report, fault)),
+        Fault::BadSettled { badness, .. } => targets.push(veto(report, fault, badness)),
         _ => {}
     }
     let false_vetoes: u64 = fault.versions.iter().map(|outcome| outcome.false_vetoes).sum();
@@ -150,20 +151,27 @@
     Target {
         deployment: report.name.clone(),
         name: format!("callers exposed: {}", fault.table.title),
-        bound: format!("at most {STEP_CALLERS} and 1%"),
+        bound: format!("at most {FIRST_STEP_CALLERS} and 1%"),
         measured: format!(
             "{exposed} of {callers} at most; vetoed in {vetoed} of {} runs",
             fault.versions.len()
         ),
-        met: exposed <= STEP_CALLERS && share <= EXPOSED_SHARE,
+        met: exposed <= FIRST_STEP_CALLERS as usize && share <= EXPOSED_SHARE,
     }
 }
 
-fn veto(report: &DeploymentReport, fault: &FaultTable) -> Target {
+fn veto(report: &DeploymentReport, fault: &FaultTable, badness: Badness) -> Target {
     let met = fault.versions.iter().all(|outcome| {
-        let in_time = outcome.rated_before <= RATED_LIMIT || outcome.failed_before <= FAILED_LIMIT;
+        let in_time = match badness {
+            Badness::Quality(_) => outcome.rated_before <= RATED_LIMIT,
+            Badness::Errors(_) => outcome.failed_before <= FAILED_LIMIT,
+        };
         outcome.vetoed_at.is_some() && in_time
     });
+    let bound = match badness {
+        Badness::Quality(_) => format!("within {RATED_LIMIT} rated answers"),
+        Badness::Errors(_) => format!("within {FAILED_LIMIT} failed answers"),
+    };
     let figure = |outcome: &VersionOutcome| match outcome.vetoed_at {
         Some(_) => format!("{} rated, {} failed", outcome.rated_before, outcome.failed_before),
         None => "no veto".to_owned(),
@@ -172,7 +180,7 @@
     Target {
         deployment: report.name.clone(),
         name: format!("veto: {}", fault.table.title),
-        bound: format!("within {RATED_LIMIT} rated or {FAILED_LIMIT} failed answers"),
+        bound,
         measured: figures.join("; "),
         met,
     }
--- a/crates/measure/src/policy/world/attempts.rs
+++ b/crates/measure/src/policy/world/attempts.rs
@@ -42,6 +42,8 @@
     pub(super) at_engine: bool,
     pub(super) acceptable: bool,
     pub(super) cost: f64,
+    /// The version was faulty when the attempt was sent.
+    pub(super) faulty: bool,
     is_retry: bool,
 }
 
@@ -85,6 +87,7 @@
             at_engine: false,
             acceptable: self.acceptable(index, order),
             cost: 0.0,
+            faulty: self.is_faulty(order),
             is_retry: is_hedge || is_retry,
         }
     }
@@ -306,6 +309,7 @@
         };
         self.end(id);
         self.history[request_index(attempt.order.request)].failed += 1;
+        self.faulty.failed += u64::from(attempt.faulty);
         self.tell(attempt.host, Event::Failed { attempt: id, failure });
     }
 
@@ -372,9 +376,13 @@
     }
 
     fn note_exposure(&mut self, index: usize, order: Order) {
-        let now = self.agenda.now();
-        if self.spec.fault.badness(order.model, order.next_version, now).is_some() {
+        if self.is_faulty(order) {
             self.exposed.insert(self.spec.arrivals[index].caller);
         }
     }
+
+    fn is_faulty(&self, order: Order) -> bool {
+        let now = self.agenda.now();
+        self.spec.fault.badness(order.model, order.next_version, now).is_some()
+    }
 }
--- a/crates/measure/src/policy/world/feeds.rs
+++ b/crates/measure/src/policy/world/feeds.rs
@@ -120,8 +120,15 @@
         self.ratings.free_at = start + Duration::from_secs_f64(1.0 / service.per_second);
         let arrival = &self.spec.arrivals[index];
         let acceptable = arrival.rating(answer.acceptable, service.wrong_share);
-        let event = Box::new(Event::Rated(Rating { request, acceptable }));
+        let rating = Rating { request, acceptable };
         let at = start + Duration::from_secs_f64(service.delay_s) + extra;
-        self.agenda.push(at, Occurrence::Tell { host, event });
+        self.agenda.push(at, Occurrence::Rated { host, rating });
+    }
+
+    pub(super) fn rated(&mut self, host: usize, rating: Rating) {
+        let delivered = self.records[request_index(rating.request)].delivered;
+        let attempt = delivered.and_then(|attempt| self.attempts.get(&attempt));
+        self.faulty.rated += u64::from(attempt.is_some_and(|attempt| attempt.faulty));
+        self.tell(host, Event::Rated(rating));
     }
 }
--- a/crates/measure/src/policy/world/judging.rs
+++ b/crates/measure/src/policy/world/judging.rs
@@ -44,8 +44,6 @@
     own: Vec<BTreeMap<ModelVersion, Tally>>,
     /// Usual latency of each model's first version on each host.
     usual: Vec<BTreeMap<String, UsualLatency>>,
-    /// Evidence on a faulty version from before its fault, over all hosts.
-    before_fault: BTreeMap<ModelVersion, Tally>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -65,7 +63,6 @@
             wakes: vec![None; site.hosts.len()],
             own: vec![BTreeMap::new(); site.hosts.len()],
             usual: vec![BTreeMap::new(); site.hosts.len()],
-            before_fault: BTreeMap::new(),
         }
     }
 }
@@ -216,34 +213,11 @@
         }
         if self.versions.vetoed_at.is_none() {
             self.versions.vetoed_at = Some(now);
-            let since = self.judged_since_fault(name);
-            self.versions.rated_before = since.rated;
-            self.versions.failed_before = since.failed;
+            self.versions.rated_before = self.faulty.rated;
+            self.versions.failed_before = self.faulty.failed;
         }
     }
 
-    /// Evidence on a version gathered over all hosts since its fault began.
-    fn judged_since_fault(&self, name: &ModelVersion) -> Tally {
-        let sum = self.sum_of(name);
-        let before = self.judges.before_fault.get(name).copied().unwrap_or_default();
-        Tally {
-            rated: sum.rated.saturating_sub(before.rated),
-            failed: sum.failed.saturating_sub(before.failed),
-            ..Tally::default()
-        }
-    }
-
-    fn sum_of(&self, name: &ModelVersion) -> Tally {
-        let own = self.judges.own.iter().filter_map(|own| own.get(name));
-        own.fold(Tally::default(), |sum, tally| sum.plus(*tally))
-    }
-
-    /// Notes the evidence from before a fault.
-    pub(super) fn fault_begins(&mut self, name: ModelVersion) {
-        let sum = self.sum_of(&name);
-        self.judges.before_fault.insert(name, sum);
-    }
-
     pub(super) fn announce_configuration(&mut self) {
         let configuration = Arc::new(self.configuration.clone());
         for host in 0..self.hosts.len() {
--- a/crates/measure/src/policy/world/mod.rs
+++ b/crates/measure/src/policy/world/mod.rs
@@ -21,6 +21,7 @@
 use foxtailhoist_model::Idempotency;
 use foxtailhoist_model::ModelVersion;
 use foxtailhoist_model::Priority;
+use foxtailhoist_model::Rating;
 use foxtailhoist_model::Request;
 use foxtailhoist_model::RequestId;
 use foxtailhoist_model::SessionPin;
@@ -43,7 +44,6 @@
 use crate::policy::record::Answer;
 use crate::policy::record::Record;
 use crate::policy::record::VersionOutcome;
-use crate::policy::site::FIRST_VERSION;
 use crate::policy::site::Site;
 use crate::policy::trace::Arrival;
 use crate::policy::workload::Workloads;
@@ -96,11 +96,12 @@
     /// An attempt's failure is seen at its host.
     Fail(AttemptId, AttemptFailure),
     FirstByteDue(AttemptId),
-    Tell {
+    /// The rating service's verdict reaches the host.
+    Rated {
         host: usize,
-        event: Box<Event>,
+        rating: Rating,
     },
-    /// As `Tell`, from a data centre that may be cut off by then.
+    /// News from a data centre that may be cut off by then.
     Gossip {
         from: usize,
         host: usize,
@@ -121,7 +122,6 @@
     JudgeWake(usize),
     ExchangeTallies,
     Configure,
-    FaultBegins(ModelVersion),
 }
 
 /// One entry host.
@@ -153,9 +153,18 @@
     configuration: Configuration,
     store: MemoryStore,
     exposed: BTreeSet<CallerId>,
+    /// Rated and failed answers of a version while it was faulty, as the hosts learned of them.
+    faulty: FaultyAnswers,
     versions: VersionOutcome,
 }
 
+/// Answers of a version that was faulty when they were asked for.
+#[derive(Clone, Copy, Debug, Default)]
+struct FaultyAnswers {
+    rated: u64,
+    failed: u64,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct History {
     failed: u32,
@@ -226,6 +235,7 @@
             configuration: site.configuration(rolled_out),
             store: MemoryStore::default(),
             exposed: BTreeSet::new(),
+            faulty: FaultyAnswers::default(),
             versions: VersionOutcome::default(),
             spec,
         }
@@ -238,13 +248,13 @@
             self.agenda.push(arrival.at + client_delay, Occurrence::Arrive(index));
         }
         let servers = self.spec.site.servers(self.spec.fault.rolled_out());
-        let alive = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
+        let others = u32::try_from(self.hosts.len() - 1).unwrap_or(u32::MAX);
         let configuration = Arc::new(self.configuration.clone());
         for host in 0..self.hosts.len() {
             self.tell(host, Event::Configured(configuration.clone()));
             self.tell(host, Event::Confirmed(true));
             self.tell(host, Event::Servers(servers.clone()));
-            self.tell(host, Event::Hosts { alive });
+            self.tell(host, Event::Hosts { alive: others });
         }
         if self.hosts.iter().any(|host| host.brain.reads_feeds()) {
             for engine in 0..self.engines.len() {
@@ -258,10 +268,6 @@
             Fault::SlowServer { model, factor } => {
                 self.agenda.push(Time::ZERO, Occurrence::SlowBegins { model, factor });
             }
-            Fault::BadSettled { model, from, .. } => {
-                let name = self.spec.site.version(model, FIRST_VERSION);
-                self.agenda.push(from, Occurrence::FaultBegins(name));
-            }
             _ => {}
         }
     }
@@ -277,7 +283,7 @@
             Occurrence::Whole(attempt) => self.whole(attempt),
             Occurrence::Fail(attempt, failure) => self.fail(attempt, failure),
             Occurrence::FirstByteDue(attempt) => self.first_byte_due(attempt),
-            Occurrence::Tell { host, event } => self.tell(host, *event),
+            Occurrence::Rated { host, rating } => self.rated(host, rating),
             Occurrence::Gossip { from, host, event } => self.hear(from, host, *event),
             Occurrence::HostWake(host) => self.host_wakes(host),
             Occurrence::PublishLoad(engine) => self.publish_load(engine),
@@ -288,7 +294,6 @@
             Occurrence::JudgeWake(host) => self.judge_wakes(host),
             Occurrence::ExchangeTallies => self.exchange_tallies(),
             Occurrence::Configure => self.announce_configuration(),
-            Occurrence::FaultBegins(name) => self.fault_begins(name),
         }
     }
 
