Count a server's crash as one failure of its version

Change: only the first attempt that a host loses to a dead server is told as a failure, and only by three of the entry hosts on average, whatever the size of the fleet.

--- a/crates/route/src/router/retry.rs
+++ b/crates/route/src/router/retry.rs
@@ -26,6 +26,8 @@
 const BACKOFF_MAX: Duration = Duration::from_secs(1);
 /// Repeats of one request, whatever its budget.
 const MAX_RETRIES: u32 = 3;
+/// Hosts that are expected to tell the judge of a crash.
+const CRASH_WITNESSES: f64 = 3.0;
 
 impl Router {
     pub(super) fn failed(
@@ -114,6 +116,7 @@
         let Some(server) = self.servers.server_mut(slot) else {
             return;
         };
+        let known_dead = server.is_out(now);
         match failure {
             AttemptFailure::ServerDied | AttemptFailure::Refused => {
                 let until = server.fail(now);
@@ -133,9 +136,14 @@
             | AttemptFailure::Cancelled => {}
         }
         match failure {
-            AttemptFailure::ServerDied | AttemptFailure::ServerError => {
+            AttemptFailure::ServerError => {
                 self.evidence(id, ended, EvidenceKind::Ended { failed: true }, out);
             }
+            AttemptFailure::ServerDied => {
+                if !known_dead && self.witnesses_crash() {
+                    self.evidence(id, ended, EvidenceKind::Ended { failed: true }, out);
+                }
+            }
             AttemptFailure::TimedOut => {
                 // A server that is only slow speaks about its load first: the judge hears of latency, not of failure.
                 let first_byte = now.saturating_duration_since(ended.started);
@@ -151,6 +159,13 @@
         }
     }
 
+    /// Whether this host tells the judge of a crash. A crash ends the attempts of many hosts at once, yet is one failure
+    /// of the version; a few hosts are drawn, whatever the size of the fleet.
+    fn witnesses_crash(&mut self) -> bool {
+        let hosts = f64::from(self.sampling.hosts());
+        self.rng.random_bool((CRASH_WITNESSES / hosts).min(1.0))
+    }
+
     /// Marks the content of a request whose server died; whether it is quarantined now.
     fn suspect(
         &mut self,
--- a/crates/route/src/sampling.rs
+++ b/crates/route/src/sampling.rs
@@ -56,6 +56,11 @@
         self.hosts = hosts.max(1);
     }
 
+    /// Entry hosts alive, this one included.
+    pub(crate) fn hosts(&self) -> u32 {
+        self.hosts
+    }
+
     /// Whether the answer may be rated; `worth` below 1 leaves room for answers that tell more.
     pub(crate) fn offer(
         &mut self,
--- a/crates/route/tests/evidence.rs
+++ b/crates/route/tests/evidence.rs
@@ -49,6 +49,32 @@
     }
 }
 
+#[test]
+fn a_crash_that_ends_many_attempts_is_one_failure() {
+    let servers = vec![engine_of("large-0", large())];
+    let mut world = World::with(Mechanisms::default(), common::configuration(), servers);
+    let mut attempts = Vec::new();
+    for _ in 0..8 {
+        let request = world.streamed();
+        let attempt = dispatch(&world.arrive(request)).attempt;
+        let _ = world.send(Event::Sent { attempt });
+        attempts.push(attempt);
+    }
+    let mut kinds = Vec::new();
+    for attempt in attempts {
+        kinds.extend(evidence(&world.fail(attempt, AttemptFailure::ServerDied)));
+    }
+    assert_eq!(kinds, [EvidenceKind::Ended { failed: true }]);
+}
+
+fn evidence(effects: &[Effect]) -> Vec<EvidenceKind> {
+    let kind = |effect: &Effect| match effect {
+        Effect::Evidence(evidence) => Some(evidence.kind),
+        _ => None,
+    };
+    effects.iter().filter_map(kind).collect()
+}
+
 #[rstest]
 #[case::slow(AttemptFailure::TimedOut, false)]
 #[case::dead(AttemptFailure::ServerDied, true)]
@@ -60,13 +86,7 @@
     let _ = world.send(Event::Sent { attempt });
     world.now += Duration::from_secs(1);
     let effects = world.fail(attempt, failure);
-    let kinds: Vec<EvidenceKind> = effects
-        .iter()
-        .filter_map(|effect| match effect {
-            Effect::Evidence(evidence) => Some(evidence.kind),
-            _ => None,
-        })
-        .collect();
+    let kinds = evidence(&effects);
     let expected = if fails {
         EvidenceKind::Ended { failed: true }
     } else {
