Count failures when they end and say what was rated without a veto

Cause: attempts sent before a fault that ended in it were failures that the veto's bound did not count, and a run without a veto looked like a miss although hardly any answer was rated. Change: failures count when they end; without a veto all rated answers of the run must be within the bound. Conclusion: the targets' table now compares like with like.

--- a/crates/measure/src/policy/record.rs
+++ b/crates/measure/src/policy/record.rs
@@ -51,7 +51,7 @@
 pub struct VersionOutcome {
     /// When the first host vetoed the faulty version.
     pub vetoed_at: Option<Time>,
-    /// Rated and failed answers of the faulty version, fleet-wide, when the first host vetoed it.
+    /// Rated and failed answers of the faulty version, fleet-wide, when the first host vetoed it or the run ended.
     pub rated_before: u64,
     pub failed_before: u64,
     /// Distinct callers whose requests went to the faulty version while it was bad.
--- a/crates/measure/src/policy/report.rs
+++ b/crates/measure/src/policy/report.rs
@@ -240,7 +240,11 @@
                 self.rated_before,
                 self.failed_before
             )?,
-            None => write!(f, "not vetoed; ")?,
+            None => write!(
+                f,
+                "not vetoed, {} rated and {} failed answers; ",
+                self.rated_before, self.failed_before
+            )?,
         }
         write!(
             f,
--- a/crates/measure/src/policy/targets.rs
+++ b/crates/measure/src/policy/targets.rs
@@ -162,11 +162,11 @@
 
 fn veto(report: &DeploymentReport, fault: &FaultTable, badness: Badness) -> Target {
     let met = fault.versions.iter().all(|outcome| {
-        let in_time = match badness {
+        // Without a veto, all answers of the run had to stay within the bound.
+        match badness {
             Badness::Quality(_) => outcome.rated_before <= RATED_LIMIT,
             Badness::Errors(_) => outcome.failed_before <= FAILED_LIMIT,
-        };
-        outcome.vetoed_at.is_some() && in_time
+        }
     });
     let bound = match badness {
         Badness::Quality(_) => format!("within {RATED_LIMIT} rated answers"),
@@ -174,7 +174,10 @@
     };
     let figure = |outcome: &VersionOutcome| match outcome.vetoed_at {
         Some(_) => format!("{} rated, {} failed", outcome.rated_before, outcome.failed_before),
-        None => "no veto".to_owned(),
+        None => {
+            let VersionOutcome { rated_before, failed_before, .. } = outcome;
+            format!("no veto, {rated_before} rated, {failed_before} failed")
+        }
     };
     let figures: Vec<String> = fault.versions.iter().map(figure).collect();
     Target {
--- a/crates/measure/src/policy/world/attempts.rs
+++ b/crates/measure/src/policy/world/attempts.rs
@@ -309,7 +309,7 @@
         };
         self.end(id);
         self.history[request_index(attempt.order.request)].failed += 1;
-        self.faulty.failed += u64::from(attempt.faulty);
+        self.faulty.failed += u64::from(failure == AttemptFailure::ServerError);
         self.tell(attempt.host, Event::Failed { attempt: id, failure });
     }
 
--- a/crates/measure/src/policy/world/mod.rs
+++ b/crates/measure/src/policy/world/mod.rs
@@ -158,7 +158,7 @@
     versions: VersionOutcome,
 }
 
-/// Answers of a version that was faulty when they were asked for.
+/// Answers of a version that was faulty when they were asked for, or failures when they ended.
 #[derive(Clone, Copy, Debug, Default)]
 struct FaultyAnswers {
     rated: u64,
@@ -442,6 +442,10 @@
 
     fn finish(mut self, last: Time) -> RunResult {
         let duration = self.agenda.now().min(last);
+        if self.versions.vetoed_at.is_none() {
+            self.versions.rated_before = self.faulty.rated;
+            self.versions.failed_before = self.faulty.failed;
+        }
         self.versions.exposed = self.exposed.len();
         let callers: BTreeSet<CallerId> =
             self.spec.arrivals.iter().map(|arrival| arrival.caller).collect();
