--- a/crates/report/src/distributions.rs
+++ b/crates/report/src/distributions.rs
@@ -1,4 +1,4 @@
-//! Latencies of the workspaces within one hour.
+//! Latencies of the workspaces within half a day.
 
 use std::collections::BTreeMap;
 
@@ -10,8 +10,8 @@
 use crate::observation::CompletedRequest;
 use crate::series::OTHER;
 
-/// Workspaces with distributions of their own in an hour; further ones share one.
-pub const DISTRIBUTIONS_LIMIT: usize = 64;
+/// Workspaces with distributions of their own in half a day; further ones share one.
+pub const DISTRIBUTIONS_LIMIT: usize = 32;
 
 /// Distributions by workspace.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
--- a/crates/report/src/latencies.rs
+++ b/crates/report/src/latencies.rs
@@ -2,7 +2,7 @@
 //!
 //! All distributions have the same bounds and precision, so adding two adds the counts of equal cells. A distribution
 //! that is being recorded into is a live histogram of some 20 kB; one that has been merged, sent or put aside is only
-//! its V2 encoding, which grows with the cells in use.
+//! its V2 encoding, which grows with the cells in use. One without latencies holds nothing.
 
 use std::time::Duration;
 
@@ -33,6 +33,7 @@
 
 #[derive(Clone, Debug)]
 enum State {
+    Empty,
     Live(Histogram<u64>),
     Sealed(Bytes),
 }
@@ -47,6 +48,9 @@
 
     /// Adds all latencies of another distribution.
     pub fn merge(&mut self, other: &Latencies) {
+        if matches!(other.state, State::Empty) {
+            return;
+        }
         let mut histogram = self.take_live();
         histogram.add(other.decoded()).expect("all distributions have the same bounds");
         self.state = State::Sealed(encode(&histogram));
@@ -77,13 +81,15 @@
 
     fn decoded(&self) -> Histogram<u64> {
         match &self.state {
+            State::Empty => empty(),
             State::Live(histogram) => histogram.clone(),
             State::Sealed(encoded) => decode(encoded).expect("checked when it was taken in"),
         }
     }
 
     fn take_live(&mut self) -> Histogram<u64> {
-        match std::mem::replace(&mut self.state, State::Sealed(Bytes::new())) {
+        match std::mem::replace(&mut self.state, State::Empty) {
+            State::Empty => empty(),
             State::Live(histogram) => histogram,
             State::Sealed(encoded) => decode(&encoded).expect("checked when it was taken in"),
         }
@@ -92,7 +98,7 @@
 
 impl Default for Latencies {
     fn default() -> Latencies {
-        Latencies { state: State::Live(empty()) }
+        Latencies { state: State::Empty }
     }
 }
 
@@ -105,6 +111,7 @@
 impl From<Latencies> for Bytes {
     fn from(latencies: Latencies) -> Bytes {
         match latencies.state {
+            State::Empty => encode(&empty()),
             State::Live(histogram) => encode(&histogram),
             State::Sealed(encoded) => encoded,
         }
--- a/crates/report/src/metrics.rs
+++ b/crates/report/src/metrics.rs
@@ -1,8 +1,9 @@
 //! What an entry host keeps for the report, in minutes and hours, and how two hosts' metrics become one.
 //!
 //! Workspaces are counted by the minute for the last hour and by the hour for three days: the windows of the burn rates
-//! need no more. All other dimensions, and latencies, are kept by the hour only. Everything is a sum of whole numbers or of equal cells, so merging is
-//! exact, and the order does not matter.
+//! need no more. Versions, data centres and presets are counted by the hour. Servers and latencies, of which a report
+//! shows only sums over its whole window, are kept by the half day, because they take the most memory. Everything is a
+//! sum of whole numbers or of equal cells, so merging is exact, and the order does not matter.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -31,19 +32,24 @@
 
 /// Time that is counted by the minute, at least; whole hours leave together.
 pub const MINUTES_KEPT: Duration = Duration::from_secs(60 * 60);
-/// Time that is kept at all; a little above the longest window.
+/// Time that is kept at all, at least; a little above the longest window. Whole half days leave together.
 pub const HOURS_KEPT: Duration = Duration::from_secs(74 * 60 * 60);
 /// A peer's buckets from further ahead than this are left out: its clock is wrong.
 pub const CLOCK_SKEW_LIMIT: Duration = Duration::from_secs(5 * 60);
 
+const MINUTES_PER_HALF_DAY: Minute = 12 * MINUTES_PER_HOUR;
+
 /// Metrics of one or more hosts.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Metrics {
     /// Recent counts of the workspaces, by the minute with which they begin.
     minutes: BTreeMap<Minute, SeriesSet>,
-    /// Older counts of the workspaces, and all of what else is kept, by the minute with which they begin.
-    hours: BTreeMap<Minute, HourBucket>,
+    /// Older counts of the workspaces, and those of versions, data centres and presets, by the minute with which they
+    /// begin.
+    hours: BTreeMap<Minute, SeriesSet>,
+    /// Counts of servers, and latencies, by the minute with which they begin.
+    half_days: BTreeMap<Minute, HalfDay>,
     exposure: ExposureTable,
     /// Buckets of peers that were left out for a clock that is ahead.
     skipped_buckets: u64,
@@ -51,10 +57,10 @@
     limits: SeriesLimits,
 }
 
-/// What happened within an hour. The workspaces' counts stand in the minutes as long as those are kept.
+/// What is kept by the half day.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-struct HourBucket {
-    series: SeriesSet,
+struct HalfDay {
+    servers: SeriesSet,
     distributions: DistributionSet,
 }
 
@@ -83,6 +89,7 @@
         Metrics {
             minutes: BTreeMap::new(),
             hours: BTreeMap::new(),
+            half_days: BTreeMap::new(),
             exposure: ExposureTable::default(),
             skipped_buckets: 0,
             limits,
@@ -121,11 +128,18 @@
                 self.minutes.entry(*begin).or_default().merge(series, self.limits);
             }
         }
-        for (begin, bucket) in &other.hours {
+        for (begin, series) in &other.hours {
+            if *begin > latest {
+                self.skipped_buckets += 1;
+            } else {
+                self.hours.entry(*begin).or_default().merge(series, self.limits);
+            }
+        }
+        for (begin, half_day) in &other.half_days {
             if *begin > latest {
                 self.skipped_buckets += 1;
             } else {
-                self.hours.entry(*begin).or_default().merge(bucket, self.limits);
+                self.half_days.entry(*begin).or_default().merge(half_day, self.limits);
             }
         }
         self.exposure.merge(&other.exposure);
@@ -144,7 +158,7 @@
         self.skipped_buckets
     }
 
-    /// Counts within the window before `now`, oldest first. Minutes are exact; an hour that the window only touches is
+    /// Counts within the window before `now`. Minutes are exact; an hour or half day that the window only touches is
     /// included whole.
     pub fn window(
         &self,
@@ -152,56 +166,60 @@
         length: Duration,
     ) -> impl Iterator<Item = TimedSeries<'_>> {
         let (start, end) = bounds(now, length);
-        let hours = self.hours_within(start, end);
-        let hours = hours.map(|(begin, bucket)| TimedSeries { begin, series: &bucket.series });
+        let half_days = self.half_days_within(start, end);
+        let servers =
+            half_days.map(|(begin, half_day)| TimedSeries { begin, series: &half_day.servers });
+        let hours = self.hours.range(start.saturating_sub(MINUTES_PER_HOUR - 1)..end);
         let minutes = self.minutes.range(start..end);
-        hours.chain(minutes.map(|(begin, series)| TimedSeries { begin: *begin, series }))
+        let others = hours.chain(minutes);
+        servers.chain(others.map(|(begin, series)| TimedSeries { begin: *begin, series }))
     }
 
-    /// Latencies within the window before `now`, by the hour.
+    /// Latencies within the window before `now`, by the half day.
     pub(crate) fn distributions(
         &self,
         now: SystemTime,
         length: Duration,
     ) -> impl Iterator<Item = &DistributionSet> {
         let (start, end) = bounds(now, length);
-        self.hours_within(start, end).map(|(_, bucket)| &bucket.distributions)
+        self.half_days_within(start, end).map(|(_, half_day)| &half_day.distributions)
     }
 
-    /// Number of minutes and hours that are kept.
+    /// Number of minutes, hours and half days that are kept.
     #[must_use]
     pub fn buckets(&self) -> usize {
-        self.minutes.len() + self.hours.len()
+        self.minutes.len() + self.hours.len() + self.half_days.len()
     }
 
-    fn hours_within(
+    fn half_days_within(
         &self,
         start: Minute,
         end: Minute,
-    ) -> impl Iterator<Item = (Minute, &HourBucket)> {
-        let first = start.saturating_sub(MINUTES_PER_HOUR - 1);
-        self.hours.range(first..end).map(|(begin, bucket)| (*begin, bucket))
+    ) -> impl Iterator<Item = (Minute, &HalfDay)> {
+        let first = start.saturating_sub(MINUTES_PER_HALF_DAY - 1);
+        self.half_days.range(first..end).map(|(begin, half_day)| (*begin, half_day))
     }
 
     fn complete(&mut self, minute: Minute, request: &CompletedRequest) {
         let slow = request.first_token.is_some_and(|time| time > FIRST_TOKEN_TARGET);
         self.count(minute, &request.labels, |counters| counters.complete(request, slow));
-        self.hour(minute).distributions.record(request);
+        self.half_day(minute).distributions.record(request);
     }
 
     fn count(&mut self, minute: Minute, labels: &Labels, change: impl Fn(&mut Counters)) {
         let limits = self.limits;
         self.workspaces(minute).count_workspace(labels, limits, &change);
-        self.hour(minute).series.count_others(labels, limits, &change);
+        self.hours.entry(hour_of(minute)).or_default().count_others(labels, limits, &change);
+        self.half_day(minute).servers.count_server(labels, limits, &change);
     }
 
-    /// Bucket of a minute's hour; a new one takes the live histograms' memory from the others.
-    fn hour(&mut self, minute: Minute) -> &mut HourBucket {
-        let hour = hour_of(minute);
-        if !self.hours.contains_key(&hour) {
-            self.hours.values_mut().for_each(|bucket| bucket.distributions.seal());
+    /// Bucket of a minute's half day; a new one takes the live histograms' memory from the others.
+    fn half_day(&mut self, minute: Minute) -> &mut HalfDay {
+        let begin = half_day_of(minute);
+        if !self.half_days.contains_key(&begin) {
+            self.half_days.values_mut().for_each(|half_day| half_day.distributions.seal());
         }
-        self.hours.entry(hour).or_default()
+        self.half_days.entry(begin).or_default()
     }
 
     /// Workspaces' counts of a minute; an old one's are those of its hour.
@@ -213,7 +231,7 @@
         }
         match self.minutes.get_mut(&minute) {
             Some(series) => series,
-            None => &mut self.hours.entry(hour_of(minute)).or_default().series,
+            None => self.hours.entry(hour_of(minute)).or_default(),
         }
     }
 
@@ -225,9 +243,10 @@
         let kept = self.minutes.split_off(&first_kept);
         for (minute, series) in std::mem::replace(&mut self.minutes, kept) {
             let hour = self.hours.entry(hour_of(minute)).or_default();
-            hour.series.merge(&series, self.limits);
+            hour.merge(&series, self.limits);
         }
         self.hours = self.hours.split_off(&oldest_kept(newest));
+        self.half_days = self.half_days.split_off(&oldest_kept(newest));
     }
 
     fn newest(&self) -> Option<Minute> {
@@ -237,9 +256,9 @@
     }
 }
 
-impl HourBucket {
-    fn merge(&mut self, other: &HourBucket, limits: SeriesLimits) {
-        self.series.merge(&other.series, limits);
+impl HalfDay {
+    fn merge(&mut self, other: &HalfDay, limits: SeriesLimits) {
+        self.servers.merge(&other.servers, limits);
         self.distributions.merge(&other.distributions);
     }
 }
@@ -248,15 +267,19 @@
     HOST_LIMITS
 }
 
-/// Begin of the oldest hour that is kept.
+/// Begin of the oldest half day that is kept. Whole ones leave together, so that none is ever cut.
 fn oldest_kept(newest: Minute) -> Minute {
-    hour_of(newest.saturating_sub(minutes(HOURS_KEPT)))
+    half_day_of(newest.saturating_sub(minutes(HOURS_KEPT)))
 }
 
 fn hour_of(minute: Minute) -> Minute {
     minute / MINUTES_PER_HOUR * MINUTES_PER_HOUR
 }
 
+fn half_day_of(minute: Minute) -> Minute {
+    minute / MINUTES_PER_HALF_DAY * MINUTES_PER_HALF_DAY
+}
+
 /// First minute of a window, and the minute after its last; the one that is not over yet is the last.
 fn bounds(now: SystemTime, length: Duration) -> (Minute, Minute) {
     let end = minute_of(now) + 1;
--- a/crates/report/src/series.rs
+++ b/crates/report/src/series.rs
@@ -92,6 +92,18 @@
         change(self.counters(SeriesKey::Workspace(labels.workspace.clone()), limits));
     }
 
+    /// Changes the counters of a server.
+    pub(crate) fn count_server(
+        &mut self,
+        labels: &Labels,
+        limits: SeriesLimits,
+        change: impl Fn(&mut Counters),
+    ) {
+        if let Some(server) = &labels.server {
+            change(self.counters(SeriesKey::Server(server.clone()), limits));
+        }
+    }
+
     /// Changes the counters along every other dimension of the labels.
     pub(crate) fn count_others(
         &mut self,
@@ -176,13 +188,12 @@
 }
 
 impl Labels {
-    /// One key for each dimension that the labels name, besides the workspace.
+    /// One key for each dimension that the labels name, besides the workspace and the server.
     fn other_keys(&self) -> impl Iterator<Item = SeriesKey> {
         let version = self.model_version.clone().map(SeriesKey::Version);
-        let server = self.server.clone().map(SeriesKey::Server);
         let data_centre = Some(SeriesKey::DataCentre(self.data_centre.clone()));
         let preset = Some(SeriesKey::Preset(self.preset.clone()));
-        [version, server, data_centre, preset].into_iter().flatten()
+        [version, data_centre, preset].into_iter().flatten()
     }
 }
 
