--- a/crates/host/src/entry_host.rs
+++ b/crates/host/src/entry_host.rs
@@ -18,6 +18,7 @@
 use foxtailhoist_model::BackendServerId;
 use foxtailhoist_model::ClaimKey;
 use foxtailhoist_model::Configuration;
+use foxtailhoist_model::DataCentreId;
 use foxtailhoist_model::Invariants;
 use foxtailhoist_model::Request;
 use foxtailhoist_model::RequestId;
@@ -210,6 +211,18 @@
         self.servers.address(server)
     }
 
+    /// Data centre of a backend server.
+    #[must_use]
+    pub fn server_data_centre(&self, server: &BackendServerId) -> Option<&DataCentreId> {
+        self.servers.data_centre(server)
+    }
+
+    /// Entry hosts that are alive and reachable, this one included until it stops.
+    #[must_use]
+    pub fn members(&self) -> Vec<peers::Member> {
+        self.peers.members()
+    }
+
     /// Counters of violated invariants, of every part.
     #[must_use]
     pub fn invariants(&self) -> [&Invariants; 5] {
@@ -379,7 +392,8 @@
     }
 }
 
-fn journal_config(cfg: &HostConfig) -> JournalConfig {
+/// Settings of this host's journal.
+pub(crate) fn journal_config(cfg: &HostConfig) -> JournalConfig {
     JournalConfig::new(&cfg.host, &cfg.data_centre, cfg.incarnation).enforcement(cfg.enforcement)
 }
 
--- a/crates/host/src/operators.rs
+++ b/crates/host/src/operators.rs
@@ -27,6 +27,7 @@
 use crate::calls::Owner;
 use crate::entry_host::Step;
 use crate::entry_host::Stopping;
+use crate::entry_host::journal_config;
 use crate::event::CommandId;
 use crate::event::Effect;
 use crate::operator::HostStatus;
@@ -149,7 +150,10 @@
             OperatorCommand::ConfigDiff { proposal } => {
                 self.start_reader(command, Reader::proposal(&proposal), now);
             }
-            OperatorCommand::Usage => self.reply(command, Err(not_configured())),
+            OperatorCommand::Usage => {
+                let reader = Reader::usage(&journal_config(&self.cfg));
+                self.start_reader(command, reader, now);
+            }
             change => self.take_change(command, change, now),
         }
     }
--- a/crates/host/src/readers.rs
+++ b/crates/host/src/readers.rs
@@ -8,6 +8,11 @@
 use foxtailhoist_config::audit_key;
 use foxtailhoist_config::decode;
 use foxtailhoist_config::proposal_key;
+use foxtailhoist_journal::JournalConfig;
+use foxtailhoist_journal::UsageKey;
+use foxtailhoist_journal::UsageReader;
+use foxtailhoist_journal::UsageReport;
+use foxtailhoist_journal::UsageSum;
 use foxtailhoist_model::ErrorKind;
 use foxtailhoist_model::Object;
 use foxtailhoist_model::Refusal;
@@ -20,6 +25,7 @@
 use crate::event::CommandId;
 use crate::event::Effect;
 use crate::operator::OperatorReply;
+use crate::operator::UsageRow;
 
 /// Most objects in one page of a list.
 const PAGE: usize = 500;
@@ -36,6 +42,7 @@
     Proposal {
         id: String,
     },
+    Usage(UsageReader),
 }
 
 /// One line of the audit log.
@@ -59,13 +66,19 @@
         Reader::Proposal { id: id.to_owned() }
     }
 
-    fn first_call(&self) -> StoreOp {
+    /// Reads the bills of journals with this host's numbers of shards and usage parts.
+    pub fn usage(journal: &JournalConfig) -> Reader {
+        Reader::Usage(UsageReader::new(journal.shard_count(), journal.usage_part_count()))
+    }
+
+    fn first_call(&self) -> Option<StoreOp> {
         match self {
             Reader::Audit { limit, newest, .. } => {
                 let oldest = newest.saturating_sub(*limit as u64);
-                list("config/audit/", Some(audit_key(oldest)))
+                Some(list("config/audit/", Some(audit_key(oldest))))
             }
-            Reader::Proposal { id } => StoreOp::Get { key: proposal_key(id) },
+            Reader::Proposal { id } => Some(StoreOp::Get { key: proposal_key(id) }),
+            Reader::Usage(reader) => reader.next_op(),
         }
     }
 
@@ -87,10 +100,15 @@
                     (false, true) => Next::Done(Ok(audit_reply(lines, *limit))),
                 }
             }
-            _ => Next::Done(Err(Refusal::new(
-                ErrorKind::Internal,
-                "the store answered another call",
-            ))),
+            (Reader::Usage(reader), reply) => {
+                reader.finish(&Ok(reply));
+                match (reader.next_op(), reader.report()) {
+                    (Some(op), _) => Next::Call(op),
+                    (None, Some(report)) => Next::Done(Ok(usage_reply(&report))),
+                    (None, None) => Next::Done(Err(misread())),
+                }
+            }
+            _ => Next::Done(Err(misread())),
         }
     }
 }
@@ -100,7 +118,9 @@
         if let Reader::Audit { newest, .. } = &mut reader {
             *newest = self.configuration.as_ref().map_or(0, |configuration| configuration.revision);
         }
-        let op = reader.first_call();
+        let Some(op) = reader.first_call() else {
+            return self.reply(command, Err(misread()));
+        };
         self.operators.readers.insert(command, reader);
         self.read(command, op);
     }
@@ -130,6 +150,21 @@
     }
 }
 
+fn misread() -> Refusal {
+    Refusal::new(ErrorKind::Internal, "the store answered another call")
+}
+
+fn usage_reply(report: &UsageReport) -> OperatorReply {
+    let row = |(key, sum): (UsageKey, UsageSum)| UsageRow {
+        workspace: key.workspace,
+        model_version: key.model_version,
+        answers: sum.bills,
+        prompt_tokens: sum.prompt_tokens,
+        output_tokens: sum.output_tokens,
+    };
+    OperatorReply::Usage { rows: report.total().into_iter().map(row).collect() }
+}
+
 fn list(prefix: &str, after: Option<String>) -> StoreOp {
     StoreOp::List { prefix: prefix.to_owned(), after, limit: PAGE }
 }
--- a/crates/host/src/servers.rs
+++ b/crates/host/src/servers.rs
@@ -7,6 +7,7 @@
 
 use foxtailhoist_model::BackendServer;
 use foxtailhoist_model::BackendServerId;
+use foxtailhoist_model::DataCentreId;
 use foxtailhoist_model::Presence;
 
 /// How long a mark of leaving outweighs a host list that still shows the server as live.
@@ -42,6 +43,11 @@
         self.listed.get(server).map(|server| server.address)
     }
 
+    #[must_use]
+    pub fn data_centre(&self, server: &BackendServerId) -> Option<&DataCentreId> {
+        self.listed.get(server).map(|server| &server.data_centre)
+    }
+
     #[must_use]
     pub fn len(&self) -> usize {
         self.listed.len()
--- a/crates/journal/src/config.rs
+++ b/crates/journal/src/config.rs
@@ -173,6 +173,18 @@
         self
     }
 
+    /// Number of shards, for a reader of the bills.
+    #[must_use]
+    pub fn shard_count(&self) -> u32 {
+        self.shards
+    }
+
+    /// Usage objects for each day and shard, for a reader of the bills.
+    #[must_use]
+    pub fn usage_part_count(&self) -> u32 {
+        self.usage_parts
+    }
+
     /// Longest time that a stop waits for commits.
     #[must_use]
     pub fn stop_timeout(mut self, stop_timeout: Duration) -> JournalConfig {
