Record every answer and refusal for the burn report, and report for the whole fleet

Cause: the report's crate was whole, but nothing recorded into its metrics and the command was a stub. Change: the shell records completions, refusals (those before admission under their workspace), verdicts of the rating service, and callers exposed to versions in roll-out or vetoed later; cost against the dearest model that the workspace may use. The operators' listener serves GET /v1/report/burn: the host fetches the metrics of all members and listed hosts over the peers' listener with the peer key, merges them, and names the hosts that did not answer. The command prints text, JSON or HTML. The peers' edge gets one call for it.

--- a/crates/core/client.rs
+++ b/crates/core/client.rs
@@ -5,7 +5,10 @@
 use foxtailhoist_model::ErrorKind;
 use foxtailhoist_model::Ran;
 use foxtailhoist_model::Refusal;
+use foxtailhoist_report::Report;
+use reqwest::RequestBuilder;
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 
 use crate::failure::Failure;
 use crate::flags::OperatorFlags;
@@ -31,15 +34,34 @@
     flags: &OperatorFlags,
     command: &OperatorCommand,
 ) -> Result<OperatorReply, Failure> {
-    let url = format!("http://{}/v1/operator", flags.address);
+    let request = reqwest::Client::new().post(url(flags, "/v1/operator")).json(command);
+    exchange(flags, request).await
+}
+
+/// Asks for the fleet's service-level burn report.
+///
+/// # Errors
+///
+/// Fails when the host cannot be reached, refuses, or answers what cannot be read.
+pub async fn burn_report(flags: &OperatorFlags) -> Result<Report, Failure> {
+    exchange(flags, reqwest::Client::new().get(url(flags, "/v1/report/burn"))).await
+}
+
+fn url(flags: &OperatorFlags, path: &str) -> String {
+    format!("http://{}{path}", flags.address)
+}
+
+async fn exchange<T: DeserializeOwned>(
+    flags: &OperatorFlags,
+    request: RequestBuilder,
+) -> Result<T, Failure> {
     let unreachable = |e: reqwest::Error| {
         Failure::Unreachable(format!(
             "entry host at {} cannot be reached: {e}; try another with --address",
             flags.address
         ))
     };
-    let request = reqwest::Client::new().post(url).bearer_auth(&flags.key).json(command);
-    let response = request.send().await.map_err(unreachable)?;
+    let response = request.bearer_auth(&flags.key).send().await.map_err(unreachable)?;
     let accepted = response.status().is_success();
     let body = response.bytes().await.map_err(unreachable)?;
     let unreadable = |e: serde_json::Error| {
--- a/crates/core/commands/mod.rs
+++ b/crates/core/commands/mod.rs
@@ -6,6 +6,7 @@
 mod measure_path;
 mod operate;
 mod print;
+mod report;
 mod serve;
 mod signal;
 
@@ -45,9 +46,7 @@
         Command::Check { settings, configuration } => {
             check::check(settings.as_deref(), configuration.as_deref())?
         }
-        Command::ReportBurn(flags, format) => {
-            return not_built(&format!("report burn from {} as {format:?}", flags.address));
-        }
+        Command::ReportBurn(flags, format) => block_on(report::burn(flags, format))?,
         Command::Scenario { file } => return not_built(&format!("scenario {}", file.display())),
     }
     Ok(())
--- a/crates/core/flags/mod.rs
+++ b/crates/core/flags/mod.rs
@@ -13,6 +13,7 @@
 pub use command::Measurement;
 pub use command::OperatorFlags;
 pub use command::PresetCommand;
+pub use command::ReportFormat;
 pub use command::VersionCommand;
 
 use std::collections::BTreeMap;
--- a/crates/platform/src/edge.rs
+++ b/crates/platform/src/edge.rs
@@ -74,6 +74,9 @@
     /// Delivers one encoded message and returns the peer's encoded reply.
     fn send(&self, address: SocketAddr, message: Bytes) -> BoxFuture<'_, Result<Bytes, PeerError>>;
 
+    /// Fetches the peer's encoded metrics for the burn report.
+    fn metrics(&self, address: SocketAddr) -> BoxFuture<'_, Result<Bytes, PeerError>>;
+
     /// Closes all connections to a peer; later messages open new ones.
     fn retire(&self, address: SocketAddr);
 }
--- a/crates/platform/src/peers.rs
+++ b/crates/platform/src/peers.rs
@@ -1,4 +1,5 @@
-//! Messages between entry hosts over HTTP: `POST /peer` with the shared peer key and the sender's host id.
+//! Messages between entry hosts over HTTP: `POST /peer` with the shared peer key and the sender's host id, and
+//! `GET /peer/metrics`, authenticated alike.
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -7,6 +8,7 @@
 use bytes::Bytes;
 use foxtailhoist_model::EntryHostId;
 use futures::future::BoxFuture;
+use reqwest::RequestBuilder;
 use reqwest::header::CONTENT_TYPE;
 use reqwest::header::HeaderValue;
 
@@ -39,14 +41,24 @@
     }
 
     async fn deliver(&self, address: SocketAddr, message: Bytes) -> Result<Bytes, PeerError> {
-        let request = self
-            .pools
-            .client(address)
-            .post(call::url(address, "/peer"))
-            .header(CONTENT_TYPE, PEER_CONTENT_TYPE)
+        let client = self.pools.client(address);
+        let request = client.post(call::url(address, "/peer"));
+        self.exchange(address, request.header(CONTENT_TYPE, PEER_CONTENT_TYPE).body(message)).await
+    }
+
+    async fn fetch_metrics(&self, address: SocketAddr) -> Result<Bytes, PeerError> {
+        let client = self.pools.client(address);
+        self.exchange(address, client.get(call::url(address, "/peer/metrics"))).await
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: RequestBuilder,
+    ) -> Result<Bytes, PeerError> {
+        let request = request
             .header(headers::PEER_KEY, self.key.clone())
-            .header(headers::HOST_ID, &self.host)
-            .body(message);
+            .header(headers::HOST_ID, &self.host);
         let head_timeout = self.pools.settings().head_timeout();
         let answer = match call::call(&self.pools, address, request, head_timeout).await {
             Ok(answer) => answer,
@@ -70,6 +82,10 @@
         Box::pin(self.deliver(address, message))
     }
 
+    fn metrics(&self, address: SocketAddr) -> BoxFuture<'_, Result<Bytes, PeerError>> {
+        Box::pin(self.fetch_metrics(address))
+    }
+
     fn retire(&self, address: SocketAddr) {
         self.pools.retire(address);
     }
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -76,6 +76,7 @@
 pub use observation::RefusedRequest;
 pub use observation::cost_of;
 pub use observation::is_callers_fault;
+pub use report::Coverage;
 pub use report::ObjectiveReport;
 pub use report::Quantiles;
 pub use report::Report;
--- a/crates/report/src/report.rs
+++ b/crates/report/src/report.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
+use foxtailhoist_model::EntryHostId;
 use foxtailhoist_model::WorkspaceId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -49,6 +50,17 @@
     pub hours: Vec<HourPoint>,
     /// Buckets left out because a host's clock is ahead.
     pub skipped_buckets: u64,
+    /// Whose metrics are in the report, and whose are missing.
+    #[serde(default)]
+    pub coverage: Coverage,
+}
+
+/// Entry hosts that were asked for their metrics.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Coverage {
+    pub answered: Vec<EntryHostId>,
+    /// Known hosts whose metrics are missing.
+    pub unanswered: Vec<EntryHostId>,
 }
 
 /// One workspace over the report's window.
@@ -118,11 +130,20 @@
             exposure: ExposureReport::list(metrics),
             hours: breakdown.hours(),
             skipped_buckets: metrics.skipped_buckets(),
+            coverage: Coverage::default(),
         };
         report.summary = crate::summary::sentences(&report);
         report
     }
 
+    /// The report with the hosts that it covers, and a sentence that names those that are missing.
+    #[must_use]
+    pub fn covering(mut self, coverage: Coverage) -> Report {
+        self.coverage = coverage;
+        self.summary = crate::summary::sentences(&self);
+        self
+    }
+
     /// The report as JSON.
     ///
     /// # Errors
--- a/crates/report/src/summary.rs
+++ b/crates/report/src/summary.rs
@@ -22,6 +22,7 @@
     }
     sentences.extend(cost(&report.totals));
     sentences.extend(exposure(report));
+    sentences.extend(coverage(report));
     if report.skipped_buckets > 0 {
         let skipped = count(report.skipped_buckets);
         sentences.push(format!(
@@ -121,3 +122,19 @@
         bad.len()
     ))
 }
+
+fn coverage(report: &Report) -> Option<String> {
+    let coverage = &report.coverage;
+    let asked = coverage.answered.len() + coverage.unanswered.len();
+    if asked == 0 {
+        return None;
+    }
+    if coverage.unanswered.is_empty() {
+        return Some(format!("The report covers all {asked} entry hosts."));
+    }
+    Some(format!(
+        "The report covers {} of {asked} entry hosts; no metrics came from {}.",
+        coverage.answered.len(),
+        coverage.unanswered.join(", ")
+    ))
+}
--- a/crates/server/src/http/callers.rs
+++ b/crates/server/src/http/callers.rs
@@ -55,9 +55,13 @@
 impl Chat {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
         let shell = &self.shell;
-        let (request, content) = match chat_request(shell, req).await {
+        let head = match Head::read(shell, req) {
+            Ok(head) => head,
+            Err(refusal) => return refuse_early(shell, res, None, &refusal),
+        };
+        let (request, content) = match chat_request(shell, &head, req).await {
             Ok(parts) => parts,
-            Err(refusal) => return answers::refuse(res, &refusal, None),
+            Err(refusal) => return refuse_early(shell, res, Some(&head.workspace), &refusal),
         };
         answer(shell, request, content, res).await;
     }
@@ -67,22 +71,32 @@
 impl Call {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
         let shell = &self.shell;
-        let (request, content) = match service_request(shell, req).await {
+        let head = match Head::read(shell, req) {
+            Ok(head) => head,
+            Err(refusal) => return refuse_early(shell, res, None, &refusal),
+        };
+        let (request, content) = match service_request(shell, &head, req).await {
             Ok(parts) => parts,
-            Err(refusal) => return answers::refuse(res, &refusal, None),
+            Err(refusal) => return refuse_early(shell, res, Some(&head.workspace), &refusal),
         };
         answer(shell, request, content, res).await;
     }
 }
 
+/// Refuses a request of which nothing was dispatched.
+fn refuse_early(shell: &Shell, res: &mut Response, workspace: Option<&str>, refusal: &Refusal) {
+    shell.refused_early(workspace, refusal);
+    answers::refuse(res, refusal, None);
+}
+
 async fn chat_request(
     shell: &Arc<Shell>,
+    head: &Head,
     req: &mut Request,
 ) -> Result<(foxtailhoist_model::Request, Content), Refusal> {
-    let head = Head::read(shell, req)?;
     let body = http::body(req, shell.limits()).await?;
     let chat = ChatRequest::parse(&body)?;
-    let session = session_pin(shell, &head)?;
+    let session = session_pin(shell, head)?;
     let content = Content {
         workspace: head.workspace.clone(),
         session: session.as_ref().map(|pin| pin.session.clone()),
@@ -107,14 +121,14 @@
         prefix_tokens: chat.prefix_tokens,
         streamed: chat.streamed,
     };
-    Ok((request(shell, &head, caller, target, Idempotency::Idempotent, &body), content))
+    Ok((request(shell, head, caller, target, Idempotency::Idempotent, &body), content))
 }
 
 async fn service_request(
     shell: &Arc<Shell>,
+    head: &Head,
     req: &mut Request,
 ) -> Result<(foxtailhoist_model::Request, Content), Refusal> {
-    let head = Head::read(shell, req)?;
     let service: String = req.param("service").unwrap_or_default();
     let path: String = req.param("path").unwrap_or_default();
     let query = req.uri().query().map_or_else(String::new, |query| format!("?{query}"));
@@ -131,7 +145,7 @@
         body: body.clone(),
     };
     let caller = head.key_hash;
-    Ok((request(shell, &head, caller, Target::Service { service }, idempotency, &body), content))
+    Ok((request(shell, head, caller, Target::Service { service }, idempotency, &body), content))
 }
 
 fn request(
@@ -172,6 +186,7 @@
 ) {
     let id = request.id;
     let streamed = content.streamed;
+    let workspace = content.workspace.clone();
     let sealer = Sealer {
         shell: Arc::clone(shell),
         workspace: content.workspace.clone(),
@@ -179,7 +194,10 @@
     };
     let end = match shell.open(request, content) {
         Ok(end) => end,
-        Err(refusal) => return answers::refuse(res, &refusal, Some(id)),
+        Err(refusal) => {
+            shell.refused_early(Some(&workspace), &refusal);
+            return answers::refuse(res, &refusal, Some(id));
+        }
     };
     let guard = CallerGuard { shell: Arc::clone(shell), request: id };
     if streamed {
--- a/crates/server/src/http/mod.rs
+++ b/crates/server/src/http/mod.rs
@@ -40,14 +40,22 @@
         .push(
             Router::with_path("v1/operator").post(operators::Command { shell: Arc::clone(shell) }),
         )
+        .push(
+            Router::with_path("v1/report/burn")
+                .get(operators::BurnReport { shell: Arc::clone(shell) }),
+        )
         .push(Router::with_path("metrics").get(operators::Scrape { shell: Arc::clone(shell) }))
         .push(Router::with_path("healthz").get(operators::Health))
         .push(Router::with_path("readyz").get(operators::Ready { shell: Arc::clone(shell) }))
 }
 
-/// Page for peers.
+/// Pages for peers.
 pub fn peer_routes(shell: &Arc<Shell>) -> Router {
-    Router::new().push(Router::with_path("peer").post(peers::Message { shell: Arc::clone(shell) }))
+    Router::new()
+        .push(Router::with_path("peer").post(peers::Message { shell: Arc::clone(shell) }))
+        .push(
+            Router::with_path("peer/metrics").get(peers::MetricsPage { shell: Arc::clone(shell) }),
+        )
 }
 
 /// A header's text; absent when it is not text.
--- a/crates/server/src/http/operators.rs
+++ b/crates/server/src/http/operators.rs
@@ -4,6 +4,7 @@
 
 use foxtailhoist_host::operator::OperatorCommand;
 use foxtailhoist_model::ErrorKind;
+use foxtailhoist_model::OperatorId;
 use foxtailhoist_model::Refusal;
 use salvo::handler;
 use salvo::http::StatusCode;
@@ -12,6 +13,7 @@
 use salvo::writing::Json;
 
 use crate::answers;
+use crate::burn;
 use crate::http;
 use crate::keys::bearer;
 use crate::shell::Shell;
@@ -21,6 +23,11 @@
     pub shell: Arc<Shell>,
 }
 
+/// `GET /v1/report/burn`: the fleet's service-level burn report as JSON.
+pub struct BurnReport {
+    pub shell: Arc<Shell>,
+}
+
 /// `GET /readyz`: whether the balancer may send requests.
 pub struct Ready {
     pub shell: Arc<Shell>,
@@ -47,6 +54,16 @@
     }
 }
 
+#[handler]
+impl BurnReport {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        match authenticate(&self.shell, req) {
+            Ok(_) => res.render(Json(burn::fleet_report(&self.shell).await)),
+            Err(refusal) => answers::refuse(res, &refusal, None),
+        }
+    }
+}
+
 #[handler]
 impl Health {
     async fn handle(&self, res: &mut Response) {
@@ -84,6 +101,15 @@
 
 /// Reads a command; the operator is the one whose key was presented, whatever the body says.
 async fn command(shell: &Shell, req: &mut Request) -> Result<OperatorCommand, Refusal> {
+    let operator = authenticate(shell, req)?;
+    let body = http::body(req, shell.limits()).await?;
+    let order: OperatorCommand = serde_json::from_slice(&body)
+        .map_err(|e| Refusal::new(ErrorKind::BadRequest, &format!("body is not a command: {e}")))?;
+    Ok(order.by(&operator))
+}
+
+/// The operator whose key was presented.
+fn authenticate(shell: &Shell, req: &Request) -> Result<OperatorId, Refusal> {
     let unknown = || {
         Refusal::new(
             ErrorKind::Unauthenticated,
@@ -91,9 +117,5 @@
         )
     };
     let presented = http::header(req, "authorization").and_then(bearer).ok_or_else(unknown)?;
-    let operator = shell.keys().operator(presented).ok_or_else(unknown)?.clone();
-    let body = http::body(req, shell.limits()).await?;
-    let order: OperatorCommand = serde_json::from_slice(&body)
-        .map_err(|e| Refusal::new(ErrorKind::BadRequest, &format!("body is not a command: {e}")))?;
-    Ok(order.by(&operator))
+    shell.keys().operator(presented).cloned().ok_or_else(unknown)
 }
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod answers;
 mod attempt;
+mod burn;
 mod chat;
 mod config;
 mod http;
@@ -15,6 +16,7 @@
 mod metrics;
 mod poll;
 mod ratings;
+mod recorder;
 mod registry;
 mod server;
 mod shell;
--- a/crates/server/src/poll.rs
+++ b/crates/server/src/poll.rs
@@ -17,8 +17,7 @@
         match shell.edges().host_list.hosts().await {
             Ok(list) => {
                 follow(&shell, &mut feeds, &list.backend_servers);
-                let (entry_hosts, backend_servers) = (list.entry_hosts, list.backend_servers);
-                shell.handle(Event::HostList { entry_hosts, backend_servers });
+                shell.take_host_list(list);
             }
             Err(error) => log::warn!("event=host_list_failed error=\"{error}\""),
         }
--- a/crates/server/src/ratings.rs
+++ b/crates/server/src/ratings.rs
@@ -6,6 +6,7 @@
 use foxtailhoist_model::AttemptId;
 use foxtailhoist_model::RequestId;
 use foxtailhoist_platform::RatingRequest;
+use foxtailhoist_report::Labels;
 use foxtailhoist_route::event::Completion;
 
 /// Answers that are remembered.
@@ -17,10 +18,16 @@
 #[derive(Default)]
 pub struct RecentAnswers {
     bodies: BTreeMap<AttemptId, String>,
-    ratings: BTreeMap<RequestId, RatingRequest>,
+    ratings: BTreeMap<RequestId, RatedAnswer>,
     order: VecDeque<Remembered>,
 }
 
+/// An answer that may be rated, and by what its verdict is counted.
+pub struct RatedAnswer {
+    pub rating: RatingRequest,
+    pub labels: Labels,
+}
+
 enum Remembered {
     Attempt(AttemptId),
     Request(RequestId),
@@ -33,7 +40,7 @@
         self.remember(Remembered::Attempt(attempt));
     }
 
-    pub fn note_completion(&mut self, completion: &Completion) {
+    pub fn note_completion(&mut self, completion: &Completion, labels: Labels) {
         let (Some(model_version), Some(class)) = (&completion.model_version, &completion.class)
         else {
             return;
@@ -44,12 +51,12 @@
             class: class.clone(),
             answer: self.bodies.remove(&completion.attempt).unwrap_or_default(),
         };
-        self.ratings.insert(completion.request, rating);
+        self.ratings.insert(completion.request, RatedAnswer { rating, labels });
         self.remember(Remembered::Request(completion.request));
     }
 
     /// What to ask the rating service about a request, if its answer is still remembered.
-    pub fn rating_request(&mut self, request: RequestId) -> Option<RatingRequest> {
+    pub fn rating_request(&mut self, request: RequestId) -> Option<RatedAnswer> {
         self.ratings.remove(&request)
     }
 
--- a/crates/server/src/registry.rs
+++ b/crates/server/src/registry.rs
@@ -11,6 +11,7 @@
 use foxtailhoist_model::RequestId;
 use foxtailhoist_model::SessionId;
 use foxtailhoist_model::WorkspaceId;
+use foxtailhoist_report::Labels;
 use foxtailhoist_route::event::Completion;
 use foxtailhoist_route::event::Dispatch;
 use tokio::sync::mpsc;
@@ -18,6 +19,8 @@
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
+use crate::recorder::Arrival;
+
 /// What is sent to backend servers for a request.
 #[derive(Clone, Debug)]
 pub struct Content {
@@ -68,6 +71,9 @@
 /// Shell's end of a request.
 pub struct RequestEntry {
     pub content: Arc<Content>,
+    pub arrival: Arrival,
+    /// By what it is counted if it is refused: those of its last attempt, if it had one.
+    pub labels: Labels,
     pub pieces: mpsc::Sender<Bytes>,
     pub head: Arc<OnceLock<AnswerHead>>,
     verdict: oneshot::Sender<Verdict>,
@@ -93,6 +99,8 @@
         &mut self,
         request: RequestId,
         content: Content,
+        arrival: Arrival,
+        labels: Labels,
         pieces: usize,
     ) -> Option<CallerEnd> {
         if self.requests.contains_key(&request) {
@@ -103,6 +111,8 @@
         let head = Arc::new(OnceLock::new());
         let entry = RequestEntry {
             content: Arc::new(content),
+            arrival,
+            labels,
             pieces: pieces_tx,
             head: Arc::clone(&head),
             verdict: verdict_tx,
@@ -115,6 +125,13 @@
         self.requests.get(&request)
     }
 
+    /// Notes the labels of a request's newest attempt.
+    pub fn set_labels(&mut self, request: RequestId, labels: Labels) {
+        if let Some(entry) = self.requests.get_mut(&request) {
+            entry.labels = labels;
+        }
+    }
+
     pub fn requests(&self) -> usize {
         self.requests.len()
     }
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -85,7 +85,8 @@
             enforcement: foxtailhoist_model::Enforcement::Count,
         };
         let host = EntryHost::new(host_config, cfg.seed, Instant::now(), SystemTime::now());
-        let shell = Arc::new(Shell::new(host, edges, cfg.limits, cfg.keys, Metrics::new()?));
+        let shell =
+            Arc::new(Shell::new(host, edges, cfg.limits, cfg.keys, Metrics::new()?, &cfg.identity));
         let listeners = vec![
             callers.serve(http::caller_routes(&shell)),
             operators.serve(http::operator_routes(&shell)),
--- a/crates/server/src/shell.rs
+++ b/crates/server/src/shell.rs
@@ -5,6 +5,7 @@
 //! started as a task that comes back with an event.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -19,11 +20,14 @@
 use foxtailhoist_host::event::CommandId;
 use foxtailhoist_host::event::Effect;
 use foxtailhoist_host::event::Event;
+use foxtailhoist_host::event::Note;
 use foxtailhoist_host::operator::OperatorCommand;
 use foxtailhoist_host::operator::OperatorReply;
 use foxtailhoist_model::AttemptId;
 use foxtailhoist_model::BackendServerId;
+use foxtailhoist_model::Configuration;
 use foxtailhoist_model::EngineOrder;
+use foxtailhoist_model::EntryHostId;
 use foxtailhoist_model::ErrorKind;
 use foxtailhoist_model::Idempotency;
 use foxtailhoist_model::Limits as PresetLimits;
@@ -33,13 +37,17 @@
 use foxtailhoist_model::RequestId;
 use foxtailhoist_model::StoreOp;
 use foxtailhoist_model::WorkspaceId;
+use foxtailhoist_peers::event::Member;
 use foxtailhoist_platform::AttemptRequest;
+use foxtailhoist_platform::HostList;
+use foxtailhoist_route::event::Completion;
 use foxtailhoist_route::event::Dispatch;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
 use crate::Edges;
+use crate::Identity;
 use crate::KeyRing;
 use crate::Limits;
 use crate::attempt::AttemptTask;
@@ -47,7 +55,10 @@
 use crate::http::callers::RequestDefaults;
 use crate::keys::ApiKeys;
 use crate::metrics::Metrics;
+use crate::ratings::RatedAnswer;
 use crate::ratings::RecentAnswers;
+use crate::recorder::Arrival;
+use crate::recorder::Recorder;
 use crate::registry::AttemptEntry;
 use crate::registry::CallerEnd;
 use crate::registry::Content;
@@ -67,6 +78,8 @@
     limits: Limits,
     keys: KeyRing,
     metrics: Metrics,
+    recorder: Recorder,
+    host: EntryHostId,
     wake: Notify,
     stopped: watch::Sender<bool>,
 }
@@ -78,6 +91,7 @@
     recent: RecentAnswers,
     commands: BTreeMap<CommandId, oneshot::Sender<Result<OperatorReply, Refusal>>>,
     next_command: CommandId,
+    listed: BTreeMap<EntryHostId, SocketAddr>,
 }
 
 impl Shell {
@@ -87,6 +101,7 @@
         limits: Limits,
         keys: KeyRing,
         metrics: Metrics,
+        identity: &Identity,
     ) -> Shell {
         let state = State {
             host,
@@ -95,6 +110,7 @@
             recent: RecentAnswers::default(),
             commands: BTreeMap::new(),
             next_command: 0,
+            listed: BTreeMap::new(),
         };
         Shell {
             state: Mutex::new(state),
@@ -102,6 +118,8 @@
             limits,
             keys,
             metrics,
+            recorder: Recorder::new(identity.data_centre.clone()),
+            host: identity.host.clone(),
             wake: Notify::new(),
             stopped: watch::Sender::new(false),
         }
@@ -123,6 +141,49 @@
         &self.metrics
     }
 
+    pub fn recorder(&self) -> &Recorder {
+        &self.recorder
+    }
+
+    /// Name of this entry host.
+    pub fn host(&self) -> &EntryHostId {
+        &self.host
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.lock().host.configuration().cloned()
+    }
+
+    /// Entry hosts that are alive.
+    pub fn members(&self) -> Vec<Member> {
+        self.lock().host.members()
+    }
+
+    /// Entry hosts that the host list showed last.
+    pub fn listed_entry_hosts(&self) -> BTreeMap<EntryHostId, SocketAddr> {
+        self.lock().listed.clone()
+    }
+
+    /// Takes what the host list shows.
+    pub fn take_host_list(self: &Arc<Shell>, list: HostList) {
+        let mut state = self.lock();
+        state.listed =
+            list.entry_hosts.iter().map(|host| (host.id.clone(), host.address)).collect();
+        let HostList { entry_hosts, backend_servers } = list;
+        self.handle_locked(&mut state, Event::HostList { entry_hosts, backend_servers });
+    }
+
+    /// Counts a refusal of a request that did not reach the host; `workspace` is known once its key was read.
+    pub fn refused_early(&self, workspace: Option<&str>, refusal: &Refusal) {
+        self.metrics.refused(refusal.kind);
+        if let Some(workspace) = workspace {
+            let configuration = self.configuration();
+            let labels = self.recorder.labels(workspace, configuration.as_deref());
+            self.recorder.refused(labels, refusal);
+        }
+    }
+
     /// Turns true when nothing is held any more after a stop.
     pub fn stopped(&self) -> watch::Receiver<bool> {
         self.stopped.subscribe()
@@ -218,8 +279,16 @@
             );
             return Err(refusal.with_retry_after(Duration::from_secs(1)));
         }
+        let arrival = Arrival {
+            caller: request.caller,
+            deadline: request.deadline,
+            streamed: content.streamed,
+        };
+        let labels =
+            self.recorder.labels(&request.workspace, state.host.configuration().map(Arc::as_ref));
+        let pieces = self.limits.pieces;
         let end =
-            state.registry.open(request.id, content, self.limits.pieces).ok_or_else(|| {
+            state.registry.open(request.id, content, arrival, labels, pieces).ok_or_else(|| {
                 Refusal::new(
                     ErrorKind::Undecided,
                     "a request with this idempotency key is in progress; come back later",
@@ -305,8 +374,7 @@
             Effect::Cancel { attempt } => state.registry.cancel(attempt),
             Effect::Deliver { attempt, .. } => state.registry.permit(attempt, Delivery::Started),
             Effect::Complete(completion) => {
-                self.metrics.completed(&completion);
-                state.recent.note_completion(&completion);
+                self.record_completion(state, &completion);
                 state.registry.permit(completion.attempt, Delivery::Released);
                 state.registry.end(completion.request, Verdict::Complete(completion));
             }
@@ -314,7 +382,7 @@
                 state.registry.end(request, Verdict::Replay(outcome))
             }
             Effect::Refuse { request, refusal } => {
-                self.metrics.refused(refusal.kind);
+                self.record_refusal(state, request, &refusal);
                 state.registry.cancel_all(request);
                 state.registry.end(request, Verdict::Refused(refusal));
             }
@@ -337,14 +405,58 @@
         }
     }
 
-    fn note(&self, state: &mut State, note: &foxtailhoist_host::event::Note) {
+    fn record_completion(&self, state: &mut State, completion: &Completion) {
+        self.metrics.completed(completion);
+        let configuration = state.host.configuration().map(Arc::as_ref);
+        let Some(entry) = state.registry.request(completion.request) else {
+            return;
+        };
+        let mut labels = entry.labels.clone();
+        labels.model_version.clone_from(&completion.model_version);
+        labels.server = Some(completion.server.clone());
+        if let Some(data_centre) = state.host.server_data_centre(&completion.server) {
+            labels.data_centre.clone_from(data_centre);
+        }
+        self.recorder.completed(&labels, completion, &entry.arrival, configuration);
+        state.recent.note_completion(completion, labels);
+    }
+
+    fn record_refusal(&self, state: &State, request: RequestId, refusal: &Refusal) {
+        self.metrics.refused(refusal.kind);
+        if let Some(entry) = state.registry.request(request) {
+            self.recorder.refused(entry.labels.clone(), refusal);
+        }
+    }
+
+    fn record_dispatch(&self, state: &mut State, dispatch: &Dispatch) {
+        let configuration = state.host.configuration().map(Arc::as_ref);
+        let Some(entry) = state.registry.request(dispatch.request) else {
+            return;
+        };
+        if let Some(model_version) = &dispatch.model_version {
+            self.recorder.dispatched(model_version, entry.arrival.caller, configuration);
+        }
+        let mut labels = self.recorder.labels(&entry.content.workspace, configuration);
+        labels.model_version.clone_from(&dispatch.model_version);
+        labels.server = Some(dispatch.server.clone());
+        if let Some(data_centre) = state.host.server_data_centre(&dispatch.server) {
+            labels.data_centre.clone_from(data_centre);
+        }
+        state.registry.set_labels(dispatch.request, labels);
+    }
+
+    fn note(&self, state: &mut State, note: &Note) {
         crate::logs::note(note);
+        if let Note::Vetoed { model_version, .. } = note {
+            self.recorder.vetoed(model_version);
+        }
         if let Some(configuration) = state.host.configuration() {
             state.api_keys = Arc::new(ApiKeys::of(configuration));
         }
     }
 
     fn dispatch(self: &Arc<Shell>, state: &mut State, dispatch: Dispatch) {
+        self.record_dispatch(state, &dispatch);
         let attempt = dispatch.attempt;
         let (Some(entry), Some(address)) =
             (state.registry.request(dispatch.request), state.host.server_address(&dispatch.server))
@@ -362,13 +474,16 @@
     }
 
     fn rate(self: &Arc<Shell>, state: &mut State, request: RequestId) {
-        let Some(rating) = state.recent.rating_request(request) else {
+        let Some(RatedAnswer { rating, labels }) = state.recent.rating_request(request) else {
             return;
         };
         let shell = Arc::clone(self);
         tokio::spawn(async move {
             match shell.edges.ratings.rate(rating).await {
-                Ok(rating) => shell.handle(Event::Rated(rating)),
+                Ok(rating) => {
+                    shell.recorder.rated(labels, rating.acceptable);
+                    shell.handle(Event::Rated(rating));
+                }
                 Err(error) => log::debug!("event=rating_failed error=\"{error}\""),
             }
         });
@@ -402,7 +517,7 @@
         });
     }
 
-    fn send(self: &Arc<Shell>, to: String, address: std::net::SocketAddr, body: bytes::Bytes) {
+    fn send(self: &Arc<Shell>, to: String, address: SocketAddr, body: bytes::Bytes) {
         self.metrics.peer_bytes(body.len());
         let shell = Arc::clone(self);
         tokio::spawn(async move {
@@ -414,11 +529,7 @@
     }
 }
 
-fn attempt_request(
-    dispatch: &Dispatch,
-    content: &Content,
-    address: std::net::SocketAddr,
-) -> AttemptRequest {
+fn attempt_request(dispatch: &Dispatch, content: &Content, address: SocketAddr) -> AttemptRequest {
     AttemptRequest {
         attempt: dispatch.attempt,
         address,
