--- a/crates/core/commands/mod.rs
+++ b/crates/core/commands/mod.rs
@@ -6,6 +6,7 @@
 mod measure_path;
 mod operate;
 mod print;
+mod report;
 mod scenario;
 mod serve;
 mod signal;
@@ -46,6 +47,8 @@
         Command::Check { settings, configuration } => {
             check::check(settings.as_deref(), configuration.as_deref())?
         }
+        Command::ReportBurn(flags, format) => block_on(report::burn(flags, format))?,
+        Command::Scenario { file } => return not_built(&format!("scenario {}", file.display())),
         Command::ReportBurn(flags, format) => {
             return not_built(&format!("report burn from {} as {format:?}", flags.address));
         }
