Bound the delegates' traffic and every message

Cause: at 490 hosts in 24 data centres a watcher sent up to 32,681 bytes a second, over the 16 KB budget, and an exchange of evidence had no bound that held with many versions (10,423 bytes with 24 of them). Change: delegate and deputy share the links, states of data centres travel with heartbeats only and answers carry the newer ones only, evidence goes in parts of at most 100 lines, pulls wait up to 200 ms and take the last offer, which spares the watchers, summaries come every 3 s, and versions that the configuration does not use are dropped.

--- a/crates/peers/src/centre.rs
+++ b/crates/peers/src/centre.rs
@@ -11,6 +11,7 @@
 
 use crate::message::CENTRES;
 use crate::message::CentreStatus;
+use crate::message::GOSSIP_LAGGARDS;
 use crate::message::LAGGARDS;
 use crate::message::Laggard;
 use crate::message::Summary;
@@ -112,8 +113,31 @@
         changed
     }
 
+    /// States for one gossip. Where there is no room for the hosts behind, the revision is the lowest of theirs.
     pub fn statuses(&self) -> Vec<CentreStatus> {
-        self.centres.values().take(CENTRES).map(|centre| centre.status.clone()).collect()
+        let mut room = GOSSIP_LAGGARDS;
+        let mut statuses: Vec<CentreStatus> =
+            self.centres.values().map(|centre| centre.status.clone()).collect();
+        for status in &mut statuses {
+            if status.laggards.len() <= room {
+                room -= status.laggards.len();
+                continue;
+            }
+            let behind = std::mem::take(&mut status.laggards);
+            let lowest = behind.into_iter().map(|laggard| laggard.revision).min();
+            status.revision = lowest.unwrap_or(0).min(status.revision);
+        }
+        statuses
+    }
+
+    /// States whose beat is higher than in `known`, or that it lacks.
+    pub fn newer_than(&self, known: &[CentreStatus]) -> Vec<CentreStatus> {
+        let beats: BTreeMap<&DataCentreId, u64> =
+            known.iter().map(|status| (&status.data_centre, status.beat)).collect();
+        let mut newer = self.statuses();
+        newer
+            .retain(|status| beats.get(&status.data_centre).is_none_or(|beat| status.beat > *beat));
+        newer
     }
 
     /// Parts of a summary that this table knows.
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -32,10 +32,12 @@
 pub const SYNC_MEMBERS: usize = 48;
 /// Most data centres in one message.
 pub const CENTRES: usize = 48;
-/// Most contributions in one hand-over.
-pub const HANDOVER: usize = 16;
+/// Most lines of evidence in one message.
+pub const TALLY_LINES: usize = 100;
 /// Most hosts that one message names as behind in their revision.
 pub const LAGGARDS: usize = 8;
+/// Most of them in one gossip, over all data centres.
+pub const GOSSIP_LAGGARDS: usize = 32;
 /// Digests by which two hosts find the part of a table that differs.
 pub const BUCKETS: usize = 16;
 
@@ -158,7 +160,9 @@
     /// Incarnation with which the host started.
     pub start: Incarnation,
     pub revision: Revision,
-    /// Cumulative since then.
+    /// Asks for a summary. A report of a new revision does not, and carries no tallies.
+    pub wants_summary: bool,
+    /// Cumulative since the start.
     pub tallies: BTreeMap<ModelVersion, Tally>,
 }
 
--- a/crates/peers/src/peers/configuration.rs
+++ b/crates/peers/src/peers/configuration.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rand::RngExt;
+
 use super::Peers;
 use crate::event::Effect;
 use crate::message::PeerMessage;
@@ -15,13 +17,20 @@
 
 /// Gain in freshness from which a peer's confirmation is passed to the host.
 const CONFIRMATION_STEP: Duration = Duration::from_millis(500);
+/// Longest wait before a pull. Those who waited pull from hosts that did not, which spares the watchers.
+const PULL_SPREAD: Duration = Duration::from_millis(200);
 
 impl Peers {
     /// A configuration came into force here, from the store.
-    pub(super) fn adopted(&mut self, configuration: &Arc<Configuration>, now: Instant) {
+    pub(super) fn adopted(
+        &mut self,
+        configuration: &Arc<Configuration>,
+        now: Instant,
+        effects: &mut Vec<Effect>,
+    ) {
         let before = self.spread.revision();
         if self.spread.adopt(configuration) {
-            self.note_revision(before, now);
+            self.note_revision(before, now, effects);
         }
     }
 
@@ -36,9 +45,8 @@
     ) {
         if revision > self.spread.revision() {
             effects.push(Effect::PeerRevision(revision));
-            if let Some(pull) = self.spread.start_pull(from, now) {
-                self.send(from, pull, effects);
-            }
+            let wait = PULL_SPREAD.mul_f64(self.rng.random::<f64>());
+            self.spread.offer(from, wait, now);
             return;
         }
         let Some(age) = confirmed_age_ms.map(Duration::from_millis) else {
@@ -51,6 +59,13 @@
         }
     }
 
+    /// Pulls from the host that offered last, when it is time to.
+    pub(super) fn pull(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        if let Some((from, pull)) = self.spread.start_pull(now) {
+            self.send(&from, pull, effects);
+        }
+    }
+
     pub(super) fn answer_pull(
         &mut self,
         to: &EntryHostId,
@@ -71,7 +86,7 @@
         let before = self.spread.revision();
         let configuration = Arc::new(configuration);
         if self.spread.adopt(&configuration) {
-            self.note_revision(before, now);
+            self.note_revision(before, now, effects);
             effects.push(Effect::Adopt(configuration));
         }
     }
@@ -90,18 +105,22 @@
         }
         match self.spread.adopt_change(change) {
             Ok(configuration) => {
-                self.note_revision(before, now);
+                self.note_revision(before, now, effects);
                 effects.push(Effect::Adopt(configuration));
             }
             Err(_) => self.send(from, PeerMessage::Pull { have: 0 }, effects),
         }
     }
 
-    fn note_revision(&mut self, before: Revision, now: Instant) {
+    fn note_revision(&mut self, before: Revision, now: Instant, effects: &mut Vec<Effect>) {
         let after = self.spread.revision();
         self.invariants.check(Invariant::RevisionNeverFalls, after > before, || {
             format!("revision {before} was replaced by {after}")
         });
+        self.board.set_in_use(self.spread.versions_in_use());
         self.flush_soon(now);
+        if !self.delegate {
+            self.report(false, effects);
+        }
     }
 }
--- a/crates/peers/src/peers/duty.rs
+++ b/crates/peers/src/peers/duty.rs
@@ -49,8 +49,8 @@
         self.view_stale |= self.centres.judge(&own.data_centre, now);
     }
 
-    /// Reports to the delegate, or sums up as delegate.
-    pub(super) fn report(&mut self, effects: &mut Vec<Effect>) {
+    /// Reports to the delegate, or sums up as delegate; a report that is not whole tells a new revision only.
+    pub(super) fn report(&mut self, whole: bool, effects: &mut Vec<Effect>) {
         let Some(delegate) = self.view.delegate(&self.own.data_centre).cloned() else {
             return;
         };
@@ -59,7 +59,7 @@
             self.use_summary(&summary, effects);
             return;
         }
-        let report = self.board.report(self.spread.revision());
+        let report = self.board.report(self.spread.revision(), whole);
         self.send(&delegate, PeerMessage::Report(Box::new(report)), effects);
     }
 
@@ -73,6 +73,9 @@
             return;
         }
         self.board.take_report(from, &report);
+        if !report.wants_summary {
+            return;
+        }
         let summary = self.summary(from);
         self.send(from, PeerMessage::Summary(Box::new(summary)), effects);
     }
--- a/crates/peers/src/peers/gossip.rs
+++ b/crates/peers/src/peers/gossip.rs
@@ -64,25 +64,28 @@
         }
         for host in self.link_targets(now) {
             let mut gossip = gossip.clone();
-            gossip.centres = self.centres.statuses();
             if probing {
+                gossip.centres = self.centres.statuses();
                 self.link_sent(&host, now);
             }
             self.send_gossip(&host, gossip, probing, effects);
         }
     }
 
-    /// Answers a heartbeat.
+    /// Answers a heartbeat, with the states of data centres that are newer than those that it carried.
     pub(super) fn acknowledge(
         &mut self,
         to: &EntryHostId,
         sequence: u64,
+        known: &[CentreStatus],
         now: Instant,
         effects: &mut Vec<Effect>,
     ) {
         let rumours = self.rumours.spreading_now(now);
         let mut gossip = self.gossip(self.spreading_members(), rumours, now);
-        gossip.centres = self.centres_for(to);
+        if !known.is_empty() {
+            gossip.centres = self.centres.newer_than(known);
+        }
         self.add_record_of(to, &mut gossip);
         self.send(to, PeerMessage::Ack { sequence, gossip: Box::new(gossip) }, effects);
     }
@@ -201,13 +204,6 @@
         }
     }
 
-    fn centres_for(&self, to: &EntryHostId) -> Vec<CentreStatus> {
-        let far = |record: &MemberRecord| record.data_centre != self.own.data_centre;
-        let entry = self.members.get(to);
-        let wants = self.watcher && entry.is_some_and(|entry| far(&entry.record));
-        if wants { self.centres.statuses() } else { Vec::new() }
-    }
-
     fn round_gossip(&mut self, now: Instant) -> Gossip {
         let members = self.spreading_members();
         for record in &members {
--- a/crates/peers/src/peers/mod.rs
+++ b/crates/peers/src/peers/mod.rs
@@ -64,9 +64,9 @@
 /// Time between heartbeats to the same ring neighbour.
 pub(crate) const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between reports to the delegate.
-const REPORT_INTERVAL: Duration = Duration::from_secs(2);
+const REPORT_INTERVAL: Duration = Duration::from_secs(3);
 /// Time between exchanges of evidence between data centres.
-const EXCHANGE_INTERVAL: Duration = Duration::from_secs(4);
+const EXCHANGE_INTERVAL: Duration = Duration::from_secs(5);
 /// Time after the start in which a host waits for its peers before it becomes a watcher.
 const WATCHER_SETTLE: Duration = Duration::from_secs(1);
 
@@ -187,7 +187,7 @@
                 self.take_message(&from, message, now, &mut effects)
             }
             Event::SendFailed { to } => self.send_failed(&to, now),
-            Event::Adopted(configuration) => self.adopted(&configuration, now),
+            Event::Adopted(configuration) => self.adopted(&configuration, now, &mut effects),
             Event::Confirmed { revision, age } => {
                 self.spread.confirm(revision, age, now);
             }
@@ -227,6 +227,7 @@
             self.members.next_expiry(),
             self.rumours.next_expiry(),
             self.lookups.next_expiry(),
+            self.spread.pull_due(),
             (!self.watcher && self.heartbeat_at < settle).then_some(settle),
         ];
         due.into_iter().flatten().min()
@@ -338,7 +339,7 @@
         match message {
             PeerMessage::Heartbeat { sequence, gossip } => {
                 self.take_gossip(from, &gossip, now, effects);
-                self.acknowledge(from, sequence, now, effects);
+                self.acknowledge(from, sequence, &gossip.centres, now, effects);
             }
             PeerMessage::Ack { gossip, .. } => {
                 self.answered(from, effects);
@@ -390,6 +391,7 @@
         self.rumours.expire(now);
         self.expire_probes(now, effects);
         self.expire_lookups(now, effects);
+        self.pull(now, effects);
         if now >= self.heartbeat_at {
             self.heartbeat_at = now + self.jittered(HEARTBEAT_INTERVAL);
             self.count_beat(now);
@@ -400,7 +402,7 @@
         }
         if now >= self.report_at {
             self.report_at = now + self.jittered(REPORT_INTERVAL);
-            self.report(effects);
+            self.report(true, effects);
         }
         if self.watcher && now >= self.exchange_at {
             self.exchange_at = now + self.jittered(EXCHANGE_INTERVAL);
--- a/crates/peers/src/peers/probe.rs
+++ b/crates/peers/src/peers/probe.rs
@@ -92,7 +92,7 @@
     /// Hosts of other data centres, and the other watcher of the own one, for one round.
     pub(super) fn link_targets(&mut self, now: Instant) -> Vec<EntryHostId> {
         let linked: Vec<DataCentreId> =
-            self.view.linked_centres(&mut self.rng).into_iter().cloned().collect();
+            self.view.linked_centres(self.delegate, &mut self.rng).into_iter().cloned().collect();
         let mut targets: Vec<EntryHostId> =
             linked.iter().filter_map(|name| self.link_target(name, now)).collect();
         let own = &self.own;
--- a/crates/peers/src/spread.rs
+++ b/crates/peers/src/spread.rs
@@ -3,6 +3,7 @@
 //! A host that hears of a greater revision pulls it from whoever named it. The answer is the change since the
 //! puller's revision when the sender still has it, else the whole configuration.
 
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +14,9 @@
 use foxtailhoist_config::DeltaError;
 use foxtailhoist_model::Configuration;
 use foxtailhoist_model::EntryHostId;
+use foxtailhoist_model::ModelVersion;
 use foxtailhoist_model::Revision;
+use foxtailhoist_model::Stage;
 
 /// Changes that are kept for peers that are behind.
 pub const CHANGES_KEPT: usize = 32;
@@ -26,10 +29,18 @@
     in_force: Option<Arc<Configuration>>,
     /// Changes that led to the revision in force, each based on the one before.
     changes: VecDeque<Arc<Delta>>,
+    /// Host that last named a greater revision, and when to pull from it.
+    offer: Option<Offer>,
     pull: Option<Pull>,
     confirmed_at: Option<Instant>,
 }
 
+#[derive(Clone, Debug)]
+struct Offer {
+    from: EntryHostId,
+    pull_at: Instant,
+}
+
 /// A pull under way.
 #[derive(Clone, Debug)]
 struct Pull {
@@ -42,6 +53,15 @@
         self.in_force.as_ref().map_or(0, |configuration| configuration.revision)
     }
 
+    /// Versions that may have work: in roll-out, settled, or with requests that still finish.
+    pub fn versions_in_use(&self) -> BTreeSet<ModelVersion> {
+        let versions = self.in_force.iter().flat_map(|configuration| &configuration.versions);
+        let in_use = versions.filter(|(_, record)| {
+            record.stage.takes_new_work() || record.stage == Stage::Withdrawing
+        });
+        in_use.map(|(version, _)| version.clone()).collect()
+    }
+
     pub fn changes(&self) -> usize {
         self.changes.len()
     }
@@ -71,13 +91,27 @@
         Ok(configuration)
     }
 
-    /// Starts a pull from a host that named a greater revision, unless one is under way.
-    pub fn start_pull(&mut self, from: &EntryHostId, now: Instant) -> Option<PeerMessage> {
-        if self.pull.as_ref().is_some_and(|pull| now < pull.until) {
+    /// A host named a greater revision; the first offer starts the wait, the last one is taken.
+    pub fn offer(&mut self, from: &EntryHostId, wait: Duration, now: Instant) {
+        let pull_at = self.offer.as_ref().map_or(now + wait, |offer| offer.pull_at);
+        self.offer = Some(Offer { from: from.clone(), pull_at });
+    }
+
+    /// When a pull is due.
+    pub fn pull_due(&self) -> Option<Instant> {
+        let offer = self.offer.as_ref()?;
+        let until = self.pull.as_ref().map(|pull| pull.until);
+        Some(until.map_or(offer.pull_at, |until| until.max(offer.pull_at)))
+    }
+
+    /// Starts the pull that is due.
+    pub fn start_pull(&mut self, now: Instant) -> Option<(EntryHostId, PeerMessage)> {
+        if self.pull_due().is_none_or(|at| now < at) {
             return None;
         }
+        let from = self.offer.take()?.from;
         self.pull = Some(Pull { from: from.clone(), until: now + PULL_TIMEOUT });
-        Some(PeerMessage::Pull { have: self.revision() })
+        Some((from, PeerMessage::Pull { have: self.revision() }))
     }
 
     /// Ends a pull whose message could not be delivered.
@@ -120,6 +154,7 @@
             self.changes.pop_front();
         }
         self.in_force = Some(configuration);
+        self.offer = None;
         self.pull = None;
     }
 }
--- a/crates/peers/src/tally.rs
+++ b/crates/peers/src/tally.rs
@@ -3,7 +3,8 @@
 //! A host's counters are cumulative since its start, so they are kept by (host, start) and merge by maximum: a report
 //! that is lost, repeated or seen by two delegates changes nothing, and those of a host that is gone simply stay. Each
 //! counts once in the sum of its data centre, whoever sums. Sums of data centres only grow and merge by maximum too. A
-//! delegate that starts without all of its predecessor's table can make a sum lag, but never too large.
+//! delegate that starts without all of its predecessor's table can make a sum lag, but never too large. Versions that
+//! the configuration in force does not use are dropped, so that a year of roll-outs does not fill the tables.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -14,10 +15,10 @@
 use crate::message::CENTRES;
 use crate::message::CentreTallies;
 use crate::message::Exchange;
-use crate::message::HANDOVER;
 use crate::message::HandedOver;
 use crate::message::Handover;
 use crate::message::Report;
+use crate::message::TALLY_LINES;
 use crate::message::TallyLine;
 use foxtailhoist_model::DataCentreId;
 use foxtailhoist_model::EntryHostId;
@@ -45,9 +46,12 @@
     centres: BTreeMap<DataCentreId, Tallies>,
     /// Largest sums of all other hosts that this host has given out.
     others: Tallies,
+    /// Versions that the configuration in force uses; all until there is one.
+    in_use: Option<BTreeSet<ModelVersion>>,
     /// Counts changes, which orders contributions by age.
     changes: u64,
-    /// Place from which the next hand-over goes on.
+    /// Places from which the next exchange and the next hand-over go on.
+    exchanged: usize,
     handed_over: usize,
 }
 
@@ -73,21 +77,38 @@
             contributions: BTreeMap::new(),
             centres: BTreeMap::new(),
             others: Tallies::new(),
+            in_use: None,
             changes: 0,
+            exchanged: 0,
             handed_over: 0,
         }
     }
 
+    /// Takes the versions that are in use and drops the others; the first by name, where there are too many, so that
+    /// all hosts count the same ones.
+    pub fn set_in_use(&mut self, in_use: BTreeSet<ModelVersion>) {
+        let in_use: BTreeSet<ModelVersion> = in_use.into_iter().take(VERSIONS).collect();
+        if self.in_use.as_ref() == Some(&in_use) {
+            return;
+        }
+        let of_hosts = self.contributions.values_mut().map(|one| &mut one.tallies);
+        let tables = of_hosts.chain(self.centres.values_mut()).chain([&mut self.others]);
+        for tallies in tables {
+            tallies.retain(|version, _| in_use.contains(version));
+        }
+        self.in_use = Some(in_use);
+    }
+
     pub fn set_own(&mut self, model_version: ModelVersion, tally: Tally) {
         let own = self.own.clone();
         self.contribute(own, &Tallies::from([(model_version, tally)]), 0);
     }
 
-    /// This host's report.
-    pub fn report(&self, revision: Revision) -> Report {
-        let own = self.contributions.get(&self.own);
+    /// This host's report; whole reports carry its tallies and ask for a summary.
+    pub fn report(&self, revision: Revision, whole: bool) -> Report {
+        let own = self.contributions.get(&self.own).filter(|_| whole);
         let tallies = own.map(|own| own.tallies.clone()).unwrap_or_default();
-        Report { start: self.own.start, revision, tallies }
+        Report { start: self.own.start, revision, wants_summary: whole, tallies }
     }
 
     pub fn contributions(&self) -> usize {
@@ -129,19 +150,22 @@
     /// Takes a sum of all other hosts; returns the versions that grew.
     pub fn grow_others(&mut self, others: &Tallies) -> Tallies {
         let before = self.others.clone();
-        merge_max(&mut self.others, others);
+        let others = self.used(others);
+        merge_max(&mut self.others, &others);
         let grew = self.others.iter().filter(|(version, tally)| before.get(version) != Some(tally));
         grew.map(|(version, tally)| (version.clone(), *tally)).collect()
     }
 
-    /// Sums of the data centres, for another delegate.
-    pub fn exchange(&self) -> Exchange {
+    /// Next part of the data centres' sums, for another delegate.
+    pub fn exchange(&mut self) -> Exchange {
         let versions = self.versions();
-        let centres = self.centres.iter().take(CENTRES).map(|(data_centre, tallies)| {
+        let centres = self.centres.iter().map(|(data_centre, tallies)| {
             let lines = to_lines(&versions, tallies);
             CentreTallies { data_centre: data_centre.clone(), lines }
         });
-        Exchange { centres: centres.collect(), versions: versions.clone() }
+        let centres =
+            next_part(centres.collect(), &mut self.exchanged, |centre| centre.lines.len());
+        Exchange { versions, centres }
     }
 
     /// Takes another delegate's sums.
@@ -151,7 +175,7 @@
             if !known && self.centres.len() >= CENTRES {
                 continue;
             }
-            let tallies = from_lines(&exchange.versions, &centre.lines);
+            let tallies = self.used(&from_lines(&exchange.versions, &centre.lines));
             merge_max(self.centres.entry(centre.data_centre.clone()).or_default(), &tallies);
         }
     }
@@ -159,15 +183,13 @@
     /// Next part of this table, for the data centre's other watcher.
     pub fn hand_over(&mut self) -> Handover {
         let versions = self.versions();
-        let count = self.contributions.len().min(HANDOVER);
-        let start = self.handed_over % self.contributions.len().max(1);
-        self.handed_over = start + count;
-        let part = self.contributions.iter().cycle().skip(start).take(count);
-        let contributions = part.map(|(contributor, contribution)| HandedOver {
+        let all = self.contributions.iter().map(|(contributor, contribution)| HandedOver {
             contributor: contributor.clone(),
             lines: to_lines(&versions, &contribution.tallies),
         });
-        Handover { contributions: contributions.collect(), versions: versions.clone() }
+        let contributions =
+            next_part(all.collect(), &mut self.handed_over, |handed| handed.lines.len());
+        Handover { versions, contributions }
     }
 
     /// Takes a part of the other watcher's table.
@@ -179,10 +201,11 @@
     }
 
     fn contribute(&mut self, contributor: Contributor, tallies: &Tallies, revision: Revision) {
+        let tallies = self.used(tallies);
         self.make_room(&contributor);
         self.changes += 1;
         let contribution = self.contributions.entry(contributor).or_default();
-        merge_max(&mut contribution.tallies, tallies);
+        merge_max(&mut contribution.tallies, &tallies);
         contribution.revision = contribution.revision.max(revision);
         contribution.changed = self.changes;
     }
@@ -205,6 +228,15 @@
         self.contributions.range(first..=last).next_back()
     }
 
+    /// Evidence about versions in use.
+    fn used(&self, tallies: &Tallies) -> Tallies {
+        let mut used = tallies.clone();
+        if let Some(in_use) = &self.in_use {
+            used.retain(|version, _| in_use.contains(version));
+        }
+        used
+    }
+
     /// Versions with evidence, bounded.
     fn versions(&self) -> Vec<ModelVersion> {
         let of_hosts = self.contributions.values().flat_map(|one| one.tallies.keys());
@@ -214,6 +246,21 @@
     }
 }
 
+/// Entries from place `start` on and around, within the bound on lines; `start` moves to the first that is left out.
+fn next_part<T>(mut all: Vec<T>, start: &mut usize, lines: impl Fn(&T) -> usize) -> Vec<T> {
+    let count = all.len();
+    all.rotate_left(*start % count.max(1));
+    let mut total = 0;
+    let fitting = all.iter().take_while(|entry| {
+        total += lines(entry).max(1);
+        total <= TALLY_LINES
+    });
+    let taken = fitting.count();
+    all.truncate(taken);
+    *start = (*start + taken) % count.max(1);
+    all
+}
+
 fn to_lines(versions: &[ModelVersion], tallies: &Tallies) -> Vec<TallyLine> {
     let lines = versions.iter().zip(0_u16..).filter_map(|(name, version)| {
         let tally = *tallies.get(name)?;
--- a/crates/peers/src/view.rs
+++ b/crates/peers/src/view.rs
@@ -19,8 +19,8 @@
 
 /// Distances along the ring of a data centre's hosts to those that get a heartbeat.
 const RING_STEPS: [usize; 2] = [1, 2];
-/// Distances along the ring of data centres to those that a delegate links to.
-const CENTRE_STEPS: [usize; 4] = [1, 2, 4, 8];
+/// Distances along the ring of data centres to those that the delegate and the deputy link to.
+const CENTRE_STEPS: [[usize; 2]; WATCHERS] = [[1, 4], [2, 8]];
 /// Hosts of each data centre that hold watches and link to other data centres.
 const WATCHERS: usize = 2;
 
@@ -102,10 +102,11 @@
         helpers
     }
 
-    /// Data centres that this one's delegates link to, and one at random.
-    pub fn linked_centres(&self, rng: &mut ChaCha8Rng) -> Vec<&DataCentreId> {
+    /// Data centres that a watcher links to, and one at random.
+    pub fn linked_centres(&self, delegate: bool, rng: &mut ChaCha8Rng) -> Vec<&DataCentreId> {
+        let steps = CENTRE_STEPS[usize::from(!delegate)];
         let mut linked: Vec<&DataCentreId> =
-            CENTRE_STEPS.iter().filter_map(|step| self.centre_ring.get(step - 1)).collect();
+            steps.iter().filter_map(|step| self.centre_ring.get(step - 1)).collect();
         if !self.centre_ring.is_empty() {
             linked.push(&self.centre_ring[rng.random_range(0..self.centre_ring.len())]);
         }
--- a/crates/peers/tests/evidence.rs
+++ b/crates/peers/tests/evidence.rs
@@ -7,10 +7,13 @@
 use rand::RngExt;
 
 use foxtailhoist_model::Tally;
+use foxtailhoist_peers::event::Announcement;
 use foxtailhoist_peers::event::Event;
 
 use crate::support::Fleet;
+use crate::support::configuration;
 use crate::support::version;
+use crate::support::with_versions;
 
 fn settled(count: usize, centres: usize, seed: u64) -> Fleet {
     let mut fleet = Fleet::new(count, centres, seed);
@@ -95,6 +98,28 @@
     }
 }
 
+#[test]
+fn versions_that_the_configuration_no_longer_uses_make_room_for_new_ones() {
+    let mut fleet = settled(6, 3, 7);
+    for number in 0..24 {
+        let model_version = version(&format!("old-{number}"));
+        let tally = Tally { rated: 1, ..Tally::default() };
+        for id in ids(&fleet) {
+            let model_version = model_version.clone();
+            fleet.handle(&id, Event::Tally { model_version, tally });
+        }
+    }
+    fleet.run(Duration::from_secs(20));
+    // Revision 8 uses version 1 alone.
+    fleet.adopt("entry-000", &configuration(8));
+    fleet.run(Duration::from_secs(3));
+    for id in ids(&fleet) {
+        count(&mut fleet, &id, 5);
+    }
+    fleet.run(Duration::from_secs(20));
+    assert!(ids(&fleet).iter().all(|id| rated(&fleet, id) == 25));
+}
+
 #[test]
 fn a_session_is_found_from_every_data_centre_and_only_by_its_workspace() {
     let mut fleet = settled(12, 3, 4);
@@ -136,3 +161,41 @@
     fleet.run(Duration::from_millis(200));
     assert_eq!(fleet.hosts["entry-000"].seen.sessions.len(), 20);
 }
+
+/// The bound itself is checked with each message that a host sends.
+#[test]
+fn messages_stay_within_their_bound_with_many_versions_and_data_centres() {
+    let mut fleet = settled(24, 12, 6);
+    let names: Vec<String> = (0..30).map(|number| format!("release-candidate-{number}")).collect();
+    fleet.adopt("entry-000", &with_versions(1, &names));
+    fleet.run(Duration::from_secs(3));
+    let large = 1 << 40;
+    let tally = Tally {
+        rated: large,
+        unacceptable: large,
+        ended: large,
+        failed: large,
+        timed: large,
+        slow: large,
+        callers: large,
+    };
+    for id in ids(&fleet) {
+        for name in &names {
+            let model_version = version(name);
+            fleet.handle(&id, Event::Tally { model_version, tally });
+        }
+    }
+    for number in 0..60 {
+        let reason = "word ".repeat(100);
+        let model_version = version(&format!("release-candidate-{number}"));
+        let veto = Announcement::Vetoed { model_version, epoch: 0, reason };
+        fleet.handle("entry-000", Event::Announce(veto));
+    }
+    fleet.run(Duration::from_secs(60));
+    for host in fleet.hosts.values() {
+        assert_eq!(host.peers.vetoes().len(), 60);
+        // Versions beyond the bound are left out, the same ones everywhere; the others are summed.
+        assert_eq!(host.seen.tallies.len(), 24);
+        assert!(host.seen.tallies.values().all(|tally| tally.rated == 23 * large));
+    }
+}
--- a/crates/peers/tests/support/mod.rs
+++ b/crates/peers/tests/support/mod.rs
@@ -319,18 +319,27 @@
     ModelVersion::new("levain", name)
 }
 
-/// A configuration whose versions depend on the revision.
+/// A configuration with one version; settled at even revisions.
 #[allow(dead_code)]
 pub fn configuration(revision: Revision) -> Arc<Configuration> {
+    let mut configuration = Configuration::clone(&with_versions(revision, &[]));
     let stage = if revision.is_multiple_of(2) { Stage::Settled } else { Stage::Registered };
     let record = VersionRecord { stage, vetoed: false };
+    configuration.versions.insert(version(&(revision % 7).to_string()), record);
+    Arc::new(configuration)
+}
+
+/// A configuration with settled versions.
+#[allow(dead_code)]
+pub fn with_versions(revision: Revision, names: &[String]) -> Arc<Configuration> {
+    let record = VersionRecord { stage: Stage::Settled, vetoed: false };
     Arc::new(Configuration {
         revision,
         preset: "ordinary".to_owned(),
         presets: BTreeMap::new(),
         workspaces: BTreeMap::new(),
         models: BTreeMap::new(),
-        versions: BTreeMap::from([(version(&(revision % 7).to_string()), record)]),
+        versions: names.iter().map(|name| (version(name), record.clone())).collect(),
         services: BTreeMap::new(),
     })
 }
