Measure the control cost of an entry host

Cause: the cost of membership has to be known at growing sizes, in bytes, processor time, memory and seconds till a change is everywhere. Change: a fleet in virtual time with 6 to 490 hosts, counted messages and typed figures with slopes by least squares; two tests hold the budget at 6 and 48 hosts and the determinism of the traffic.

--- a/crates/measure/src/control.rs
+++ b/crates/measure/src/control.rs
@@ -1,1 +1,323 @@
 //! Control cost of a node as the number of entry hosts grows.
+//!
+//! Hosts run in virtual time over a network with delay. Every four seconds a configuration with new canary quotas for
+//! every host comes into force, by turns at all watchers and at a single host, and every four seconds a host vetoes a
+//! version; each host's evidence grows every second. Messages are encoded as the peers' transport encodes them, and
+//! their bytes are counted, sent and received. Processor time is the time spent in `Peers::handle`, in encoding and in
+//! decoding, by the clock of the machine that runs the measurement; all else is independent of it.
+
+mod fleet;
+
+use std::fmt;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use self::fleet::Fleet;
+use self::fleet::HostCost;
+
+/// Time between two changes of the configuration.
+const CHANGE_INTERVAL: Duration = Duration::from_secs(4);
+/// Entry hosts of a data centre at the size of two years: 490 in 24.
+const HOSTS_PER_CENTRE: f64 = 490.0 / 24.0;
+/// Fewest data centres.
+const FEWEST_CENTRES: usize = 3;
+/// Longest wait for a change to be everywhere, beyond which it counts as this long.
+const LONGEST_SPREAD: Duration = Duration::from_secs(60);
+/// Times that the spread of evidence is measured, after the traffic.
+const EVIDENCE_ROUNDS: usize = 3;
+
+/// What to measure.
+#[derive(Clone, Debug)]
+pub struct ControlConfig {
+    pub seed: u64,
+    /// Numbers of entry hosts.
+    pub sizes: Vec<usize>,
+    /// Virtual time before the measurement, and that of the measurement.
+    pub warm_up: Duration,
+    pub duration: Duration,
+}
+
+/// Figures of all sizes and their slopes.
+#[derive(Clone, Debug, Serialize)]
+pub struct ControlReport {
+    pub seed: u64,
+    pub sizes: Vec<ControlSize>,
+    pub slopes: ControlSlopes,
+}
+
+/// Figures of one size.
+#[derive(Clone, Debug, Serialize)]
+pub struct ControlSize {
+    pub hosts: usize,
+    pub data_centres: usize,
+    /// Hosts that are no watchers, and those that are: the delegate and the deputy of each data centre.
+    pub ordinary: CostSummary,
+    pub watchers: CostSummary,
+    /// Till a configuration is in force at all hosts, from its first host; seen by all watchers, and by one host only.
+    pub configuration: SpreadSummary,
+    pub configuration_from_one: SpreadSummary,
+    /// Till a veto is in force at all hosts.
+    pub veto: SpreadSummary,
+    /// Till evidence of one host is in the sums of all others.
+    pub evidence: SpreadSummary,
+    /// Waiting watches on the object API.
+    pub watches: usize,
+    /// Largest message, configurations and their changes apart, in bytes.
+    pub largest_message: usize,
+    /// Largest change of a configuration, in bytes.
+    pub largest_change: usize,
+}
+
+/// Cost of a group of hosts, each a second.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct CostSummary {
+    pub sent_p50: f64,
+    pub sent_max: f64,
+    pub received_p50: f64,
+    pub received_max: f64,
+    pub messages_sent_p50: f64,
+    /// Microseconds in `handle`, and in encoding and decoding.
+    pub handle_us_p50: f64,
+    pub handle_us_max: f64,
+    pub codec_us_p50: f64,
+    /// Estimated bytes of all tables.
+    pub memory_p50: f64,
+    pub memory_max: f64,
+}
+
+/// Time till something is everywhere, over all changes, in seconds.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct SpreadSummary {
+    pub changes: u64,
+    pub p50: f64,
+    pub p99: f64,
+    pub max: f64,
+}
+
+/// Growth for each further entry host, by least squares over the sizes.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct ControlSlopes {
+    pub sent: f64,
+    pub received: f64,
+    pub watcher_sent: f64,
+    pub watcher_received: f64,
+    pub handle_us: f64,
+    pub memory: f64,
+}
+
+impl Default for ControlConfig {
+    fn default() -> ControlConfig {
+        ControlConfig {
+            seed: 1,
+            sizes: vec![6, 12, 24, 48, 96, 490],
+            warm_up: Duration::from_secs(60),
+            duration: Duration::from_secs(64),
+        }
+    }
+}
+
+/// Measures all sizes.
+#[must_use]
+pub fn run(cfg: &ControlConfig) -> ControlReport {
+    let sizes: Vec<ControlSize> = cfg.sizes.iter().map(|hosts| measure(cfg, *hosts)).collect();
+    ControlReport { seed: cfg.seed, slopes: slopes(&sizes), sizes }
+}
+
+fn measure(cfg: &ControlConfig, hosts: usize) -> ControlSize {
+    let proportion = (hosts as f64 / HOSTS_PER_CENTRE).round() as usize;
+    let data_centres = proportion.max(FEWEST_CENTRES);
+    let mut fleet = Fleet::new(hosts, data_centres, cfg.seed);
+    fleet.run(cfg.warm_up);
+    // The first revision is pulled whole; the measurement is of changes.
+    fleet.change_configuration(true);
+    fleet.run(CHANGE_INTERVAL);
+    fleet.reset_costs();
+
+    let rounds = cfg.duration.as_millis() / CHANGE_INTERVAL.as_millis();
+    let mut all_watchers = Spread::default();
+    let mut one_host = Spread::default();
+    let mut vetoes = Spread::default();
+    for round in 0..rounds {
+        let by_all = round % 2 == 0;
+        let revision = fleet.change_configuration(by_all);
+        fleet.run(CHANGE_INTERVAL / 2);
+        let took = fleet.configuration_spread(revision, LONGEST_SPREAD);
+        if by_all {
+            all_watchers.add(took)
+        } else {
+            one_host.add(took)
+        }
+        let veto = fleet.veto();
+        fleet.run(CHANGE_INTERVAL / 2);
+        vetoes.add(fleet.veto_spread(&veto, LONGEST_SPREAD));
+    }
+
+    let costs = fleet.costs();
+    let mut evidence = Spread::default();
+    for _ in 0..EVIDENCE_ROUNDS {
+        evidence.add(fleet.evidence_spread(LONGEST_SPREAD));
+    }
+
+    let (watchers, ordinary): (Vec<HostCost>, Vec<HostCost>) =
+        costs.into_iter().partition(|cost| cost.watcher);
+    ControlSize {
+        hosts,
+        data_centres,
+        watches: watchers.len(),
+        ordinary: summarise(&ordinary),
+        watchers: summarise(&watchers),
+        configuration: all_watchers.summary(),
+        configuration_from_one: one_host.summary(),
+        veto: vetoes.summary(),
+        evidence: evidence.summary(),
+        largest_message: fleet.largest_message(),
+        largest_change: fleet.largest_change(),
+    }
+}
+
+fn summarise(costs: &[HostCost]) -> CostSummary {
+    let median = |value: fn(&HostCost) -> f64| quantile(costs, value, 0.5);
+    let largest = |value: fn(&HostCost) -> f64| quantile(costs, value, 1.0);
+    CostSummary {
+        sent_p50: median(|cost| cost.sent),
+        sent_max: largest(|cost| cost.sent),
+        received_p50: median(|cost| cost.received),
+        received_max: largest(|cost| cost.received),
+        messages_sent_p50: median(|cost| cost.messages_sent),
+        handle_us_p50: median(|cost| cost.handle_us),
+        handle_us_max: largest(|cost| cost.handle_us),
+        codec_us_p50: median(|cost| cost.codec_us),
+        memory_p50: median(|cost| cost.memory),
+        memory_max: largest(|cost| cost.memory),
+    }
+}
+
+fn quantile(costs: &[HostCost], value: fn(&HostCost) -> f64, at: f64) -> f64 {
+    let mut values: Vec<f64> = costs.iter().map(value).collect();
+    values.sort_by(f64::total_cmp);
+    let last = values.len().saturating_sub(1);
+    values.get((last as f64 * at).round() as usize).copied().unwrap_or(0.0)
+}
+
+fn slopes(sizes: &[ControlSize]) -> ControlSlopes {
+    // The smallest sizes have no host that is not a watcher.
+    let ordinary: Vec<&ControlSize> =
+        sizes.iter().filter(|size| size.watches < size.hosts).collect();
+    let all: Vec<&ControlSize> = sizes.iter().collect();
+    ControlSlopes {
+        sent: slope(&ordinary, |size| size.ordinary.sent_p50),
+        received: slope(&ordinary, |size| size.ordinary.received_p50),
+        watcher_sent: slope(&all, |size| size.watchers.sent_p50),
+        watcher_received: slope(&all, |size| size.watchers.received_p50),
+        handle_us: slope(&ordinary, |size| size.ordinary.handle_us_p50),
+        memory: slope(&ordinary, |size| size.ordinary.memory_p50),
+    }
+}
+
+/// Slope of a value against the number of hosts, by least squares.
+fn slope(sizes: &[&ControlSize], value: fn(&ControlSize) -> f64) -> f64 {
+    let count = sizes.len() as f64;
+    let mean_x = sizes.iter().map(|size| size.hosts as f64).sum::<f64>() / count;
+    let mean_y = sizes.iter().map(|size| value(size)).sum::<f64>() / count;
+    let deviation = |size: &&ControlSize| size.hosts as f64 - mean_x;
+    let covariance: f64 = sizes.iter().map(|size| deviation(size) * (value(size) - mean_y)).sum();
+    let variance: f64 = sizes.iter().map(|size| deviation(size).powi(2)).sum();
+    if variance > 0.0 { covariance / variance } else { 0.0 }
+}
+
+/// Times till changes were everywhere, in microseconds.
+struct Spread(Histogram<u64>);
+
+impl Default for Spread {
+    fn default() -> Spread {
+        let longest = LONGEST_SPREAD.as_micros() as u64;
+        Spread(Histogram::new_with_max(longest, 3).expect("the bounds are supported"))
+    }
+}
+
+impl Spread {
+    fn add(&mut self, took: Duration) {
+        self.0.saturating_record(took.as_micros() as u64);
+    }
+
+    fn summary(&self) -> SpreadSummary {
+        let seconds = |quantile| self.0.value_at_quantile(quantile) as f64 / 1e6;
+        SpreadSummary {
+            changes: self.0.len(),
+            p50: seconds(0.5),
+            p99: seconds(0.99),
+            max: self.0.max() as f64 / 1e6,
+        }
+    }
+}
+
+impl fmt::Display for ControlReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "control cost, seed {}, a host a second", self.seed)?;
+        for size in &self.sizes {
+            write!(f, "{size}")?;
+        }
+        let slopes = &self.slopes;
+        writeln!(f, "slopes for each further host:")?;
+        writeln!(
+            f,
+            "  ordinary host: sent {:+.2} B/s, received {:+.2} B/s, handle {:+.2} us/s, memory {:+.0} B",
+            slopes.sent, slopes.received, slopes.handle_us, slopes.memory
+        )?;
+        writeln!(
+            f,
+            "  watcher: sent {:+.2} B/s, received {:+.2} B/s",
+            slopes.watcher_sent, slopes.watcher_received
+        )
+    }
+}
+
+impl fmt::Display for ControlSize {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{} hosts in {} data centres, {} watches, largest message {} B, largest change {} B",
+            self.hosts, self.data_centres, self.watches, self.largest_message, self.largest_change
+        )?;
+        if self.watches < self.hosts {
+            writeln!(f, "  ordinary: {}", self.ordinary)?;
+        }
+        writeln!(f, "  watchers: {}", self.watchers)?;
+        writeln!(f, "  configuration everywhere:          {}", self.configuration)?;
+        writeln!(f, "  configuration seen by one host:    {}", self.configuration_from_one)?;
+        writeln!(f, "  veto everywhere:                   {}", self.veto)?;
+        writeln!(f, "  evidence everywhere:               {}", self.evidence)
+    }
+}
+
+impl fmt::Display for CostSummary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "sent {:.0} B p50 {:.0} max ({:.1} messages), received {:.0} p50 {:.0} max, handle {:.0} us p50 {:.0} max, \
+             codec {:.0} us, memory {:.0} KB p50 {:.0} max",
+            self.sent_p50,
+            self.sent_max,
+            self.messages_sent_p50,
+            self.received_p50,
+            self.received_max,
+            self.handle_us_p50,
+            self.handle_us_max,
+            self.codec_us_p50,
+            self.memory_p50 / 1024.0,
+            self.memory_max / 1024.0,
+        )
+    }
+}
+
+impl fmt::Display for SpreadSummary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "p50 {:.3} s, p99 {:.3} s, max {:.3} s over {} changes",
+            self.p50, self.p99, self.max, self.changes
+        )
+    }
+}
--- /dev/null
+++ b/crates/measure/tests/control.rs
@@ -0,0 +1,41 @@
+//! Control cost stays within the budget of a host at the sizes that a debug build can run.
+
+use std::time::Duration;
+
+use foxtailhoist_measure::control;
+use foxtailhoist_measure::control::ControlConfig;
+
+/// Budgets of a host for control: bytes a second, and seconds till a change is everywhere.
+const BYTES: f64 = 16.0 * 1024.0;
+const IN_FORCE_SECONDS: f64 = 3.0;
+
+#[test]
+fn traffic_and_spread_are_within_the_budget_up_to_48_hosts() {
+    let cfg = ControlConfig {
+        sizes: vec![6, 48],
+        duration: Duration::from_secs(16),
+        ..ControlConfig::default()
+    };
+    let report = control::run(&cfg);
+    for size in &report.sizes {
+        assert!(size.watchers.sent_max < BYTES, "{report}");
+        assert!(size.watchers.received_max < BYTES, "{report}");
+        assert!(size.ordinary.sent_max < BYTES, "{report}");
+        for spread in [&size.configuration, &size.configuration_from_one, &size.veto] {
+            assert!(spread.max < IN_FORCE_SECONDS, "{report}");
+        }
+        assert_eq!(size.watches, 2 * size.data_centres);
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_traffic() {
+    let cfg = ControlConfig {
+        sizes: vec![12],
+        warm_up: Duration::from_secs(5),
+        duration: Duration::from_secs(8),
+        ..ControlConfig::default()
+    };
+    let bytes = |_| control::run(&cfg).sizes[0].watchers.sent_max;
+    assert_eq!(bytes(1).to_bits(), bytes(2).to_bits());
+}
