Keep given-out evidence from falling when a version comes back

Cause: the long random run found that the sum of all others, which a host gives to its judge, fell: versions that the configuration does not use are dropped from every table, and one that came back started from zero. Change: what was given out is remembered for up to 256 versions and only grows; the sums that are exchanged are still dropped.

--- a/crates/peers/src/tally.rs
+++ b/crates/peers/src/tally.rs
@@ -29,6 +29,8 @@
 
 /// Most versions in a set of tallies; further ones are not counted.
 pub const VERSIONS: usize = 24;
+/// Most versions whose sums over all other hosts are remembered.
+pub const OTHERS: usize = 256;
 /// Most (host, start) pairs whose counters a host keeps; when full, the one not reported for longest is evicted.
 pub const CONTRIBUTIONS: usize = 768;
 
@@ -92,8 +94,7 @@
             return;
         }
         let of_hosts = self.contributions.values_mut().map(|one| &mut one.tallies);
-        let tables = of_hosts.chain(self.centres.values_mut()).chain([&mut self.others]);
-        for tallies in tables {
+        for tallies in of_hosts.chain(self.centres.values_mut()) {
             tallies.retain(|version, _| in_use.contains(version));
         }
         self.in_use = Some(in_use);
@@ -149,11 +150,17 @@
 
     /// Takes a sum of all other hosts; returns the versions that grew.
     pub fn grow_others(&mut self, others: &Tallies) -> Tallies {
-        let before = self.others.clone();
-        let others = self.used(others);
-        merge_max(&mut self.others, &others);
-        let grew = self.others.iter().filter(|(version, tally)| before.get(version) != Some(tally));
-        grew.map(|(version, tally)| (version.clone(), *tally)).collect()
+        let mut grew = Tallies::new();
+        for (version, tally) in self.used(others) {
+            let before = self.others.get(&version).copied().unwrap_or_default();
+            let after = combined(before, tally, |a, b| a.max(b));
+            if after != before {
+                grew.insert(version, after);
+            }
+        }
+        self.others.extend(grew.iter().map(|(version, tally)| (version.clone(), *tally)));
+        self.trim_others();
+        grew
     }
 
     /// Next part of the data centres' sums, for another delegate.
@@ -200,6 +207,21 @@
         }
     }
 
+    /// Drops sums of versions out of use when there are too many. They are kept as long as possible, so that what was
+    /// given out does not fall when a version is used again.
+    fn trim_others(&mut self) {
+        while self.others.len() > OTHERS {
+            let in_use = |version: &&ModelVersion| {
+                self.in_use.as_ref().is_none_or(|in_use| in_use.contains(*version))
+            };
+            let unused = self.others.keys().find(|version| !in_use(version)).cloned();
+            let Some(version) = unused.or_else(|| self.others.keys().next_back().cloned()) else {
+                return;
+            };
+            self.others.remove(&version);
+        }
+    }
+
     fn contribute(&mut self, contributor: Contributor, tallies: &Tallies, revision: Revision) {
         let tallies = self.used(tallies);
         self.make_room(&contributor);
@@ -295,14 +317,18 @@
             continue;
         }
         let a = into.entry(version.clone()).or_default();
-        *a = Tally {
-            rated: count(a.rated, b.rated),
-            unacceptable: count(a.unacceptable, b.unacceptable),
-            ended: count(a.ended, b.ended),
-            failed: count(a.failed, b.failed),
-            timed: count(a.timed, b.timed),
-            slow: count(a.slow, b.slow),
-            callers: count(a.callers, b.callers),
-        };
+        *a = combined(*a, *b, &count);
+    }
+}
+
+fn combined(a: Tally, b: Tally, count: impl Fn(u64, u64) -> u64) -> Tally {
+    Tally {
+        rated: count(a.rated, b.rated),
+        unacceptable: count(a.unacceptable, b.unacceptable),
+        ended: count(a.ended, b.ended),
+        failed: count(a.failed, b.failed),
+        timed: count(a.timed, b.timed),
+        slow: count(a.slow, b.slow),
+        callers: count(a.callers, b.callers),
     }
 }
--- a/crates/peers/tests/evidence.rs
+++ b/crates/peers/tests/evidence.rs
@@ -118,6 +118,14 @@
     }
     fleet.run(Duration::from_secs(20));
     assert!(ids(&fleet).iter().all(|id| rated(&fleet, id) == 25));
+    // Revision 9 does not use it, revision 22 does again: what was given out does not fall.
+    fleet.adopt("entry-000", &configuration(9));
+    fleet.run(Duration::from_secs(5));
+    fleet.adopt("entry-000", &configuration(22));
+    fleet.run(Duration::from_secs(5));
+    count(&mut fleet, "entry-000", 6);
+    fleet.run(Duration::from_secs(20));
+    assert!(ids(&fleet).iter().all(|id| rated(&fleet, id) >= 25));
 }
 
 #[test]
