--- a/crates/core/commands/mod.rs
+++ b/crates/core/commands/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod dev;
 mod edges;
+mod measure;
 mod measure_path;
 mod operate;
 mod print;
@@ -16,8 +17,6 @@
 use crate::commands::dev::DevOptions;
 use crate::failure::Failure;
 use crate::flags::Command;
-use crate::flags::MeasureFlags;
-use crate::flags::Measurement;
 use crate::logging;
 
 /// Log specification of commands that run entry hosts without settings.
@@ -42,37 +41,21 @@
         Command::Config(flags, command) => block_on(operate::config(flags, command))?,
         Command::Versions(flags, command) => block_on(operate::version(flags, command))?,
         Command::Usage(flags) => block_on(operate::usage(flags))?,
-        Command::Measure(measurement, flags) => measure(measurement, flags)?,
+        Command::Measure(measurement, flags) => {
+            let _logger = logging::start(MEASURE_LOG)?;
+            measure::measure(measurement, flags)?;
+        }
         Command::Serve { settings } => block_on(serve::serve(&settings))?,
         Command::Check { settings, configuration } => {
             check::check(settings.as_deref(), configuration.as_deref())?
         }
         Command::ReportBurn(flags, format) => block_on(report::burn(flags, format))?,
-        Command::Scenario { file } => return not_built(&format!("scenario {}", file.display())),
-        Command::ReportBurn(flags, format) => {
-            return not_built(&format!("report burn from {} as {format:?}", flags.address));
-        }
         Command::Scenario { file } => scenario::scenario(&file)?,
     }
     Ok(())
 }
 
-fn measure(measurement: Measurement, flags: MeasureFlags) -> Result<(), Failure> {
-    let _logger = logging::start(MEASURE_LOG)?;
-    match measurement {
-        Measurement::Path => block_on(measure_path::run(flags)),
-        other => {
-            let MeasureFlags { seed, seeds, steps, minutes, workload, .. } = flags;
-            not_built(&format!("measure {other:?} ({seed} {seeds} {steps} {minutes} {workload:?})"))
-        }
-    }
-}
-
 fn block_on(work: impl Future<Output = Result<(), Failure>>) -> Result<(), Failure> {
     let runtime = Runtime::new().map_err(|e| Failure::Failed(format!("no runtime: {e}")))?;
     runtime.block_on(work)
 }
-
-fn not_built(what: &str) -> Result<(), Failure> {
-    Err(Failure::Failed(format!("{what}: not built yet")))
-}
--- a/crates/host/src/entry_host.rs
+++ b/crates/host/src/entry_host.rs
@@ -106,6 +106,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Stopping {
     No,
+    /// Requests that wait for their session are admitted; their callers were promised an answer.
+    Admitting,
     /// Running requests finish.
     Draining,
     /// The journal commits or hands over what it holds.
@@ -377,14 +379,17 @@
         if self.stopping != Stopping::No {
             return;
         }
-        self.stopping = Stopping::Draining;
-        self.push(Step::Router(route::Event::Stopping));
+        self.stopping = Stopping::Admitting;
         self.push(Step::Rollout(rollout::Event::Stop));
-        self.push(Step::Peers(peers::Event::Stop));
     }
 
     /// The journal is closed after the last answer, because every answer may still need a bill.
     fn advance_stop(&mut self) {
+        if self.stopping == Stopping::Admitting && self.lookups.is_empty() {
+            self.stopping = Stopping::Draining;
+            self.push(Step::Router(route::Event::Stopping));
+            self.push(Step::Peers(peers::Event::Stop));
+        }
         if self.stopping == Stopping::Draining && self.running.is_empty() {
             self.stopping = Stopping::Closing;
             self.push(Step::Journal(journal::Event::Stop));
--- a/crates/route/src/entry.rs
+++ b/crates/route/src/entry.rs
@@ -33,6 +33,8 @@
     /// Attempts started so far.
     pub(crate) attempts: u32,
     pub(crate) retries: u32,
+    /// Repeats that cost no budget, because the attempts before them did not run.
+    pub(crate) moves: u32,
     /// An attempt that has ended may have run.
     pub(crate) may_have_run: bool,
     /// Attempt whose output goes to the caller.
@@ -93,6 +95,7 @@
             live: Vec::new(),
             attempts: 0,
             retries: 0,
+            moves: 0,
             may_have_run: false,
             delivered: None,
             resumes: None,
--- a/crates/route/src/router/retry.rs
+++ b/crates/route/src/router/retry.rs
@@ -26,6 +26,10 @@
 const BACKOFF_MAX: Duration = Duration::from_secs(1);
 /// Repeats of one request, whatever its budget.
 const MAX_RETRIES: u32 = 3;
+/// Repeats of one request after attempts that did not run; they add no load to the servers.
+const MAX_MOVES: u32 = 4;
+/// When a caller should come back whose request no server took in.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Hosts that are expected to tell the judge of a crash.
 const CRASH_WITNESSES: f64 = 3.0;
 
@@ -67,7 +71,10 @@
             entry.resumes = ended.destination.model_version().cloned();
         }
         entry.delivered = None;
-        self.retry(id, now, out);
+        // A silent connection's server hears of the repeat only, since its pool is retired.
+        let free = not_run || failure == AttemptFailure::SilentConnection;
+        let full = failure == AttemptFailure::Rejected && !entry.may_have_run;
+        self.retry(id, Repeat { free, full }, now, out);
     }
 
     pub(super) fn retry_due(&mut self, id: RequestId, now: Instant, out: &mut Vec<Effect>) {
@@ -81,23 +88,32 @@
     }
 
     /// Tries again after a pause, or refuses where budget, number or deadline forbid it.
-    fn retry(&mut self, id: RequestId, now: Instant, out: &mut Vec<Effect>) {
+    fn retry(&mut self, id: RequestId, repeat: Repeat, now: Instant, out: &mut Vec<Effect>) {
         let Some(entry) = self.requests.get_mut(&id) else {
             return;
         };
-        let full_pause = BACKOFF_BASE.saturating_mul(1 << entry.retries.min(6)).min(BACKOFF_MAX);
+        let repeats = entry.retries + entry.moves;
+        let full_pause = BACKOFF_BASE.saturating_mul(1 << repeats.min(6)).min(BACKOFF_MAX);
         let pause = full_pause.mul_f64(self.rng.random_range(0.5..1.0));
         let in_time = now + pause < entry.request.deadline;
-        let retries = self.cfg.mechanisms.retries && entry.retries < MAX_RETRIES;
-        if !retries || !in_time || !self.budget.spend(&entry.request.workspace) {
-            let refusal = given_up(entry.resumes.is_some(), entry.may_have_run);
+        let free = repeat.free && entry.moves < MAX_MOVES;
+        let retries = self.cfg.mechanisms.retries && (free || entry.retries < MAX_RETRIES);
+        if !retries || !in_time || !free && !self.budget.spend(&entry.request.workspace) {
+            let refusal = match repeat.full {
+                true => full(),
+                false => given_up(entry.resumes.is_some(), entry.may_have_run),
+            };
             self.refuse(id, refusal, now, out);
             return;
         }
         let kept = self.budget.kept();
         self.invariants.check(Invariant::RetryBudget, kept, || format!("{id:x}"));
-        self.stats.retries += 1;
-        entry.retries += 1;
+        if free {
+            entry.moves += 1;
+        } else {
+            self.stats.retries += 1;
+            entry.retries += 1;
+        }
         entry.retry_at = Some(now + pause);
         self.advance(id, Step::AttemptLost, now, out);
         self.set_timer(now + pause, TimerKind::Retry, id);
@@ -118,16 +134,21 @@
         };
         let known_dead = server.is_out(now);
         match failure {
-            AttemptFailure::ServerDied | AttemptFailure::Refused => {
+            AttemptFailure::ServerDied | AttemptFailure::Refused | AttemptFailure::Rejected => {
                 let until = server.fail(now);
                 self.set_timer(until, TimerKind::Probe, 0);
             }
-            AttemptFailure::Rejected | AttemptFailure::TimedOut => {
+            AttemptFailure::TimedOut => {
                 if let Some(lane) = server.lanes.get_mut(&ended.destination) {
                     lane.limiter.decrease();
                 }
             }
-            AttemptFailure::SilentConnection | AttemptFailure::WrongAttempt => {
+            AttemptFailure::WrongAttempt => {
+                let until = server.fail(now);
+                out.push(Effect::RetireConnections(server.listed.id.clone()));
+                self.set_timer(until, TimerKind::Probe, 0);
+            }
+            AttemptFailure::SilentConnection => {
                 let server = server.listed.id.clone();
                 out.push(Effect::RetireConnections(server));
             }
@@ -206,6 +227,20 @@
     }
 }
 
+/// What is known of a repeat before it is granted.
+#[derive(Clone, Copy)]
+struct Repeat {
+    /// The attempt before did not run, so that the repeat costs no budget.
+    free: bool,
+    /// Every attempt so far met a server that had no room.
+    full: bool,
+}
+
+fn full() -> Refusal {
+    let message = "no backend server had room; nothing ran";
+    Refusal::new(ErrorKind::Overloaded, message).with_retry_after(FULL_RETRY_AFTER)
+}
+
 fn given_up(stream_begun: bool, may_have_run: bool) -> Refusal {
     if stream_begun {
         return stream_broken();
--- a/crates/scenario/src/spec.rs
+++ b/crates/scenario/src/spec.rs
@@ -120,6 +120,21 @@
 }
 
 impl Scenario {
+    /// A scenario without traffic, acts and expectations.
+    #[must_use]
+    pub fn named(name: &str) -> Scenario {
+        Scenario {
+            name: name.to_owned(),
+            seed: one(),
+            hosts: None,
+            configuration: None,
+            traffic: Vec::new(),
+            acts: Vec::new(),
+            until: Span::default(),
+            expect: Vec::new(),
+        }
+    }
+
     /// Reads and checks a scenario; `file` names it in errors.
     ///
     /// # Errors
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -92,8 +92,11 @@
         to: Process,
         event: Box<Event>,
     },
-    /// A host's clock.
-    Wake(Process),
+    /// A host's clock; void when the host has since asked for an earlier time.
+    Wake {
+        process: Process,
+        at: Instant,
+    },
     /// A host reads the host list.
     ReadList(Process),
     /// A write whose caller gave up takes effect.
@@ -290,11 +293,11 @@
         };
         slot.host = Some(EntryHost::new(cfg, seed, self.now, wall));
         slot.paused_until = None;
-        slot.wake_at = None;
+        slot.wake_at = Some(self.now);
         slot.revision = 0;
         let process = Process { host: id.clone(), incarnation: slot.incarnation };
         self.schedule(self.now, Happening::ReadList(process.clone()));
-        self.schedule(self.now, Happening::Wake(process));
+        self.schedule(self.now, Happening::Wake { process, at: self.now });
     }
 
     pub(crate) fn process(&self, id: &str) -> Option<Process> {
@@ -340,7 +343,7 @@
             Happening::Send(turn) => self.send(turn),
             Happening::Leave(request) => self.caller_leaves(request),
             Happening::Deliver { to, event } => self.arrive(to, *event),
-            Happening::Wake(process) => self.wake(process),
+            Happening::Wake { process, at } => self.wake(process, at),
             Happening::ReadList(process) => self.read_list(process),
             Happening::LateWrite(op) => {
                 self.store.apply_late(&op);
@@ -368,9 +371,9 @@
         self.sequence
     }
 
-    fn wake(&mut self, process: Process) {
+    fn wake(&mut self, process: Process, at: Instant) {
         let due = match self.hosts.get_mut(&process.host) {
-            Some(slot) if slot.incarnation == process.incarnation => {
+            Some(slot) if slot.incarnation == process.incarnation && slot.wake_at == Some(at) => {
                 slot.wake_at = None;
                 true
             }
@@ -393,7 +396,7 @@
         let at = host.next_wake().map_or(latest, |wake| wake.clamp(self.now, latest));
         if slot.wake_at.is_none_or(|planned| at < planned) {
             slot.wake_at = Some(at);
-            self.schedule(at, Happening::Wake(process.clone()));
+            self.schedule(at, Happening::Wake { process: process.clone(), at });
         }
     }
 
