Serve TLS on the listeners of callers and operators, and share the development fleet with tests

Cause: settings.tls was read and ignored, so an operator who set it served plain HTTP; and dev's start of hosts and stand-ins was private to the binary. Change: both listeners use the library's rustls listener when tls is set; unreadable or unusable files refuse to start with the file named; commands take --ca FILE and then speak HTTPS.

--- a/crates/core/client.rs
+++ b/crates/core/client.rs
@@ -6,6 +6,8 @@
 use foxtailhoist_model::Ran;
 use foxtailhoist_model::Refusal;
 use foxtailhoist_report::Report;
+use reqwest::Certificate;
+use reqwest::Client;
 use reqwest::RequestBuilder;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -34,7 +36,7 @@
     flags: &OperatorFlags,
     command: &OperatorCommand,
 ) -> Result<OperatorReply, Failure> {
-    let request = reqwest::Client::new().post(url(flags, "/v1/operator")).json(command);
+    let request = client(flags)?.post(url(flags, "/v1/operator")).json(command);
     exchange(flags, request).await
 }
 
@@ -44,11 +46,21 @@
 ///
 /// Fails when the host cannot be reached, refuses, or answers what cannot be read.
 pub async fn burn_report(flags: &OperatorFlags) -> Result<Report, Failure> {
-    exchange(flags, reqwest::Client::new().get(url(flags, "/v1/report/burn"))).await
+    exchange(flags, client(flags)?.get(url(flags, "/v1/report/burn"))).await
+}
+
+fn client(flags: &OperatorFlags) -> Result<Client, Failure> {
+    let Some(authority) = &flags.authority else {
+        return Ok(Client::new());
+    };
+    let unusable = |e: reqwest::Error| Failure::Usage(format!("--ca: {e}"));
+    let authority = Certificate::from_pem(authority).map_err(unusable)?;
+    Client::builder().tls_certs_only([authority]).https_only(true).build().map_err(unusable)
 }
 
 fn url(flags: &OperatorFlags, path: &str) -> String {
-    format!("http://{}{path}", flags.address)
+    let scheme = if flags.authority.is_some() { "https" } else { "http" };
+    format!("{scheme}://{}{path}", flags.address)
 }
 
 async fn exchange<T: DeserializeOwned>(
--- a/crates/core/commands/mod.rs
+++ b/crates/core/commands/mod.rs
@@ -2,7 +2,6 @@
 
 mod check;
 mod dev;
-mod edges;
 mod measure_path;
 mod operate;
 mod print;
--- a/crates/core/commands/serve.rs
+++ b/crates/core/commands/serve.rs
@@ -10,16 +10,18 @@
 use foxtailhoist_platform::ClientSettings;
 use foxtailhoist_platform::ClientSettingsBuilder;
 use foxtailhoist_route::session::SessionKeys;
+use foxtailhoist_server::Edges;
 use foxtailhoist_server::Identity;
 use foxtailhoist_server::KeyRing;
 use foxtailhoist_server::Limits;
 use foxtailhoist_server::Listen;
+use foxtailhoist_server::Platform;
 use foxtailhoist_server::Server;
 use foxtailhoist_server::ServerConfig;
+use foxtailhoist_server::TlsFiles;
 use foxtailhoist_settings::Settings;
 use foxtailhoist_settings::load_settings;
 
-use crate::commands::edges;
 use crate::commands::operate;
 use crate::commands::signal;
 use crate::failure::Failure;
@@ -36,12 +38,15 @@
 pub async fn serve(file: &Path) -> Result<(), Failure> {
     let settings = load_settings(file).map_err(|faults| Failure::Settings(faults.to_string()))?;
     let _logger = logging::start(&settings.log)?;
-    let edges = edges::http(
-        &settings.host,
-        settings.keys.peer.expose(),
-        &settings.platform,
-        client(&settings),
-    )?;
+    let platform = Platform {
+        object_api: settings.platform.object_api,
+        host_list: settings.platform.host_list,
+        rating: settings.platform.rating,
+    };
+    let peer_key = settings.keys.peer.expose();
+    let unusable = || Failure::Settings("the peer key cannot stand in a header".to_owned());
+    let edges = Edges::http(&settings.host, peer_key, platform, client(&settings));
+    let edges = edges.ok_or_else(unusable)?;
     let failed = |e: foxtailhoist_server::StartError| Failure::Unreachable(e.to_string());
     let server = Server::start(server_config(&settings), edges).await.map_err(failed)?;
     log::info!("event=started host={} callers={}", settings.host, server.addresses().callers);
@@ -93,6 +98,10 @@
             operators: settings.listen.operators,
             peers: settings.listen.peers,
         },
+        tls: settings
+            .tls
+            .as_ref()
+            .map(|tls| TlsFiles { certificate: tls.certificate.clone(), key: tls.key.clone() }),
         advertise: Some(settings.advertise),
         keys: keys(settings),
         limits: limits(settings),
--- a/crates/core/flags/command.rs
+++ b/crates/core/flags/command.rs
@@ -36,6 +36,8 @@
 #[derive(Clone, Debug)]
 pub struct OperatorFlags {
     pub address: SocketAddr,
+    /// Certificate of the authority that the entry host's is checked against, as PEM; plain HTTP without it.
+    pub authority: Option<Vec<u8>>,
     pub key: String,
     pub json: bool,
 }
@@ -161,7 +163,13 @@
     let address = text.parse().map_err(|_| {
         Failure::Usage(format!("--address takes an IP number and a port, not '{text}'"))
     })?;
-    Ok(OperatorFlags { address, key: operator_key(flags)?, json: flags.is_set("json") })
+    let authority = flags.value("ca").map(read_authority).transpose()?;
+    let key = operator_key(flags)?;
+    Ok(OperatorFlags { address, authority, key, json: flags.is_set("json") })
+}
+
+fn read_authority(path: &str) -> Result<Vec<u8>, Failure> {
+    std::fs::read(path).map_err(|e| Failure::Usage(format!("--ca {path}: {e}")))
 }
 
 fn operator_key(flags: &Flags) -> Result<String, Failure> {
--- a/crates/core/flags/defs.rs
+++ b/crates/core/flags/defs.rs
@@ -48,6 +48,12 @@
         value: FlagValue::Named("IP:PORT"),
         help: "Operator address of any entry host. Default: $FOXTAILHOIST_ADDRESS, else 127.0.0.1:7081.",
     },
+    FlagDef {
+        short: "",
+        long: "ca",
+        value: FlagValue::Named("FILE"),
+        help: "PEM certificate that vouches for the entry host's; the command then speaks HTTPS.",
+    },
     FlagDef {
         short: "k",
         long: "key-file",
--- a/crates/server/src/config.rs
+++ b/crates/server/src/config.rs
@@ -1,18 +1,13 @@
-//! Checked settings of the server and the edges it works through.
+//! Checked settings of the server.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use foxtailhoist_model::DataCentreId;
 use foxtailhoist_model::EntryHostId;
 use foxtailhoist_model::Incarnation;
 use foxtailhoist_model::ListedHost;
-use foxtailhoist_platform::BackendApi;
-use foxtailhoist_platform::HostListApi;
-use foxtailhoist_platform::ObjectApi;
-use foxtailhoist_platform::PeerApi;
-use foxtailhoist_platform::RatingApi;
 
 use crate::KeyRing;
 
@@ -21,6 +16,8 @@
 pub struct ServerConfig {
     pub identity: Identity,
     pub listen: Listen,
+    /// For the listeners of callers and operators; plain HTTP without it.
+    pub tls: Option<TlsFiles>,
     /// Where peers reach this host; the address that it listens on when absent.
     pub advertise: Option<SocketAddr>,
     pub keys: KeyRing,
@@ -47,6 +44,13 @@
     pub peers: SocketAddr,
 }
 
+/// PEM files of a certificate, with those that vouch for it, and of its private key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TlsFiles {
+    pub certificate: PathBuf,
+    pub key: PathBuf,
+}
+
 /// Limits on what one caller or backend server may make the process hold.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -67,16 +71,6 @@
     pub poll_interval: Duration,
 }
 
-/// The edges of the process.
-#[derive(Clone)]
-pub struct Edges {
-    pub objects: Arc<dyn ObjectApi>,
-    pub host_list: Arc<dyn HostListApi>,
-    pub backends: Arc<dyn BackendApi>,
-    pub ratings: Arc<dyn RatingApi>,
-    pub peers: Arc<dyn PeerApi>,
-}
-
 impl Default for Limits {
     fn default() -> Limits {
         Limits {
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -1,8 +1,8 @@
 //! Starts and stops the process around an entry host.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 
@@ -12,25 +12,19 @@
 use foxtailhoist_host::operator::OperatorCommand;
 use foxtailhoist_host::operator::OperatorReply;
 use foxtailhoist_model::Refusal;
-use salvo::Listener;
-use salvo::conn::TcpListener;
-use salvo::conn::tcp::TcpAcceptor;
-use salvo::prelude::Router;
-use salvo::server::ServerHandle;
 use thiserror::Error;
 use tokio::task::JoinHandle;
 
 use crate::Edges;
 use crate::ServerConfig;
 use crate::http;
+use crate::listener::Bound;
+use crate::listener::Listening;
 use crate::metrics::Metrics;
 use crate::metrics::MetricsError;
 use crate::poll;
 use crate::shell::Shell;
 
-/// Time for connections to close after the last answer.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// A running entry host.
 pub struct Server {
     shell: Arc<Shell>,
@@ -52,29 +46,28 @@
 pub enum StartError {
     #[error("cannot listen on {address}: {reason}; choose another address or port in the settings")]
     Listen { address: SocketAddr, reason: String },
+    #[error(
+        "TLS: {file} cannot be used: {reason}; it must be a PEM file that this process may read"
+    )]
+    TlsFile { file: PathBuf, reason: String },
     #[error(transparent)]
     Metrics(#[from] MetricsError),
 }
 
-struct Listening {
-    handle: ServerHandle,
-    task: JoinHandle<()>,
-}
-
 impl Server {
     /// Binds the listeners and starts the entry host.
     ///
     /// # Errors
     ///
-    /// Fails when an address cannot be listened on.
+    /// Fails when an address cannot be listened on, and when TLS files cannot be used.
     pub async fn start(cfg: ServerConfig, edges: Edges) -> Result<Server, StartError> {
-        let callers = bind(cfg.listen.callers).await?;
-        let operators = bind(cfg.listen.operators).await?;
-        let peers = bind(cfg.listen.peers).await?;
+        let callers = Bound::bind(cfg.listen.callers, cfg.tls.as_ref()).await?;
+        let operators = Bound::bind(cfg.listen.operators, cfg.tls.as_ref()).await?;
+        let peers = Bound::bind(cfg.listen.peers, None).await?;
         let addresses = Addresses {
-            callers: callers.address,
-            operators: operators.address,
-            peers: peers.address,
+            callers: callers.address(),
+            operators: operators.address(),
+            peers: peers.address(),
         };
         let host_config = HostConfig {
             host: cfg.identity.host.clone(),
@@ -137,32 +130,3 @@
         in_time
     }
 }
-
-struct Bound {
-    acceptor: TcpAcceptor,
-    address: SocketAddr,
-}
-
-async fn bind(address: SocketAddr) -> Result<Bound, StartError> {
-    let failed = |reason: String| StartError::Listen { address, reason };
-    let acceptor = TcpListener::new(address).try_bind().await.map_err(|e| failed(e.to_string()))?;
-    let local = acceptor.local_addr().map_err(|e| failed(e.to_string()))?;
-    Ok(Bound { acceptor, address: local })
-}
-
-impl Bound {
-    fn serve(self, routes: Router) -> Listening {
-        let server = salvo::Server::new(self.acceptor);
-        let handle = server.handle();
-        let task = tokio::spawn(server.serve(routes));
-        Listening { handle, task }
-    }
-}
-
-impl Listening {
-    async fn close(self) {
-        self.handle.stop_graceful(Some(CLOSE_TIMEOUT));
-        // The task ends with the last connection or after the time-out.
-        let _ = self.task.await;
-    }
-}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,175 @@
+//! A small fleet, and callers of it.
+
+// Each test file uses its own part.
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use foxtailhoist_dev::Fleet;
+use foxtailhoist_dev::FleetOptions;
+use foxtailhoist_platform::ClientSettings;
+use foxtailhoist_platform::ClientSettingsBuilder;
+use foxtailhoist_standin::DeploymentSpec;
+use foxtailhoist_standin::EngineFaults;
+use reqwest::RequestBuilder;
+use reqwest::Response;
+use serde_json::Value;
+use serde_json::json;
+
+/// Longest wait for anything; a test that reaches it fails.
+pub const LIMIT: Duration = Duration::from_secs(30);
+/// Interval at which [`eventually`] looks again.
+const POLL: Duration = Duration::from_millis(50);
+
+/// Merrimack's stand-ins with quick engines.
+pub fn quick() -> DeploymentSpec {
+    let mut spec = DeploymentSpec::merrimack();
+    for engine in &mut spec.engines {
+        engine.prefill_tokens_per_second = 1e9;
+        engine.decode_ms = 5.0;
+        engine.decode_ms_per_extra = 0.0;
+    }
+    spec
+}
+
+/// Time-outs towards backend servers that a silent connection soon reaches.
+pub fn short_timeouts() -> ClientSettings {
+    ClientSettingsBuilder::new()
+        .head_timeout(Duration::from_secs(1))
+        .idle_timeout(Duration::from_secs(1))
+        .probe_timeout(Duration::from_secs(2))
+        .build()
+}
+
+pub fn options(hosts: u64) -> FleetOptions {
+    FleetOptions { deployment: quick(), hosts, client: short_timeouts(), ..FleetOptions::default() }
+}
+
+pub async fn fleet(hosts: u64) -> Fleet {
+    Fleet::start(options(hosts)).await.expect("the fleet starts")
+}
+
+pub fn callers(fleet: &Fleet, host: usize) -> SocketAddr {
+    fleet.servers[host].addresses().callers
+}
+
+pub fn operators(fleet: &Fleet, host: usize) -> SocketAddr {
+    fleet.servers[host].addresses().operators
+}
+
+pub fn chat_body(text: &str, tokens: u32, stream: bool) -> Value {
+    json!({
+        "messages": [{ "role": "user", "content": text }],
+        "max_tokens": tokens,
+        "stream": stream,
+    })
+}
+
+/// A chat completion in the name of a workspace.
+pub fn chat(address: SocketAddr, workspace: &str, body: &Value) -> RequestBuilder {
+    reqwest::Client::new()
+        .post(format!("http://{address}/v1/chat/completions"))
+        .bearer_auth(format!("key-{workspace}"))
+        .json(body)
+}
+
+/// A renewal in the name of a workspace.
+pub fn renew(address: SocketAddr, workspace: &str, key: &str) -> RequestBuilder {
+    reqwest::Client::new()
+        .post(format!("http://{address}/v1/services/crock-app/renew"))
+        .bearer_auth(format!("key-{workspace}"))
+        .header("idempotency-key", key)
+        .json(&json!({ "household": 7 }))
+}
+
+/// An operator's command.
+pub async fn command(address: SocketAddr, command: &Value) -> Value {
+    let request = reqwest::Client::new()
+        .post(format!("http://{address}/v1/operator"))
+        .bearer_auth("key-ada")
+        .json(command);
+    send(request).await.json().await.expect("the reply is JSON")
+}
+
+pub async fn send(request: RequestBuilder) -> Response {
+    let answer = tokio::time::timeout(LIMIT, request.send()).await.expect("an answer in time");
+    answer.expect("an answer")
+}
+
+pub async fn text(answer: Response) -> String {
+    let text = tokio::time::timeout(LIMIT, answer.text()).await.expect("the end in time");
+    text.expect("a whole body")
+}
+
+pub fn header(answer: &Response, name: &str) -> String {
+    let value = answer.headers().get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+/// Kind of a refusal and whether the request ran.
+pub fn refusal(answer: &Response) -> (String, String) {
+    (header(answer, "x-error-kind"), header(answer, "x-ran"))
+}
+
+/// Waits until something holds.
+pub async fn eventually(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let wait = async {
+        while !holds().await {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    assert!(tokio::time::timeout(LIMIT, wait).await.is_ok(), "not in time: {what}");
+}
+
+pub fn set_engine_faults(fleet: &Fleet, faults: &EngineFaults) {
+    for engine in &fleet.deployment.engines {
+        engine.set_faults(faults.clone());
+    }
+}
+
+/// Attempts that reached any engine's batch.
+pub fn started(fleet: &Fleet) -> u64 {
+    fleet.deployment.engines.iter().map(|engine| engine.stats().started).sum()
+}
+
+/// Runs of any plain service's server.
+pub fn runs(fleet: &Fleet) -> u64 {
+    fleet.deployment.services.iter().map(|service| service.orders().total).sum()
+}
+
+/// A streamed answer, read to its end.
+#[derive(Debug, Default)]
+pub struct Streamed {
+    /// Text of all pieces.
+    pub text: String,
+    /// Pieces with text.
+    pub pieces: usize,
+    pub done: bool,
+    /// Payload of the `error` event.
+    pub error: Option<Value>,
+}
+
+/// Reads the events of a stream.
+pub fn events(body: &str) -> Streamed {
+    let mut streamed = Streamed::default();
+    for event in body.split("\n\n") {
+        let payload = event.lines().find_map(|line| line.strip_prefix("data: "));
+        match payload {
+            None => {}
+            Some("[DONE]") => streamed.done = true,
+            Some(payload) if event.starts_with("event: error") => {
+                streamed.error = Some(serde_json::from_str(payload).expect("error is JSON"));
+            }
+            Some(payload) => {
+                let chunk: Value = serde_json::from_str(payload).expect("a chunk is JSON");
+                let content = &chunk["choices"][0]["delta"]["content"];
+                if let Some(content) = content.as_str().filter(|content| !content.is_empty()) {
+                    streamed.text.push_str(content);
+                    streamed.pieces += 1;
+                }
+            }
+        }
+    }
+    streamed
+}
