Test entry hosts end to end over HTTP, with faults of engines, services and the store

Cause: the shell and the composition were tested only by hand under dev. Change: tests/ starts two or three entry hosts and stand-ins in one process and drives them over HTTP: planned stop under a long stream, broken, crossed, late and silent answers, callers that leave or do not read, large prompts, bad input, keys on foreign interfaces, sessions and idempotency keys of other workspaces, renewals on two hosts with the store well, losing answers and down, quarantine, preset switches, bills and the burn report.

--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,212 @@
+//! A caller gets the whole answer to its own request or a typed error, whatever the engines do.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use foxtailhoist_dev::Fleet;
+use foxtailhoist_model::EngineOrder;
+use foxtailhoist_platform::AttemptOutput;
+use foxtailhoist_platform::AttemptRequest;
+use foxtailhoist_platform::AttemptStart;
+use foxtailhoist_platform::BackendApi;
+use foxtailhoist_platform::EngineFeed;
+use foxtailhoist_platform::PlatformError;
+use foxtailhoist_route::event::AttemptFailure;
+use foxtailhoist_standin::EngineFaults;
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use rstest::rstest;
+
+use common::LIMIT;
+use common::callers;
+use common::chat;
+use common::chat_body;
+use common::events;
+use common::eventually;
+use common::fleet;
+use common::options;
+use common::refusal;
+use common::send;
+use common::set_engine_faults;
+use common::text;
+
+#[tokio::test]
+async fn streams_that_break_are_resumed_to_the_whole_answer() {
+    let fleet = fleet(2).await;
+    let body = chat_body("Why is my starter sluggish?", 40, true);
+    let undisturbed = send(chat(callers(&fleet, 0), "baker-help", &body)).await;
+    let undisturbed = events(&text(undisturbed).await);
+    assert!(undisturbed.done);
+    set_engine_faults(&fleet, &EngineFaults { break_after: Some(6), ..EngineFaults::default() });
+    let mut answer = send(chat(callers(&fleet, 0), "baker-help", &body)).await;
+    let first = answer.chunk().await.unwrap().expect("a first piece");
+    set_engine_faults(&fleet, &EngineFaults::default());
+    let body = String::from_utf8(first.to_vec()).unwrap() + &text(answer).await;
+    let streamed = events(&body);
+    assert!(streamed.done, "{streamed:?}");
+    assert_eq!(streamed.error, None);
+    assert_eq!(streamed.pieces, undisturbed.pieces);
+    fleet.close().await;
+}
+
+#[tokio::test]
+async fn streams_that_cannot_be_completed_end_in_a_typed_error() {
+    let fleet = fleet(2).await;
+    set_engine_faults(&fleet, &EngineFaults { break_after: Some(3), ..EngineFaults::default() });
+    let body = chat_body("Why is my starter sluggish?", 200, true);
+    let streamed = events(&text(send(chat(callers(&fleet, 0), "baker-help", &body)).await).await);
+    assert!(!streamed.done, "{streamed:?}");
+    let error = streamed.error.expect("an error event");
+    assert_eq!(error["error"]["kind"], "stream_broken");
+    assert!(streamed.pieces < 200);
+    fleet.close().await;
+}
+
+#[tokio::test]
+async fn crossed_answers_never_reach_a_caller() {
+    let fleet = fleet(2).await;
+    set_engine_faults(&fleet, &EngineFaults { crossed: true, ..EngineFaults::default() });
+    for stream in [false, true] {
+        let body = chat_body("Why is my starter sluggish?", 8, stream);
+        let answer = send(chat(callers(&fleet, 0), "baker-help", &body)).await;
+        assert!(!answer.status().is_success());
+        assert!(!refusal(&answer).0.is_empty());
+        assert!(!text(answer).await.contains("choices"));
+    }
+    fleet.close().await;
+}
+
+#[tokio::test]
+async fn answers_that_come_too_late_are_discarded() {
+    let fleet = fleet(2).await;
+    set_engine_faults(&fleet, &EngineFaults { answer_late_ms: 5_000, ..EngineFaults::default() });
+    let body = chat_body("Why is my starter sluggish?", 8, false);
+    let request = chat(callers(&fleet, 0), "baker-help", &body).header("x-deadline-ms", "1500");
+    let answer = send(request).await;
+    assert!(!answer.status().is_success());
+    assert!(!refusal(&answer).0.is_empty());
+    assert!(!text(answer).await.contains("choices"));
+    fleet.close().await;
+}
+
+#[rstest]
+#[case::whole(false)]
+#[case::streamed(true)]
+#[tokio::test]
+async fn silent_connections_are_retired_and_the_request_served(#[case] stream: bool) {
+    let fleet = fleet(2).await;
+    let body = chat_body("Why is my starter sluggish?", 8, stream);
+    for _ in 0..12 {
+        let answer = send(chat(callers(&fleet, 0), "baker-help", &body)).await;
+        assert!(answer.status().is_success());
+        text(answer).await;
+    }
+    set_engine_faults(&fleet, &EngineFaults { silent: true, ..EngineFaults::default() });
+    let answer = send(chat(callers(&fleet, 0), "baker-help", &body)).await;
+    assert!(answer.status().is_success(), "{:?}", refusal(&answer));
+    let body = text(answer).await;
+    assert!(body.contains("choices"));
+    assert!(!stream || events(&body).done);
+    fleet.close().await;
+}
+
+#[tokio::test]
+async fn callers_that_leave_cancel_the_engines_work() {
+    let fleet = fleet(2).await;
+    let body = chat_body("Why is my starter sluggish?", 4_000, true);
+    let mut answer = send(chat(callers(&fleet, 0), "baker-help", &body)).await;
+    answer.chunk().await.unwrap().expect("a first piece");
+    drop(answer);
+    let cancelled =
+        || -> u64 { fleet.deployment.engines.iter().map(|engine| engine.stats().cancelled).sum() };
+    eventually("the engine's work is cancelled", async || cancelled() > 0).await;
+    fleet.close().await;
+}
+
+/// Bytes of one piece of [`Endless`] answers.
+const PIECE_BYTES: usize = 64 << 10;
+/// Pieces after which an answer has filled every buffer that should hold it back.
+const PIECES_LIMIT: u64 = 1_024;
+
+/// Backend servers whose answers never end.
+struct Endless {
+    pulled: Arc<AtomicU64>,
+}
+
+impl BackendApi for Endless {
+    fn start(
+        &self,
+        _attempt: AttemptRequest,
+    ) -> BoxFuture<'_, Result<AttemptStart, AttemptFailure>> {
+        let pulled = Arc::clone(&self.pulled);
+        let payload = Bytes::from(vec![b'x'; PIECE_BYTES]);
+        let pieces = futures::stream::repeat_with(move || {
+            pulled.fetch_add(1, Ordering::SeqCst);
+            Ok(AttemptOutput::Piece { bytes: payload.clone(), tokens: 1 })
+        });
+        let content_type = "text/event-stream".to_owned();
+        let start = AttemptStart { status: 200, content_type, pieces: pieces.boxed() };
+        Box::pin(async move { Ok(start) })
+    }
+
+    fn feed(
+        &self,
+        _server: std::net::SocketAddr,
+        _after: u64,
+    ) -> BoxFuture<'_, Result<EngineFeed, PlatformError>> {
+        Box::pin(async { Ok(EngineFeed::default()) })
+    }
+
+    fn order(
+        &self,
+        _server: std::net::SocketAddr,
+        _order: EngineOrder,
+    ) -> BoxFuture<'_, Result<(), PlatformError>> {
+        Box::pin(async { Ok(()) })
+    }
+
+    fn probe(&self, _server: std::net::SocketAddr) -> BoxFuture<'_, Result<(), PlatformError>> {
+        Box::pin(async { Ok(()) })
+    }
+
+    fn retire(&self, _server: std::net::SocketAddr) {}
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_readers_hold_the_engine_back() {
+    let pulled = Arc::new(AtomicU64::new(0));
+    let mut options = options(1);
+    options.backends = Some(Arc::new(Endless { pulled: Arc::clone(&pulled) }));
+    options.limits.pieces = 4;
+    options.limits.withheld_bytes = 1 << 20;
+    let fleet = Fleet::start(options).await.unwrap();
+    let body = chat_body("Why is my starter sluggish?", 8, true);
+    let mut answer = send(chat(callers(&fleet, 0), "baker-help", &body)).await;
+    answer.chunk().await.unwrap().expect("a first piece");
+    let settled = async {
+        let mut before = u64::MAX;
+        while pulled.load(Ordering::SeqCst) != before {
+            before = pulled.load(Ordering::SeqCst);
+            assert!(before < PIECES_LIMIT, "{before} pieces were taken for a reader that stands");
+            tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, settled).await.expect("the engine stands in time");
+    drop(answer);
+    fleet.close().await;
+}
+
+#[tokio::test]
+async fn prompts_of_several_megabytes_are_answered() {
+    let fleet = fleet(1).await;
+    let body = chat_body(&"flour and water ".repeat(400_000), 8, false);
+    let request = chat(callers(&fleet, 0), "baker-help", &body).header("x-deadline-ms", "25000");
+    let answer = send(request).await;
+    assert!(answer.status().is_success(), "{:?}", refusal(&answer));
+    assert!(text(answer).await.contains("choices"));
+    fleet.close().await;
+}
