Hash the shared prefix of a prompt on entry hosts as engines do

Cause: the entry host hashed the first message and engines all messages before the last, so for prompts of three messages and more the hashes in the engines' cache events never matched the router's. Change: the chat reader uses CompletionRequest::shared_prefix and prompt_tokens; a prompt of one message shares nothing.

--- a/crates/server/src/chat.rs
+++ b/crates/server/src/chat.rs
@@ -6,11 +6,10 @@
 use foxtailhoist_model::ErrorKind;
 use foxtailhoist_model::PrefixHash;
 use foxtailhoist_model::Refusal;
-use foxtailhoist_model::stable_hash;
+use foxtailhoist_platform::CompletionRequest;
+use foxtailhoist_platform::Message;
 use serde::Deserialize;
 
-/// Characters in a token, on average.
-const CHARACTERS_PER_TOKEN: usize = 4;
 /// Output tokens of a request that states no bound.
 const DEFAULT_OUTPUT_TOKENS: u32 = 512;
 /// Name by which a caller leaves the choice of a model to the router.
@@ -24,7 +23,7 @@
     pub streamed: bool,
     pub prompt_tokens: u32,
     pub max_output_tokens: u32,
-    /// Hash and length of the first message, which requests of one kind share.
+    /// Hash and length of the messages before the last, as engines hash them.
     pub prefix: PrefixHash,
     pub prefix_tokens: u32,
     pub user: Option<String>,
@@ -34,7 +33,7 @@
 struct Body {
     #[serde(default)]
     model: Option<String>,
-    messages: Vec<Message>,
+    messages: Vec<BodyMessage>,
     #[serde(default)]
     stream: bool,
     #[serde(default)]
@@ -46,7 +45,7 @@
 }
 
 #[derive(Deserialize)]
-struct Message {
+struct BodyMessage {
     #[serde(default)]
     content: Content,
 }
@@ -79,19 +78,22 @@
         if body.messages.is_empty() {
             return Err(Refusal::new(ErrorKind::BadRequest, "messages must not be empty"));
         }
-        let texts: Vec<String> =
-            body.messages.into_iter().map(|message| message.content.into_text()).collect();
-        let characters: usize = texts.iter().map(String::len).sum();
+        let messages = body
+            .messages
+            .into_iter()
+            .map(|message| Message { role: None, content: Some(message.content.into_text()) });
+        let prompt = CompletionRequest { messages: messages.collect(), ..Default::default() };
+        let prefix = prompt.shared_prefix();
         Ok(ChatRequest {
             model: body.model.filter(|model| model != ANY_MODEL),
             streamed: body.stream,
-            prompt_tokens: tokens(characters),
+            prompt_tokens: prompt.prompt_tokens(),
             max_output_tokens: body
                 .max_completion_tokens
                 .or(body.max_tokens)
                 .unwrap_or(DEFAULT_OUTPUT_TOKENS),
-            prefix: stable_hash(0, &[texts[0].as_bytes()]),
-            prefix_tokens: tokens(texts[0].len()),
+            prefix: prefix.hash,
+            prefix_tokens: prefix.tokens,
             user: body.user,
         })
     }
@@ -106,7 +108,3 @@
         }
     }
 }
-
-fn tokens(characters: usize) -> u32 {
-    u32::try_from(characters.div_ceil(CHARACTERS_PER_TOKEN)).unwrap_or(u32::MAX)
-}
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -210,3 +210,28 @@
     assert!(text(answer).await.contains("choices"));
     fleet.close().await;
 }
+
+#[tokio::test]
+async fn requests_that_share_a_prefix_find_it_cached() {
+    const REQUESTS: u64 = 12;
+    let fleet = fleet(1).await;
+    let system = "You help bakers with their starters. ".repeat(200);
+    let prefix_tokens = u64::from(foxtailhoist_platform::estimated_tokens(&system));
+    for index in 0..REQUESTS {
+        let body = serde_json::json!({
+            "model": "levain-large",
+            "messages": [
+                { "role": "system", "content": system },
+                { "role": "user", "content": format!("Question {index}") },
+            ],
+            "max_tokens": 4,
+        });
+        let answer = send(chat(callers(&fleet, 0), "baker-help", &body)).await;
+        assert!(answer.status().is_success(), "{:?}", refusal(&answer));
+        text(answer).await;
+    }
+    let cached: u64 =
+        fleet.deployment.engines.iter().map(|engine| engine.stats().cached_tokens).sum();
+    assert_eq!(cached, (REQUESTS - 1) * prefix_tokens);
+    fleet.close().await;
+}
