--- a/crates/core/commands/mod.rs
+++ b/crates/core/commands/mod.rs
@@ -2,7 +2,6 @@
 
 mod check;
 mod dev;
-mod edges;
 mod measure;
 mod measure_path;
 mod operate;
