Pace the writes of a shard by its part of the store's rate

With claims at load, each 20 ms a write left, so that at 2,500 requests a second (4% claims, 48 hosts, 6 shards) the home ran out of its own token bucket: 59.2 store calls for each thousand requests and a claim p99 of 5,620 ms. A shard now writes at most its part of 256 writes a second, within 2 to 16 a second.

--- a/crates/journal/src/config.rs
+++ b/crates/journal/src/config.rs
@@ -37,8 +37,11 @@
 pub const BATCH_BYTES: usize = 65_536;
 /// Longest head of an answer that an outcome keeps, in bytes.
 pub const OUTCOME_BODY_BYTES: usize = 2_048;
-/// Shortest time between two writes of a shard.
-pub const WRITE_INTERVAL: Duration = Duration::from_millis(20);
+/// Writes a second that all shards together may make; each takes an equal part.
+pub const WRITES_PER_SECOND: f64 = 256.0;
+/// Most and fewest writes a second of one shard, whatever its part.
+pub const SHARD_WRITES_MOST: f64 = 16.0;
+pub const SHARD_WRITES_FEWEST: f64 = 2.0;
 /// Age of the last checked create beyond which the floor is read again. Well below [`CLAIM_RETENTION`].
 pub const FRESH_BOUND: Duration = Duration::from_secs(600);
 /// Age up to which a known end of the log is used for new entries. Well below [`BILL_RETENTION`].
@@ -58,6 +61,7 @@
     pub(crate) bill_retention: Duration,
     pub(crate) fresh_bound: Duration,
     pub(crate) head_age_limit: Duration,
+    pub(crate) write_interval: Duration,
     pub(crate) bill_window: Duration,
     pub(crate) bill_batch: usize,
     pub(crate) claim_wait: Duration,
@@ -87,6 +91,7 @@
             bill_retention: BILL_RETENTION,
             fresh_bound: FRESH_BOUND,
             head_age_limit: HEAD_AGE_LIMIT,
+            write_interval: write_interval(SHARDS_TODAY),
             bill_window: Duration::from_secs(6),
             bill_batch: 500,
             claim_wait: Duration::from_secs(1),
@@ -114,6 +119,14 @@
     #[must_use]
     pub fn shards(mut self, shards: u32) -> JournalConfig {
         self.shards = shards.max(1);
+        self.write_interval = write_interval(self.shards);
+        self
+    }
+
+    /// Shortest time between two writes of a shard. `shards` sets it too.
+    #[must_use]
+    pub fn write_interval(mut self, write_interval: Duration) -> JournalConfig {
+        self.write_interval = write_interval;
         self
     }
 
@@ -184,3 +197,10 @@
         self
     }
 }
+
+/// Shortest time between two writes of one of `shards` shards.
+#[must_use]
+pub fn write_interval(shards: u32) -> Duration {
+    let part = WRITES_PER_SECOND / f64::from(shards);
+    Duration::from_secs_f64(1.0 / part.clamp(SHARD_WRITES_FEWEST, SHARD_WRITES_MOST))
+}
--- a/crates/journal/src/cx.rs
+++ b/crates/journal/src/cx.rs
@@ -40,6 +40,8 @@
     pub window: Duration,
     /// Number of entries that are written without a wait.
     pub batch: usize,
+    /// Shortest time between two writes.
+    pub interval: Duration,
 }
 
 /// Store calls under way and the shards that made them.
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -328,7 +328,8 @@
     fn grouping(&self, now: Instant) -> Grouping {
         let may_wait = self.places.can_park(now) && self.stopping.is_none();
         let window = if may_wait { self.cfg.bill_window } else { Duration::ZERO };
-        Grouping { window, batch: self.cfg.bill_batch }
+        let (batch, interval) = (self.cfg.bill_batch, self.cfg.write_interval);
+        Grouping { window, batch, interval }
     }
 
     /// Runs a shard's step with the journal's state lent to it.
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -37,6 +37,7 @@
 pub use config::JournalConfig;
 pub use config::SHARDS_LARGE;
 pub use config::SHARDS_TODAY;
+pub use config::write_interval;
 pub use entry::Entry;
 pub use entry::EntryId;
 pub use entry::Segment;
--- a/crates/journal/src/shard.rs
+++ b/crates/journal/src/shard.rs
@@ -13,7 +13,6 @@
 use crate::config::ENTRIES_PER_SEGMENT;
 use crate::config::PENDING_PER_SHARD;
 use crate::config::SEGMENT_BYTES;
-use crate::config::WRITE_INTERVAL;
 use crate::cx::Cx;
 use crate::cx::Decided;
 use crate::cx::Grouping;
@@ -219,7 +218,7 @@
         let oldest = self.pending.oldest()?;
         let at_once = self.pending.has_urgent() || self.pending.len() >= grouping.batch;
         let due = if at_once { oldest } else { oldest + grouping.window };
-        Some(self.last_write.map_or(due, |at| due.max(at + WRITE_INTERVAL)))
+        Some(self.last_write.map_or(due, |at| due.max(at + grouping.interval)))
     }
 
     /// Whether a segment at the ledger's end can't have been deleted: its age is far below the retention.
