--- /dev/null
+++ b/crates/measure/src/journal_cost/driver.rs
@@ -0,0 +1,363 @@
+//! Drives journals over an object API in memory in virtual time, without faults.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use foxtailhoist_journal::Journal;
+use foxtailhoist_journal::JournalConfig;
+use foxtailhoist_journal::StoreCalls;
+use foxtailhoist_journal::event::CallId;
+use foxtailhoist_journal::event::Effect;
+use foxtailhoist_journal::event::Event;
+use foxtailhoist_journal::event::HostPlace;
+use foxtailhoist_model::Bill;
+use foxtailhoist_model::Claim;
+use foxtailhoist_model::ClaimKey;
+use foxtailhoist_model::ClaimOutcome;
+use foxtailhoist_model::ClaimResult;
+use foxtailhoist_model::Enforcement;
+use foxtailhoist_model::ModelVersion;
+use foxtailhoist_model::RequestId;
+use foxtailhoist_model::StoreOp;
+use foxtailhoist_model::Usage;
+use foxtailhoist_objects::MemoryStore;
+use hdrhistogram::Histogram;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const STORE_CALL: Duration = Duration::from_millis(5);
+const FAR_MESSAGE: Duration = Duration::from_millis(4);
+const NEAR_MESSAGE: Duration = Duration::from_micros(500);
+/// Time that a non-idempotent request runs after its claim.
+const RUN: Duration = Duration::from_millis(50);
+const WALL_START: Duration = Duration::from_secs(20_000 * 86_400);
+const WORKSPACES: u32 = 10;
+/// Wait after hosts start, so that membership is settled.
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// Latencies in microseconds.
+pub type Latencies = Histogram<u64>;
+
+/// Changes the settings that every host starts with.
+type Template<'a> = &'a dyn Fn(JournalConfig) -> JournalConfig;
+
+/// Several journals, their store and the messages between them.
+pub struct Driver {
+    now: Instant,
+    start: Instant,
+    store: MemoryStore,
+    hosts: Vec<Host>,
+    queue: BTreeMap<(Instant, u64), Action>,
+    next_action: u64,
+    rng: ChaCha8Rng,
+    next_request: RequestId,
+    started: BTreeMap<RequestId, Instant>,
+    messages: u64,
+    earlier_calls: StoreCalls,
+    claims: Latencies,
+    bills: Latencies,
+}
+
+struct Host {
+    name: String,
+    data_centre: String,
+    incarnation: u64,
+    journal: Journal,
+    wake: Option<Instant>,
+}
+
+enum Action {
+    Perform { host: usize, call: CallId, op: StoreOp },
+    Deliver { host: usize, event: Event },
+    Ran { host: usize, key: ClaimKey, request: RequestId },
+    Wake { host: usize },
+}
+
+impl Driver {
+    /// Hosts spread evenly over data centres.
+    pub fn new(seed: u64, hosts: u32, data_centres: u32, template: Template<'_>) -> Driver {
+        let now = Instant::now();
+        let mut driver = Driver {
+            now,
+            start: now,
+            store: MemoryStore::default(),
+            hosts: Vec::new(),
+            queue: BTreeMap::new(),
+            next_action: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            next_request: 0,
+            started: BTreeMap::new(),
+            messages: 0,
+            earlier_calls: StoreCalls::default(),
+            claims: latencies(),
+            bills: latencies(),
+        };
+        for number in 0..hosts {
+            let name = format!("host-{number:03}");
+            let data_centre = format!("dc-{:02}", number % data_centres);
+            driver.start_host(name, data_centre, 1, template);
+        }
+        driver.announce();
+        driver
+    }
+
+    /// Starts every host anew at once.
+    pub fn replace_hosts(&mut self, template: Template<'_>) {
+        self.queue.clear();
+        for host in std::mem::take(&mut self.hosts) {
+            let calls = host.journal.stats().calls;
+            self.earlier_calls = sum(self.earlier_calls, calls);
+            self.start_host(host.name, host.data_centre, host.incarnation + 1, template);
+        }
+        self.announce();
+    }
+
+    /// Runs seeded Poisson arrivals at random hosts; returns their number.
+    pub fn load(&mut self, rate: u32, claim_share: f64, time: Duration) -> u64 {
+        let end = self.now + time;
+        let mut requests = 0;
+        loop {
+            let uniform: f64 = self.rng.random_range(f64::EPSILON..1.0);
+            let next = self.now + Duration::from_secs_f64(-uniform.ln() / f64::from(rate));
+            if next > end {
+                self.run_until(end);
+                return requests;
+            }
+            self.run_until(next);
+            requests += 1;
+            self.arrive(claim_share);
+        }
+    }
+
+    /// Writes a log of this many segments, one bill each; for a single host.
+    pub fn write_segments(&mut self, segments: u64) {
+        for _ in 0..segments {
+            self.bill(0);
+            self.run_until(self.now + Duration::from_millis(200));
+        }
+    }
+
+    /// Time from a claim to its grant.
+    pub fn claim_once(&mut self) -> Duration {
+        self.claims.reset();
+        let from = self.now;
+        self.claim(0);
+        while self.claims.is_empty() && self.now < from + Duration::from_secs(60) {
+            self.run_until(self.now + Duration::from_millis(1));
+        }
+        Duration::from_micros(self.claims.max())
+    }
+
+    /// Calls of all hosts.
+    pub fn calls(&self) -> StoreCalls {
+        let calls = self.hosts.iter().map(|host| host.journal.stats().calls);
+        calls.fold(self.earlier_calls, sum)
+    }
+
+    pub fn messages(&self) -> u64 {
+        self.messages
+    }
+
+    /// Latencies of claims that were granted.
+    pub fn claims(&self) -> &Latencies {
+        &self.claims
+    }
+
+    /// Latencies of bills.
+    pub fn bills(&self) -> &Latencies {
+        &self.bills
+    }
+
+    pub fn forget_latencies(&mut self) {
+        self.claims.reset();
+        self.bills.reset();
+    }
+
+    fn start_host(
+        &mut self,
+        name: String,
+        data_centre: String,
+        incarnation: u64,
+        template: Template<'_>,
+    ) {
+        let cfg = JournalConfig::new(&name, &data_centre, incarnation);
+        let cfg = template(cfg.enforcement(Enforcement::Panic).claim_wait(Duration::from_secs(30)));
+        let journal = Journal::new(cfg, self.rng.random());
+        self.hosts.push(Host { name, data_centre, incarnation, journal, wake: None });
+    }
+
+    fn announce(&mut self) {
+        let place = |host: &Host| HostPlace {
+            host: host.name.clone(),
+            data_centre: host.data_centre.clone(),
+        };
+        let places: Vec<HostPlace> = self.hosts.iter().map(place).collect();
+        for host in 0..self.hosts.len() {
+            self.event(host, Event::Hosts(places.clone()));
+        }
+        self.run_until(self.now + SETTLE);
+    }
+
+    fn arrive(&mut self, claim_share: f64) {
+        let host = self.rng.random_range(0..self.hosts.len());
+        if self.rng.random_bool(claim_share) {
+            self.claim(host);
+        } else {
+            self.bill(host);
+        }
+    }
+
+    fn claim(&mut self, host: usize) {
+        let request = self.begin();
+        let key = ClaimKey {
+            workspace: workspace_of(request),
+            idempotency_key: format!("key-{request}"),
+        };
+        let claim = Claim { key, request, content: 1, at: self.wall() };
+        self.event(host, Event::Claim(claim));
+    }
+
+    fn bill(&mut self, host: usize) {
+        let request = self.begin();
+        self.bill_request(host, request);
+    }
+
+    fn bill_request(&mut self, host: usize, request: RequestId) {
+        self.started.insert(request, self.now);
+        let bill = Bill {
+            workspace: workspace_of(request),
+            request,
+            model_version: Some(ModelVersion::new("levain", "v1")),
+            usage: Usage { prompt_tokens: 300, output_tokens: 200 },
+            at: self.wall(),
+        };
+        self.event(host, Event::Bill(bill));
+    }
+
+    fn begin(&mut self) -> RequestId {
+        self.next_request += 1;
+        self.started.insert(self.next_request, self.now);
+        self.next_request
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + WALL_START + self.now.duration_since(self.start)
+    }
+
+    fn run_until(&mut self, end: Instant) {
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            let ((at, _), action) = entry.remove_entry();
+            self.now = at;
+            self.act(action);
+        }
+        self.now = end;
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Perform { host, call, op } => {
+                let result = self.store.apply(&op);
+                let event = Event::Store { call, result };
+                self.schedule(STORE_CALL / 2, Action::Deliver { host, event });
+            }
+            Action::Deliver { host, event } => self.event(host, event),
+            Action::Ran { host, key, request } => {
+                let outcome = ClaimOutcome::Ran { status: 200, body: Vec::new() };
+                self.event(host, Event::Outcome { key, request, outcome });
+                self.bill_request(host, request);
+            }
+            Action::Wake { host } => {
+                if self.hosts[host].wake.is_some_and(|at| at <= self.now) {
+                    self.hosts[host].wake = None;
+                    let wall = self.wall();
+                    self.event(host, Event::Tick { wall });
+                }
+            }
+        }
+    }
+
+    fn event(&mut self, host: usize, event: Event) {
+        let effects = self.hosts[host].journal.handle(event, self.now);
+        for effect in effects {
+            self.effect(host, effect);
+        }
+        self.schedule_wake(host);
+    }
+
+    fn effect(&mut self, host: usize, effect: Effect) {
+        match effect {
+            Effect::Store { call, op } => {
+                self.schedule(STORE_CALL / 2, Action::Perform { host, call, op });
+            }
+            Effect::Send { to, message } => {
+                self.messages += 1;
+                let Some(receiver) = self.hosts.iter().position(|host| host.name == to) else {
+                    return;
+                };
+                let is_near = self.hosts[receiver].data_centre == self.hosts[host].data_centre;
+                let time = if is_near { NEAR_MESSAGE } else { FAR_MESSAGE };
+                let from = self.hosts[host].name.clone();
+                let event = Event::Message { from, message };
+                self.schedule(time, Action::Deliver { host: receiver, event });
+            }
+            Effect::Claimed { request, key, result } => {
+                assert_eq!(result, ClaimResult::Granted, "every key is claimed once");
+                record(&mut self.claims, self.started.remove(&request), self.now);
+                self.schedule(RUN, Action::Ran { host, key, request });
+            }
+            Effect::Billed { request, .. } => {
+                record(&mut self.bills, self.started.remove(&request), self.now);
+            }
+            Effect::OutcomeSafe { .. } | Effect::Stopped => {}
+        }
+    }
+
+    fn schedule_wake(&mut self, host: usize) {
+        let state = &mut self.hosts[host];
+        let Some(at) = state.journal.next_wake() else { return };
+        let at = at.max(self.now);
+        if state.wake.is_some_and(|wake| wake <= at && wake > self.now) {
+            return;
+        }
+        state.wake = Some(at);
+        let delay = at.duration_since(self.now);
+        self.schedule(delay, Action::Wake { host });
+    }
+
+    fn schedule(&mut self, delay: Duration, action: Action) {
+        self.next_action += 1;
+        self.queue.insert((self.now + delay, self.next_action), action);
+    }
+}
+
+fn workspace_of(request: RequestId) -> String {
+    format!("workspace-{}", request % RequestId::from(WORKSPACES))
+}
+
+fn latencies() -> Latencies {
+    const MOST_MICROS: u64 = 60_000_000;
+    const DIGITS: u8 = 3;
+    Histogram::new_with_max(MOST_MICROS, DIGITS).expect("the bounds are within the histogram's")
+}
+
+fn record(latencies: &mut Latencies, started: Option<Instant>, now: Instant) {
+    if let Some(started) = started {
+        latencies.saturating_record(now.duration_since(started).as_micros() as u64);
+    }
+}
+
+fn sum(left: StoreCalls, right: StoreCalls) -> StoreCalls {
+    StoreCalls {
+        gets: left.gets + right.gets,
+        lists: left.lists + right.lists,
+        puts: left.puts + right.puts,
+        deletes: left.deletes + right.deletes,
+        watches: left.watches + right.watches,
+    }
+}
