--- /dev/null
+++ b/crates/core/client.rs
@@ -0,0 +1,77 @@
+//! Sends an operator's command to an entry host.
+
+use foxtailhoist_host::operator::OperatorCommand;
+use foxtailhoist_host::operator::OperatorReply;
+use foxtailhoist_model::ErrorKind;
+use foxtailhoist_model::Ran;
+use foxtailhoist_model::Refusal;
+use foxtailhoist_report::Report;
+use reqwest::RequestBuilder;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use crate::failure::Failure;
+use crate::flags::OperatorFlags;
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    error: ErrorDetail,
+}
+
+#[derive(Deserialize)]
+struct ErrorDetail {
+    kind: ErrorKind,
+    ran: Ran,
+    message: String,
+}
+
+/// Sends one command and returns the reply.
+///
+/// # Errors
+///
+/// Fails when the host cannot be reached, refuses, or answers what cannot be read.
+pub async fn send(
+    flags: &OperatorFlags,
+    command: &OperatorCommand,
+) -> Result<OperatorReply, Failure> {
+    let request = reqwest::Client::new().post(url(flags, "/v1/operator")).json(command);
+    exchange(flags, request).await
+}
+
+/// Asks for the fleet's service-level burn report.
+///
+/// # Errors
+///
+/// Fails when the host cannot be reached, refuses, or answers what cannot be read.
+pub async fn burn_report(flags: &OperatorFlags) -> Result<Report, Failure> {
+    exchange(flags, reqwest::Client::new().get(url(flags, "/v1/report/burn"))).await
+}
+
+fn url(flags: &OperatorFlags, path: &str) -> String {
+    format!("http://{}{path}", flags.address)
+}
+
+async fn exchange<T: DeserializeOwned>(
+    flags: &OperatorFlags,
+    request: RequestBuilder,
+) -> Result<T, Failure> {
+    let unreachable = |e: reqwest::Error| {
+        Failure::Unreachable(format!(
+            "entry host at {} cannot be reached: {e}; try another with --address",
+            flags.address
+        ))
+    };
+    let response = request.bearer_auth(&flags.key).send().await.map_err(unreachable)?;
+    let accepted = response.status().is_success();
+    let body = response.bytes().await.map_err(unreachable)?;
+    let unreadable = |e: serde_json::Error| {
+        Failure::Failed(format!("the entry host's answer cannot be read: {e}"))
+    };
+    if accepted {
+        return serde_json::from_slice(&body).map_err(unreadable);
+    }
+    let ErrorBody { error } = serde_json::from_slice(&body).map_err(unreadable)?;
+    let refusal =
+        Refusal { kind: error.kind, ran: error.ran, message: error.message, retry_after: None };
+    Err(Failure::Refused(Box::new(refusal)))
+}
