--- a/crates/route/src/router/hedge.rs
+++ b/crates/route/src/router/hedge.rs
@@ -19,7 +19,10 @@
             return;
         };
         let suspect = self.poison.is_suspect(entry.request.fingerprint, now);
-        let wanted = self.cfg.mechanisms.hedging && !entry.request.at_most_once() && !suspect;
+        // Without a first token, the time that an answer takes tells of its length more than of its server.
+        let telling = entry.request.streamed() || entry.class().is_none();
+        let wanted =
+            self.cfg.mechanisms.hedging && telling && !entry.request.at_most_once() && !suspect;
         let Some(attempt) = entry.live.last().filter(|_| wanted && entry.live.len() == 1) else {
             return;
         };
