Set no hedge timer beyond the deadline

Cause: a hedge timer is set at a multiple of the expected time, which can lie minutes after the request's deadline; it stayed in the table after its request had ended. Change: no timer at or after the deadline, where nothing is hedged. All tests of the crate pass. Conclusion: timers end with their requests.

--- a/crates/route/src/router/hedge.rs
+++ b/crates/route/src/router/hedge.rs
@@ -26,7 +26,11 @@
         let streamed = entry.request.streamed();
         let expected = if streamed { attempt.chosen.first_byte } else { attempt.chosen.total };
         let tail = self.servers.tail(&attempt.destination, streamed);
-        self.set_timer(now + expected.mul_f64(tail), TimerKind::Hedge, id);
+        let at = now + expected.mul_f64(tail);
+        // Nothing is hedged after the deadline, and a timer that cannot act must not outlive its request for long.
+        if at < entry.request.deadline {
+            self.set_timer(at, TimerKind::Hedge, id);
+        }
     }
 
     pub(super) fn hedge_due(&mut self, id: RequestId, now: Instant, out: &mut Vec<Effect>) {
