--- a/crates/core/commands/measure.rs
+++ b/crates/core/commands/measure.rs
@@ -5,6 +5,7 @@
 use foxtailhoist_measure::choice;
 use foxtailhoist_measure::control;
 use foxtailhoist_measure::control::ControlConfig;
+use foxtailhoist_measure::journal_cost;
 use foxtailhoist_measure::policy;
 use foxtailhoist_measure::policy::PolicyOptions;
 use foxtailhoist_measure::soak;
@@ -25,7 +26,7 @@
     match measurement {
         Measurement::Path => block_on(measure_path::run(flags)),
         Measurement::Choice => print(&choice::measure(flags.seed), &flags),
-        Measurement::Journal => Err(Failure::Failed("measure journal: not built yet".to_owned())),
+        Measurement::Journal => print(&journal_cost::measure(flags.seed), &flags),
         Measurement::Control => print(
             &control::run(&ControlConfig { seed: flags.seed, ..ControlConfig::default() }),
             &flags,
--- a/crates/measure/src/soak.rs
+++ b/crates/measure/src/soak.rs
@@ -298,6 +298,7 @@
         class: "question".to_owned(),
         streamed: false,
         session: Some(session.to_owned()),
+        token: true,
         model: None,
     };
     let of = |name: &str, workspace: &str, call: Call| Traffic {
--- a/crates/scenario/src/book.rs
+++ b/crates/scenario/src/book.rs
@@ -48,6 +48,8 @@
     pub deadline: Instant,
     pub key: Option<ClaimKey>,
     pub session: Option<SessionId>,
+    /// Version that the session had when the request was sent.
+    pub kept: Option<ModelVersion>,
     pub content: String,
     pub left: bool,
     /// Attempts that a backend server took in.
@@ -145,9 +147,16 @@
         Some(open)
     }
 
-    /// Checks that a session kept its version.
-    pub fn note_session(&mut self, key: SessionKey, model_version: &ModelVersion, moved: bool) {
-        let before = self.sessions.insert(key.clone(), model_version.clone());
+    /// Checks that a session kept the version that it had when the request was sent.
+    pub fn note_session(
+        &mut self,
+        request: RequestId,
+        key: SessionKey,
+        model_version: &ModelVersion,
+        moved: bool,
+    ) {
+        let before = self.open.get(&request).and_then(|open| open.kept.clone());
+        self.sessions.insert(key.clone(), model_version.clone());
         if let Some(before) = before
             && before != *model_version
             && !moved
--- a/crates/scenario/src/callers.rs
+++ b/crates/scenario/src/callers.rs
@@ -59,6 +59,9 @@
         /// One session for all requests of a caller.
         #[serde(default)]
         session: Option<SessionId>,
+        /// Callers send the sealed token of their last answer, not the bare session id.
+        #[serde(default)]
+        token: bool,
         #[serde(default)]
         model: Option<String>,
     },
@@ -79,7 +82,13 @@
 
 impl Default for Call {
     fn default() -> Call {
-        Call::Chat { class: "question".to_owned(), streamed: false, session: None, model: None }
+        Call::Chat {
+            class: "question".to_owned(),
+            streamed: false,
+            session: None,
+            token: false,
+            model: None,
+        }
     }
 }
 
--- a/crates/scenario/src/send.rs
+++ b/crates/scenario/src/send.rs
@@ -6,6 +6,7 @@
 use foxtailhoist_model::ClaimKey;
 use foxtailhoist_model::EntryHostId;
 use foxtailhoist_model::Idempotency;
+use foxtailhoist_model::ModelVersion;
 use foxtailhoist_model::Ran;
 use foxtailhoist_model::Request;
 use foxtailhoist_model::RequestId;
@@ -19,6 +20,7 @@
 use crate::World;
 use crate::book::Ending;
 use crate::book::Open;
+use crate::book::SessionKey;
 use crate::callers::Call;
 use crate::default::SERVICE;
 use crate::world::Happening;
@@ -43,7 +45,9 @@
             self.book.endings.entry(turn.traffic).or_default().push(Ending::NoHost);
             return self.resend_later(turn, RESEND_WAIT);
         };
-        let request = self.request(&traffic, turn);
+        let mut request = self.request(&traffic, turn);
+        let kept = self.kept_version(&request);
+        show_token(&traffic, &mut request, kept.as_ref());
         if self.book.open.contains_key(&request.id) {
             // The same key is in progress; the server refuses it before the host sees it.
             return self.resend_later(turn, RESEND_WAIT);
@@ -56,6 +60,7 @@
             deadline: request.deadline,
             key: claim_key(&request),
             session: session(&request),
+            kept,
             content: traffic.content(turn.number),
             left: false,
             runs: 0,
@@ -102,6 +107,12 @@
         }
     }
 
+    /// Version of the last answer in the request's session.
+    fn kept_version(&self, request: &Request) -> Option<ModelVersion> {
+        let key = SessionKey { workspace: request.workspace.clone(), session: session(request)? };
+        self.book.sessions.get(&key).cloned()
+    }
+
     fn resend_later(&mut self, turn: Turn, after: Duration) {
         let allowed = self.traffic.get(turn.traffic).map_or(0, |traffic| traffic.resend);
         if turn.resend < allowed {
@@ -162,7 +173,7 @@
 fn target(traffic: &Traffic, caller: u64) -> Target {
     match &traffic.call {
         Call::Renewal => Target::Service { service: SERVICE.to_owned() },
-        Call::Chat { class, streamed, session, model } => Target::Chat {
+        Call::Chat { class, streamed, session, model, .. } => Target::Chat {
             class: class.clone(),
             model: model.clone(),
             session: session.as_ref().map(|session| SessionPin {
@@ -188,6 +199,15 @@
     }
 }
 
+/// Puts the version of the session's sealed token into the request, as the server does when it opens the token.
+fn show_token(traffic: &Traffic, request: &mut Request, kept: Option<&ModelVersion>) {
+    if let (Call::Chat { token: true, .. }, Target::Chat { session: Some(pin), .. }) =
+        (&traffic.call, &mut request.target)
+    {
+        pin.version = kept.cloned();
+    }
+}
+
 fn claim_key(request: &Request) -> Option<ClaimKey> {
     match &request.idempotency {
         Idempotency::Idempotent => None,
