Do not take a deleted part of the log for its end

A home that was behind the floor read nothing at its next sequence number, since the segments there had been compacted, and took that for the log's end. A new bill got that place, counted as too old after the reload, and was dropped although its request had been told that it is parked. A gap in what a read finds now has the shard loaded anew.

--- a/crates/journal/src/attempt.rs
+++ b/crates/journal/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::entry::ShardId;
 use crate::entry::Writer;
 use crate::entry::segment_key;
+use crate::entry::seq_of;
 use crate::event::CallId;
 use crate::floor::FloorCheck;
 use crate::load::contiguous;
@@ -224,6 +225,10 @@
         if !segments.is_empty() {
             return self.found(segments, is_fresh);
         }
+        let goes_on = objects.iter().any(|object| seq_of(&object.key) > Some(self.seq));
+        if self.read_only && goes_on {
+            return Some(AttemptEnd::Void { floor: None });
+        }
         if self.read_only {
             return Some(AttemptEnd::NotWritten { end_read: true });
         }
--- a/crates/journal/tests/retention.rs
+++ b/crates/journal/tests/retention.rs
@@ -139,6 +139,27 @@
     world.check();
 }
 
+/// The log's end as the home knows it was deleted, so nothing stands there and it looks like the end still.
+#[test]
+fn a_bill_of_a_home_that_is_behind_the_floor_is_not_taken_for_an_old_one() {
+    let mut world = World::six(10, short);
+    bills(&mut world, 0, 30);
+    world.settle(MINUTE);
+    let paused = home(&world);
+    world.pause(&paused);
+    world.announce_to_all_but(&paused);
+    bills(&mut world, 100, 400);
+    world.run(MINUTE);
+    world.resume(&paused);
+    world.announce_to(&paused, &[&paused]);
+    world.bill(&paused, 9_001);
+    world.run(Duration::from_secs(5));
+    world.announce();
+    world.settle(MINUTE * 2);
+    assert!(world.usage().contains_key(&9_001));
+    world.check();
+}
+
 #[test]
 fn a_create_that_sat_in_the_network_past_the_retention_counts_for_nothing() {
     let mut world = World::six(5, short);
