--- a/crates/journal/tests/random.rs
+++ b/crates/journal/tests/random.rs
@@ -2,6 +2,7 @@
 
 mod world;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use foxtailhoist_journal::event::Event;
@@ -79,6 +80,7 @@
     rng: ChaCha8Rng,
     next_request: u128,
     answered: usize,
+    counts: BTreeMap<Step, u64>,
 }
 
 impl Run {
@@ -88,6 +90,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             next_request: 1,
             answered: 0,
+            counts: BTreeMap::new(),
         }
     }
 
@@ -108,6 +111,7 @@
     }
 
     fn step(&mut self, step: Step) {
+        *self.counts.entry(step).or_default() += 1;
         let host = self.host();
         let request = self.next_request;
         let faults = StoreFaults::default();
@@ -255,7 +259,8 @@
     }
 }
 
-fn run(seed: u64, steps: u32) -> World {
+/// Runs steps from a seed, checks everything, and returns how often each step was taken.
+fn run(seed: u64, steps: u32) -> BTreeMap<Step, u64> {
     let mut run = Run::new(seed);
     for _ in 0..steps {
         let step = run.choose();
@@ -263,7 +268,7 @@
     }
     run.recover();
     run.world.check();
-    run.world
+    run.counts
 }
 
 #[test]
@@ -283,3 +288,16 @@
         })
         .expect("no run breaks a rule");
 }
+
+#[test]
+#[ignore = "a million steps; run in release"]
+fn a_million_random_steps() {
+    const LONG_CASES: u64 = 2_600;
+    let mut counts: BTreeMap<Step, u64> = BTreeMap::new();
+    for seed in 0..LONG_CASES {
+        for (step, count) in run(seed, STEPS) {
+            *counts.entry(step).or_default() += count;
+        }
+    }
+    println!("{} steps: {counts:?}", counts.values().sum::<u64>());
+}
