--- a/crates/route/src/router/hedge.rs
+++ b/crates/route/src/router/hedge.rs
@@ -19,14 +19,21 @@
             return;
         };
         let suspect = self.poison.is_suspect(entry.request.fingerprint, now);
-        let wanted = self.cfg.mechanisms.hedging && !entry.request.at_most_once() && !suspect;
+        // Without a first token, the time that an answer takes tells of its length more than of its server.
+        let telling = entry.request.streamed() || entry.class().is_none();
+        let wanted =
+            self.cfg.mechanisms.hedging && telling && !entry.request.at_most_once() && !suspect;
         let Some(attempt) = entry.live.last().filter(|_| wanted && entry.live.len() == 1) else {
             return;
         };
         let streamed = entry.request.streamed();
         let expected = if streamed { attempt.chosen.first_byte } else { attempt.chosen.total };
         let tail = self.servers.tail(&attempt.destination, streamed);
-        self.set_timer(now + expected.mul_f64(tail), TimerKind::Hedge, id);
+        let at = now + expected.mul_f64(tail);
+        // Nothing is hedged after the deadline, and a timer that cannot act must not outlive its request for long.
+        if at < entry.request.deadline {
+            self.set_timer(at, TimerKind::Hedge, id);
+        }
     }
 
     pub(super) fn hedge_due(&mut self, id: RequestId, now: Instant, out: &mut Vec<Effect>) {
