Try holders of a prefix among engines that serve the version

Cause: engines of all models hold the same prefixes, and the three holders that a choice looks at were mostly of other models, so that affinity was seldom used. Change: holders are filtered before the tries; twice as many are remembered.

--- a/crates/route/src/servers/mod.rs
+++ b/crates/route/src/servers/mod.rs
@@ -235,7 +235,7 @@
             });
             fits && !avoided.contains(slot)
         };
-        let candidates = self.candidates(group, work, now, rng);
+        let candidates = self.candidates(group, destination, work, now, rng);
         let best = candidates
             .iter()
             .copied()
@@ -363,6 +363,7 @@
     fn candidates(
         &self,
         group: &Group,
+        destination: &Destination,
         work: &Work,
         now: Instant,
         rng: &mut ChaCha8Rng,
@@ -385,7 +386,12 @@
             }
         }
         if let Some(prefix) = work.prefix.filter(|_| self.mechanisms.affinity) {
-            candidates.extend(self.prefixes.holders(prefix, now).take(MAX_HOLDERS_TRIED));
+            // Engines of other models may hold the same prefix; they must not use up the tries.
+            let fits = |slot: &usize| {
+                self.server(*slot).is_some_and(|server| serves(&server.listed, destination))
+            };
+            let holders = self.prefixes.holders(prefix, now).filter(fits);
+            candidates.extend(holders.take(MAX_HOLDERS_TRIED));
             let mean = self.mean_load(&candidates, now);
             let bound = mean * LOAD_BOUND + 1.0;
             let light = |slot| self.server(slot).is_some_and(|server| server.load(now) <= bound);
--- a/crates/route/src/servers/prefixes.rs
+++ b/crates/route/src/servers/prefixes.rs
@@ -11,8 +11,8 @@
 
 /// Prefixes that are remembered; the one noted first is evicted.
 const MAX_PREFIXES: usize = 8192;
-/// Servers remembered for a prefix.
-const MAX_HOLDERS: usize = 8;
+/// Servers remembered for a prefix, of all models.
+const MAX_HOLDERS: usize = 16;
 const HOLD_TTL: Duration = Duration::from_secs(300);
 
 /// Holders of prefixes.
