--- a/crates/journal/tests/world/mod.rs
+++ b/crates/journal/tests/world/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code)]
 
+mod checks;
+mod transport;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -10,12 +13,8 @@
 
 use foxtailhoist_journal::Journal;
 use foxtailhoist_journal::JournalConfig;
-use foxtailhoist_journal::JournalMessage;
-use foxtailhoist_journal::UsageKey;
-use foxtailhoist_journal::UsageReader;
 use foxtailhoist_journal::event::BillSafety;
 use foxtailhoist_journal::event::CallId;
-use foxtailhoist_journal::event::Effect;
 use foxtailhoist_journal::event::Event;
 use foxtailhoist_journal::event::HostPlace;
 use foxtailhoist_model::Bill;
@@ -26,9 +25,7 @@
 use foxtailhoist_model::Enforcement;
 use foxtailhoist_model::ModelVersion;
 use foxtailhoist_model::RequestId;
-use foxtailhoist_model::StoreError;
 use foxtailhoist_model::StoreOp;
-use foxtailhoist_model::StoreResult;
 use foxtailhoist_model::Usage;
 use foxtailhoist_objects::MemoryStore;
 use rand::RngExt;
@@ -248,54 +245,6 @@
         }
     }
 
-    /// Number of bills of each request in usage objects and live segments.
-    pub fn usage(&mut self) -> BTreeMap<RequestId, u64> {
-        let (shards, parts) = self.layout;
-        let mut reader = UsageReader::new(shards, parts);
-        while let Some(op) = reader.next_op() {
-            let result = self.store.apply(&op);
-            reader.finish(&result);
-        }
-        let report = reader.report().expect("everything is read");
-        let request_of =
-            |key: &UsageKey| key.workspace[1..].parse().expect("a workspace of a test");
-        report.total().iter().map(|(key, sum)| (request_of(key), sum.bills)).collect()
-    }
-
-    /// Checks what must hold for all keys and requests once nothing is held any more.
-    pub fn check(&mut self) {
-        let usage = self.usage();
-        let twice: Vec<_> = usage.iter().filter(|(_, bills)| **bills != 1).collect();
-        assert!(twice.is_empty(), "billed more than once: {twice:?}");
-        let unasked: Vec<_> = usage.keys().filter(|id| !self.billed.contains(id)).collect();
-        assert!(unasked.is_empty(), "billed without a bill: {unasked:?}");
-        let is_safe = |told: &&Told<BillSafety>| told.what != BillSafety::Held;
-        let lost: Vec<_> = self
-            .bills
-            .iter()
-            .filter(is_safe)
-            .filter(|told| !usage.contains_key(&told.request))
-            .collect();
-        assert!(lost.is_empty(), "told to be safe and lost: {lost:?}");
-        self.check_grants();
-    }
-
-    /// Checks that no key was granted again within its retention unless it was released as not run.
-    pub fn check_grants(&self) {
-        let mut granted: BTreeMap<&ClaimKey, Vec<Instant>> = BTreeMap::new();
-        for told in self.claims.iter().filter(|told| told.what.1 == ClaimResult::Granted) {
-            granted.entry(&told.what.0).or_default().push(told.at);
-        }
-        for (key, times) in granted {
-            for pair in times.windows(2) {
-                let is_between = |at: &Instant| pair[0] <= *at && *at <= pair[1];
-                let released = self.released.iter().any(|(of, at)| of == key && is_between(at));
-                let past = pair[1].duration_since(pair[0]) >= RETENTION - Duration::from_secs(2);
-                assert!(released || past, "{key:?} was granted twice: {pair:?}");
-            }
-        }
-    }
-
     pub fn is_paused(&self, host: &str) -> bool {
         self.nodes.get(host).is_some_and(|node| node.paused)
     }
@@ -413,145 +362,6 @@
             }
         }
     }
-
-    fn effect(&mut self, host: &str, incarnation: u64, effect: Effect) {
-        match effect {
-            Effect::Store { call, op } => self.call(host, incarnation, call, op),
-            Effect::Send { to, message } => self.send(host, &to, message),
-            Effect::Claimed { request, key, result } => {
-                let told =
-                    Told { host: host.to_owned(), request, what: (key, result), at: self.now };
-                self.claims.push(told);
-            }
-            Effect::Billed { request, how } => {
-                let told = Told { host: host.to_owned(), request, what: how, at: self.now };
-                self.bills.push(told);
-            }
-            Effect::OutcomeSafe { request } => self.safe_outcomes.push(request),
-            Effect::Stopped => {
-                self.stopped.insert(host.to_owned());
-            }
-        }
-    }
-
-    fn call(&mut self, host: &str, incarnation: u64, call: CallId, op: StoreOp) {
-        if self.record_ops {
-            self.ops.push((host.to_owned(), op.clone()));
-        }
-        if self.faults.down {
-            let result = Err(StoreError::Unavailable);
-            self.reply(host, incarnation, call, result, Duration::from_millis(20));
-            return;
-        }
-        if op.is_write() && self.rng.random_bool(self.faults.late_effects) {
-            self.reply(host, incarnation, call, Err(StoreError::Unknown), CALL_TIMEOUT);
-            self.schedule(self.now + self.faults.late_by, Action::LateEffect { op });
-            return;
-        }
-        let half = self.faults.call_time.mul_f64(self.rng.random_range(0.4..0.6));
-        let host = host.to_owned();
-        self.schedule(self.now + half, Action::Perform { host, incarnation, call, op });
-    }
-
-    fn perform(&mut self, host: &str, incarnation: u64, call: CallId, op: &StoreOp) {
-        let half = self.faults.call_time.mul_f64(self.rng.random_range(0.4..0.6));
-        let is_stale = !op.is_write() && self.rng.random_bool(self.faults.stale_reads);
-        let stale = self.copies.first_mut().filter(|_| is_stale);
-        let result = match stale {
-            Some((_, copy)) => copy.apply(op),
-            None => self.store.apply(op),
-        };
-        if self.rng.random_bool(self.faults.lost_answers) {
-            self.reply(host, incarnation, call, Err(StoreError::Unknown), CALL_TIMEOUT);
-        } else {
-            self.reply(host, incarnation, call, result, half);
-        }
-    }
-
-    fn reply(
-        &mut self,
-        host: &str,
-        incarnation: u64,
-        call: CallId,
-        result: StoreResult,
-        after: Duration,
-    ) {
-        let event = Box::new(Event::Store { call, result });
-        let action =
-            Action::Deliver { host: host.to_owned(), incarnation: Some(incarnation), event };
-        self.schedule(self.now + after, action);
-    }
-
-    fn send(&mut self, from: &str, to: &str, message: JournalMessage) {
-        self.messages += 1;
-        let cut = self.network.contains(&(from.to_owned(), to.to_owned()));
-        if cut || !self.nodes.contains_key(to) {
-            let event = Box::new(Event::SendFailed { to: to.to_owned() });
-            let action = Action::Deliver { host: from.to_owned(), incarnation: None, event };
-            self.schedule(self.now + MESSAGE_TIME, action);
-            return;
-        }
-        let event = Box::new(Event::Message { from: from.to_owned(), message });
-        let action = Action::Deliver { host: to.to_owned(), incarnation: None, event };
-        let delay = MESSAGE_TIME.mul_f64(self.rng.random_range(0.5..1.5));
-        self.schedule(self.now + delay, action);
-    }
-
-    fn act(&mut self, action: Action) {
-        match action {
-            Action::Perform { host, incarnation, call, op } => {
-                self.perform(&host, incarnation, call, &op);
-            }
-            Action::LateEffect { op } => {
-                let _ = self.store.apply(&op);
-            }
-            Action::Deliver { host, incarnation, event } => {
-                let node = self.nodes.get(&host);
-                let is_same = |node: &Node| incarnation.is_none_or(|at| at == node.incarnation);
-                if node.is_some_and(is_same) {
-                    self.event(&host, *event);
-                }
-            }
-            Action::Wake { host, incarnation } => {
-                let now = self.now;
-                let is_due = |node: &Node| {
-                    node.incarnation == incarnation && node.wake.is_some_and(|at| at <= now)
-                };
-                if self.nodes.get(&host).is_some_and(is_due) {
-                    self.tick(&host);
-                }
-            }
-        }
-    }
-
-    fn tick(&mut self, host: &str) {
-        if self.is_paused(host) {
-            return;
-        }
-        if let Some(node) = self.nodes.get_mut(host) {
-            node.wake = None;
-        }
-        let wall = self.wall();
-        self.event(host, Event::Tick { wall });
-    }
-
-    fn schedule_wake(&mut self, host: &str) {
-        let now = self.now;
-        let Some(node) = self.nodes.get_mut(host) else { return };
-        let Some(at) = node.journal.next_wake() else { return };
-        let at = at.max(now);
-        if node.wake.is_some_and(|wake| wake <= at && wake > now) {
-            return;
-        }
-        node.wake = Some(at);
-        let action = Action::Wake { host: host.to_owned(), incarnation: node.incarnation };
-        self.schedule(at, action);
-    }
-
-    fn schedule(&mut self, at: Instant, action: Action) {
-        self.next_action += 1;
-        self.queue.insert((at, self.next_action), action);
-    }
 }
 
 pub const SIX: [(&str, &str); 6] = [
