Lower limits when first tokens are slow against the server's best

Limits never fell at overload: the latency was compared with a moving average that followed the congestion up. The time to the first token for each prompt token ahead is now compared with the server's best. Without the change the new test slow_first_tokens_lower_the_limit fails (8 at once).

--- a/crates/route/src/servers/mod.rs
+++ b/crates/route/src/servers/mod.rs
@@ -239,8 +239,8 @@
         if let Some(server) = self.server_mut(chosen.slot) {
             server.pending_prefill = (server.pending_prefill - chosen.uncached).max(0.0);
             let lane = server.lane(destination, adaptive);
-            lane.speed.observe_prefill(seconds, tokens);
-            lane.limiter.observe(seconds / expected.max(0.001));
+            let ratio = lane.speed.observe_prefill(seconds, tokens);
+            lane.limiter.observe(ratio);
         }
         if let Some(group) = self.groups.get_mut(destination) {
             group.speed.observe_prefill(seconds, tokens);
--- a/crates/route/src/servers/speed.rs
+++ b/crates/route/src/servers/speed.rs
@@ -14,13 +14,17 @@
 pub(crate) struct Speed {
     prefill: Option<f64>,
     decode: Option<f64>,
+    /// The best prefill that was seen, rising slowly.
+    best_prefill: Option<f64>,
 }
 
 impl Speed {
-    /// Takes in a first byte, in seconds, for the prompt tokens that had to be computed before it.
-    pub(crate) fn observe_prefill(&mut self, first_byte: f64, tokens: f64) {
+    /// Takes in a first byte, in seconds, for the prompt tokens that had to be computed before it. Returns the time
+    /// relative to the best.
+    pub(crate) fn observe_prefill(&mut self, first_byte: f64, tokens: f64) -> f64 {
         let sample = first_byte / (tokens + BASE_TOKENS);
         self.prefill = Some(average(self.prefill, sample));
+        relative_to_best(&mut self.best_prefill, sample)
     }
 
     /// Takes in the time of the whole answer after its first byte, in seconds.
@@ -69,6 +73,15 @@
     }
 }
 
+/// A sample relative to the best so far, which follows it down at once and up slowly.
+fn relative_to_best(best: &mut Option<f64>, sample: f64) -> f64 {
+    const RISE: f64 = 0.002;
+    let present = best.unwrap_or(sample);
+    let next = if sample < present { sample } else { present + RISE * (sample - present) };
+    *best = Some(next);
+    sample / next.max(1e-9)
+}
+
 fn average(present: Option<f64>, sample: f64) -> f64 {
     match present {
         Some(present) => present + SAMPLE_WEIGHT * (sample - present),
--- a/crates/route/tests/limits.rs
+++ b/crates/route/tests/limits.rs
@@ -211,3 +211,40 @@
     }
     assert!(used.len() <= 2, "{used:?}");
 }
+
+#[test]
+fn slow_first_tokens_lower_the_limit() {
+    let servers = vec![engine("engine-0", "a", 8)];
+    let off = Mechanisms {
+        exploration: false,
+        early_shedding: false,
+        hedging: false,
+        ..Mechanisms::default()
+    };
+    let mut world = World::with(off, configuration(), servers);
+    let mut round = |first_token: Duration| {
+        let mut running = Vec::new();
+        for _ in 0..8 {
+            let request = world.streamed();
+            running.extend(dispatches(&world.arrive(request)).iter().map(|d| d.attempt));
+        }
+        let at_once = running.len();
+        running.reverse();
+        // The engine prefills one prompt after the other.
+        while let Some(attempt) = running.pop() {
+            world.now += first_token;
+            let _ = world.send(Event::FirstByte { attempt });
+            let next = world.finish(attempt);
+            running.splice(0..0, dispatches(&next).iter().map(|d| d.attempt));
+        }
+        at_once
+    };
+    for _ in 0..5 {
+        assert_eq!(round(Duration::from_millis(20)), 8);
+    }
+    for _ in 0..4 {
+        let _ = round(Duration::from_secs(2));
+    }
+    let at_once = round(Duration::from_millis(20));
+    assert!((1..8).contains(&at_once), "{at_once} at once after slow first tokens");
+}
