Veto on failures a little earlier

Change: failures have a threshold of their own, 12.2 instead of 14, which still spares a crash that ends twelve attempts.

--- a/crates/rollout/src/judge/version.rs
+++ b/crates/rollout/src/judge/version.rs
@@ -51,8 +51,10 @@
 
 /// Chance of a false veto by the mixture test is at most the inverse.
 const CANARY_LOG_THRESHOLD: f64 = 9.4;
-/// Threshold of the change tests.
+/// Thresholds of the change tests on ratings and latency, and on failures, whose usual share lies far below its
+/// reference.
 const CHANGE_LOG_THRESHOLD: f64 = 14.0;
+const FAILURE_LOG_THRESHOLD: f64 = 12.2;
 /// Share of unacceptable answers above the settled one's that is still tolerated in a canary.
 const CANARY_TOLERANCE: f64 = 0.03;
 /// Share above its own record that a settled version's ratings may show.
@@ -123,7 +125,7 @@
         if self.canary.log_evidence() >= CANARY_LOG_THRESHOLD {
             return Some(Grounds::Ratings);
         }
-        if self.failure_change.log_evidence() >= CHANGE_LOG_THRESHOLD {
+        if self.failure_change.log_evidence() >= FAILURE_LOG_THRESHOLD {
             return Some(Grounds::Failures);
         }
         let slow = self.slow_change.log_evidence() >= CHANGE_LOG_THRESHOLD;
@@ -147,7 +149,7 @@
         if self.rating_change.log_evidence() >= CHANGE_LOG_THRESHOLD {
             return Some(Grounds::Ratings);
         }
-        let failing = self.failure_change.log_evidence() >= CHANGE_LOG_THRESHOLD;
+        let failing = self.failure_change.log_evidence() >= FAILURE_LOG_THRESHOLD;
         failing.then_some(Grounds::Failures)
     }
 
