--- a/crates/host/src/by_config.rs
+++ b/crates/host/src/by_config.rs
@@ -86,7 +86,14 @@
 
     /// Starts a change against the store.
     pub(crate) fn start_change(&mut self, command: Command, source: Source, now: Instant) {
-        let known = self.configuration.as_ref().map_or(0, |configuration| configuration.revision);
+        let known = self
+            .peers
+            .members()
+            .iter()
+            .map(|member| member.revision)
+            .max()
+            .unwrap_or(0)
+            .max(self.revision());
         let cfg = ChangeConfig { known, enforcement: self.cfg.enforcement };
         let change = Change::new(command, cfg, self.wall(now), self.operators.next_seed(), now);
         let id = self.operators.add(change, source);
--- a/crates/host/src/operators.rs
+++ b/crates/host/src/operators.rs
@@ -240,7 +240,7 @@
         }
     }
 
-    fn revision(&self) -> u64 {
+    pub(crate) fn revision(&self) -> u64 {
         self.configuration.as_ref().map_or(0, |configuration| configuration.revision)
     }
 
--- a/crates/host/src/sessions.rs
+++ b/crates/host/src/sessions.rs
@@ -3,8 +3,12 @@
 //! A request with a bare session id waits for the version that the session's home entry hosts remember. The table
 //! there is soft state: when nothing is found the session starts anew.
 
+use std::time::Duration;
+
 use foxtailhoist_model::EntryHostId;
+use foxtailhoist_model::ErrorKind;
 use foxtailhoist_model::ModelVersion;
+use foxtailhoist_model::Refusal;
 use foxtailhoist_model::Request;
 use foxtailhoist_model::RequestId;
 use foxtailhoist_model::SessionId;
@@ -18,12 +22,20 @@
 use crate::HostMessage;
 use crate::entry_host::Step;
 
+/// When a caller should come back whose request the journal has no room for.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(5);
 /// Most entry hosts up to which quality sums go to all of them, not only to those of the own data centre.
 const SMALL_FLEET: usize = 12;
 
 impl EntryHost {
     /// Hands a request to the router, after its session has been looked up where needed.
     pub(crate) fn take_request(&mut self, request: Box<Request>) {
+        if !self.journal.has_room() {
+            let message = "too many bills wait for the object API; nothing ran, come back later";
+            let refusal =
+                Refusal::new(ErrorKind::Overloaded, message).with_retry_after(FULL_RETRY_AFTER);
+            return self.refuse(request.id, refusal);
+        }
         let Some(session) = bare_session(&request).cloned() else {
             return self.push(Step::Router(route::Event::Arrived(request)));
         };
