Test which failures count against a version

Evidence of failure vetoes a version fleet-wide, so what counts is tested for four kinds of failure: a server's error does; time-outs, rejections and lost connections do not, as they tell of load or of the network.

--- a/crates/route/tests/failures.rs
+++ b/crates/route/tests/failures.rs
@@ -20,6 +20,7 @@
 use foxtailhoist_route::event::Dispatch;
 use foxtailhoist_route::event::Effect;
 use foxtailhoist_route::event::Event;
+use foxtailhoist_route::event::EvidenceKind;
 use rstest::rstest;
 
 const PAUSE: Duration = Duration::from_millis(100);
@@ -287,3 +288,21 @@
     let _ = world.fail(first.attempt, AttemptFailure::SilentConnection);
     assert_eq!(dispatch(&world.pass(PAUSE)).server, "near");
 }
+
+#[rstest]
+#[case::server_error(AttemptFailure::ServerError, true)]
+#[case::timed_out(AttemptFailure::TimedOut, false)]
+#[case::rejected(AttemptFailure::Rejected, false)]
+#[case::connection_lost(AttemptFailure::ConnectionLost, false)]
+fn only_failures_of_the_version_count_against_it(
+    #[case] failure: AttemptFailure,
+    #[case] counts: bool,
+) {
+    let mut world = World::new();
+    let request = world.chat();
+    let first = sent(&mut world, request);
+    let effects = world.fail(first.attempt, failure);
+    let ended = EvidenceKind::Ended { failed: true };
+    let against = |effect: &Effect| matches!(effect, Effect::Evidence(e) if e.kind == ended);
+    assert_eq!(effects.iter().any(against), counts);
+}
