Listen without Nagle's algorithm

Cause: the HTTP library accepts connections without TCP_NODELAY, so a small piece of a stream, or a peer's answer, may be held back until the piece before is acknowledged. Change: listening sockets of callers, operators and peers set it, and accepted connections inherit it.

--- a/crates/server/src/listener.rs
+++ b/crates/server/src/listener.rs
@@ -6,14 +6,15 @@
 
 use salvo::Listener;
 use salvo::conn::Acceptor;
-use salvo::conn::TcpListener;
 use salvo::conn::rustls::Keycert;
 use salvo::conn::rustls::RustlsAcceptor;
 use salvo::conn::rustls::RustlsConfig;
+use salvo::conn::rustls::RustlsListener;
 use salvo::conn::rustls::ServerConfig;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::prelude::Router;
 use salvo::server::ServerHandle;
+use tokio::net::TcpSocket;
 use tokio::task::JoinHandle;
 
 use crate::StartError;
@@ -22,6 +23,9 @@
 /// Time for connections to close after the last answer.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
 /// A bound address that does not answer yet.
 pub struct Bound {
     acceptor: BoundAcceptor,
@@ -34,6 +38,9 @@
     task: JoinHandle<()>,
 }
 
+/// A listening socket, for a TLS listener that would bind by itself.
+struct Listened(TcpAcceptor);
+
 enum BoundAcceptor {
     Plain(TcpAcceptor),
     Tls(RustlsAcceptor<TcpAcceptor>),
@@ -46,20 +53,18 @@
     ///
     /// Fails when the address cannot be listened on or a TLS file cannot be used.
     pub async fn bind(address: SocketAddr, tls: Option<&TlsFiles>) -> Result<Bound, StartError> {
-        let listener = TcpListener::new(address);
-        match tls {
-            None => {
-                let acceptor = listener.try_bind().await.map_err(|e| refused(address, &e))?;
-                let local = acceptor.local_addr().map_err(|e| refused(address, &e))?;
-                Ok(Bound { acceptor: BoundAcceptor::Plain(acceptor), address: local })
-            }
-            Some(files) => {
-                let listener = listener.rustls(tls_config(files)?);
+        let config = tls.map(tls_config).transpose()?;
+        let acceptor = listen(address).map_err(|e| refused(address, &e))?;
+        let local = acceptor.local_addr().map_err(|e| refused(address, &e))?;
+        let acceptor = match config {
+            None => BoundAcceptor::Plain(acceptor),
+            Some(config) => {
+                let listener = RustlsListener::new(config, Listened(acceptor));
                 let acceptor = listener.try_bind().await.map_err(|e| refused(address, &e))?;
-                let local = acceptor.inner().local_addr().map_err(|e| refused(address, &e))?;
-                Ok(Bound { acceptor: BoundAcceptor::Tls(acceptor), address: local })
+                BoundAcceptor::Tls(acceptor)
             }
-        }
+        };
+        Ok(Bound { acceptor, address: local })
     }
 
     /// The address that was bound.
@@ -92,6 +97,24 @@
     }
 }
 
+impl Listener for Listened {
+    type Acceptor = TcpAcceptor;
+
+    async fn try_bind(self) -> Result<TcpAcceptor, salvo::Error> {
+        Ok(self.0)
+    }
+}
+
+/// Listens without Nagle's algorithm: it would hold each small piece of a stream back until the piece before is
+/// acknowledged. Accepted connections inherit the option from the listening socket.
+fn listen(address: SocketAddr) -> std::io::Result<TcpAcceptor> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)?.try_into()
+}
+
 /// Reads the files, and checks here that they can be used: the listener itself would only log it.
 fn tls_config(files: &TlsFiles) -> Result<RustlsConfig, StartError> {
     let certificate = read(&files.certificate)?;
