--- a/crates/route/src/quality/explore.rs
+++ b/crates/route/src/quality/explore.rs
@@ -15,7 +15,7 @@
 /// Acceptable answers that may be lost before any request was made.
 const INITIAL_BALANCE: f64 = 2.0;
 /// Share of the slack that plans and exploration may spend together.
-const EARNED: f64 = 0.9;
+const EARNED: f64 = 0.8;
 /// Most that is kept of what was left, and of what was overspent.
 const MAX_BALANCE: f64 = 5.0;
 const MIN_BALANCE: f64 = -2.0;
--- a/crates/route/src/quality/plan.rs
+++ b/crates/route/src/quality/plan.rs
@@ -16,7 +16,7 @@
 /// Loss of one class, relative to the slack of all, that is never exceeded.
 const MAX_CLASS_LOSS: f64 = 3.0;
 /// Share of the slack that plans may use; exploration has the rest.
-const PLANNED_SLACK: f64 = 0.85;
+const PLANNED_SLACK: f64 = 0.75;
 /// Answers whose truth is known that a model needs before a plan relies on it.
 const MIN_WORTH: f64 = 30.0;
 const THRESHOLDS: usize = 24;
