--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -40,6 +40,8 @@
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
 /// Calendar time at the start of every run.
 const START_OF_TIME: Duration = Duration::from_secs(1_790_000_000);
+/// Events that may take place at one instant; more are a loop.
+const EVENTS_WITHOUT_TIME: u64 = 200_000;
 /// Longest time without a tick.
 const LONGEST_SLEEP: Duration = Duration::from_millis(500);
 
@@ -73,6 +75,8 @@
     pub(crate) balanced: usize,
     presets: BTreeMap<Revision, String>,
     steps: u64,
+    /// Events since time last passed.
+    standing: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -165,6 +169,7 @@
             balanced: 0,
             presets: BTreeMap::new(),
             steps: 0,
+            standing: 0,
         };
         world.add_hosts(&cfg.hosts);
         world.propose_first(cfg.configuration);
@@ -233,6 +238,7 @@
             && entry.key().at <= end
         {
             let (key, happening) = entry.remove_entry();
+            self.note_progress(key.at);
             self.now = self.now.max(key.at);
             self.steps += 1;
             self.happen(happening);
@@ -242,6 +248,24 @@
         }
     }
 
+    /// Stops a run in which events cause each other without time passing.
+    ///
+    /// # Panics
+    ///
+    /// Panics with the end of the trace.
+    fn note_progress(&mut self, at: Instant) {
+        if at > self.now {
+            self.standing = 0;
+            return;
+        }
+        self.standing += 1;
+        if self.standing > EVENTS_WITHOUT_TIME {
+            let lines: Vec<&str> = self.trace.lines().collect();
+            let last = lines[lines.len().saturating_sub(20)..].join("\n");
+            panic!("{EVENTS_WITHOUT_TIME} events without time passing; the latest:\n{last}");
+        }
+    }
+
     pub(crate) fn schedule(&mut self, at: Instant, happening: Happening) {
         self.sequence += 1;
         self.queue.insert(QueueKey { at, sequence: self.sequence }, happening);
