Plan no look at the lease after a stop

Cause: a store call that ended after the stop set the time of the next look, which a stopping host never takes; its wake stayed in the past, so the host's clock would have spun until the process ended. Change: a stopping host drops the planned look. A test lets the call end after the stop. Figures: the test fails without the change and passes with it.

--- a/crates/rollout/src/controller/lease.rs
+++ b/crates/rollout/src/controller/lease.rs
@@ -131,6 +131,8 @@
             return None;
         }
         if self.stopping {
+            // A call that ended after the stop may have planned another look; nobody takes it.
+            self.next_look = None;
             return self.release(now, rng);
         }
         self.next_look = Some(now + self.look_interval());
--- a/crates/rollout/tests/lease.rs
+++ b/crates/rollout/tests/lease.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::time::Duration;
+use std::time::Instant;
 
 use common::AskedStage;
 use common::Fleet;
@@ -14,6 +15,8 @@
 use foxtailhoist_model::StoreOp;
 use foxtailhoist_model::StoreReply;
 use foxtailhoist_objects::MemoryStore;
+use foxtailhoist_rollout::Rollout;
+use foxtailhoist_rollout::RolloutConfig;
 use foxtailhoist_rollout::controller::lease::LEASE_KEY;
 use foxtailhoist_rollout::controller::lease::LeaseRecord;
 use foxtailhoist_rollout::event::Effect;
@@ -146,3 +149,28 @@
         Ok(StoreReply::Object(None))
     );
 }
+
+#[test]
+fn a_stopped_host_plans_no_look_that_it_never_takes() {
+    let start = Instant::now();
+    let mut rollout = Rollout::new(RolloutConfig::new(HOSTS[0].to_owned()), 1);
+    let mut effects = rollout.handle(Event::Hosts(vec![HOSTS[0].to_owned()]), start);
+    effects.extend(rollout.handle(Event::Tick, start));
+    let store_call = |effect: &Effect| match effect {
+        Effect::Store { call, .. } => Some(*call),
+        _ => None,
+    };
+    let call = effects.iter().find_map(store_call).expect("the host looks at the lease");
+    rollout.handle(Event::Stop, start);
+    let result = Ok(StoreReply::Object(None));
+    let mut now = start + Duration::from_millis(10);
+    rollout.handle(Event::Store { call, result }, now);
+    for _ in 0..10 {
+        let Some(wake) = rollout.next_wake() else {
+            return;
+        };
+        now = now.max(wake);
+        rollout.handle(Event::Tick, now);
+        assert!(rollout.next_wake().is_none_or(|next| next > now), "the wake does not move on");
+    }
+}
