Split the shell: what it performs stands apart from what it offers

Change: carrying out effects moved to perform.rs; no behaviour changed. Conclusion: each file has one job.

--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -16,6 +16,7 @@
 mod listener;
 mod logs;
 mod metrics;
+mod perform;
 mod poll;
 mod ratings;
 mod recorder;
