Draw single hours in the burn report's plots

Cause: looked at the rendered page for a fleet that ran some minutes: both plots by hour were empty, since a line of one point has no length, and the labels of the cost axis read 0.01 twice. Change: points are marked, small sums keep four digits. Figures: one test added, which fails without the marks.

--- a/crates/report/src/html.rs
+++ b/crates/report/src/html.rs
@@ -110,7 +110,7 @@
                 points: self.points(|hour| units(hour.counters.best_cost)),
             },
         ];
-        line_plot("Cost by hour", &lines, |value| format!("{value:.2}"))
+        line_plot("Cost by hour", &lines, money_text)
     }
 
     fn points(&self, value: impl Fn(&HourPoint) -> f64) -> Vec<(u64, f64)> {
@@ -152,3 +152,8 @@
     }
     html.push_str("</tr>\n");
 }
+
+/// Money beside an axis; small sums keep digits that tell the labels apart.
+fn money_text(value: f64) -> String {
+    if value < 1.0 { format!("{value:.4}") } else { format!("{value:.2}") }
+}
--- a/crates/report/src/svg.rs
+++ b/crates/report/src/svg.rs
@@ -159,6 +159,11 @@
             .iter()
             .map(|(time, value)| format!("{:.1},{:.1}", self.x(*time), self.y(*value)))
             .collect();
+        // A line of one point shows nothing by itself.
+        for point in &points {
+            let (x, y) = point.split_once(',').unwrap_or_default();
+            let _ = writeln!(svg, "<circle cx=\"{x}\" cy=\"{y}\" r=\"2.5\" fill=\"{colour}\"/>");
+        }
         let points = points.join(" ");
         let column_width = (WIDTH - LEFT - RIGHT) / LEGEND_COLUMNS as f64;
         let legend_x = LEFT + (index % LEGEND_COLUMNS) as f64 * column_width;
--- a/crates/report/tests/render.rs
+++ b/crates/report/tests/render.rs
@@ -99,3 +99,11 @@
     assert!(report.to_html().contains("No requests were counted"));
     assert!(!report.to_html().contains("<svg"));
 }
+
+#[test]
+fn an_hour_by_itself_is_drawn_as_a_point() {
+    let mut metrics = Metrics::default();
+    metrics.record(ago(1), &completed(labels("baker-help"), 100));
+    let html = Report::build(&metrics, &Objectives::default(), now()).to_html();
+    assert!(html.contains("<circle"), "a line of one point is drawn as nothing");
+}
