Stop withheld attempts when the answer is whole

Cause: read while going through the router's contract: a cascade's first answer is withheld in case the second fails, and nobody stopped its task when the second was delivered, so each cascade left a task and its pieces behind for good. Answers' heads kept for outcomes stayed too when their attempt was not delivered. The router was told one host too many. Change: the registry ends the other attempts with the request; heads live for one event; the own host is not counted among the others. Not measured under load. Conclusion: ruled out: hedges, whose loser the router itself cancels.

--- a/crates/host/src/by_peers.rs
+++ b/crates/host/src/by_peers.rs
@@ -69,7 +69,8 @@
             })
             .collect();
         let hosts = members.iter().map(|member| member.host.clone()).collect();
-        let alive = u32::try_from(members.len()).unwrap_or(u32::MAX);
+        let others = members.iter().filter(|member| member.host != self.cfg.host).count();
+        let alive = u32::try_from(others).unwrap_or(u32::MAX);
         self.push(Step::Journal(journal::Event::Hosts(places)));
         self.push(Step::Rollout(rollout::Event::Hosts(hosts)));
         self.push(Step::Router(route::Event::Hosts { alive }));
--- a/crates/host/src/entry_host.rs
+++ b/crates/host/src/entry_host.rs
@@ -177,6 +177,8 @@
         self.run_pending(now);
         self.advance_stop();
         self.run_pending(now);
+        // An answer's head is of use only to the outcome that its arrival led to.
+        self.finished.clear();
         std::mem::take(&mut self.effects)
     }
 
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -19,8 +19,8 @@
 mod perform;
 mod poll;
 mod ratings;
-mod recorder;
-mod registry;
+pub mod recorder;
+pub mod registry;
 mod server;
 mod shell;
 
--- a/crates/server/src/perform.rs
+++ b/crates/server/src/perform.rs
@@ -39,8 +39,7 @@
             Effect::Deliver { attempt, .. } => state.registry.permit(attempt, Delivery::Started),
             Effect::Complete(completion) => {
                 self.record_completion(state, &completion);
-                state.registry.permit(completion.attempt, Delivery::Released);
-                state.registry.end(completion.request, Verdict::Complete(completion));
+                state.registry.complete(completion);
             }
             Effect::Replay { request, outcome } => {
                 state.registry.end(request, Verdict::Replay(outcome))
--- a/crates/server/src/registry.rs
+++ b/crates/server/src/registry.rs
@@ -184,14 +184,35 @@
         }
     }
 
+    /// Ends a request whose answer is whole. The delivered attempt may send its last piece; the others, such as a
+    /// cascade's first answer that was withheld in case the second failed, are of no use any more.
+    pub fn complete(&mut self, completion: Box<Completion>) {
+        self.permit(completion.attempt, Delivery::Released);
+        for attempt in self.attempts_of(completion.request) {
+            if attempt != completion.attempt {
+                self.cancel(attempt);
+            }
+        }
+        self.end(completion.request, Verdict::Complete(completion));
+    }
+
     /// Stops every attempt of a request that ended without a whole answer.
     pub fn cancel_all(&mut self, request: RequestId) {
+        for attempt in self.attempts_of(request) {
+            self.cancel(attempt);
+        }
+    }
+
+    /// Attempts in progress or withheld.
+    #[must_use]
+    pub fn attempts(&self) -> usize {
+        self.attempts.len()
+    }
+
+    fn attempts_of(&self, request: RequestId) -> Vec<AttemptId> {
         let of_request = |(attempt, entry): (&AttemptId, &AttemptEntry)| {
             (entry.request == request).then_some(*attempt)
         };
-        let attempts: Vec<AttemptId> = self.attempts.iter().filter_map(of_request).collect();
-        for attempt in attempts {
-            self.cancel(attempt);
-        }
+        self.attempts.iter().filter_map(of_request).collect()
     }
 }
