Index API keys when a configuration comes into force, not at every note

Cause: read in the change: the shell built the table of all workspaces' API keys again for every line that the host noted, under its lock, though it can only change with the configuration. Change: it is built at `ConfigurationAdopted` alone. Conclusion: behaviour is the same.

--- a/crates/server/src/perform.rs
+++ b/crates/server/src/perform.rs
@@ -113,7 +113,9 @@
         if let Note::Vetoed { model_version, .. } = note {
             self.recorder.vetoed(model_version);
         }
-        if let Some(configuration) = state.host.configuration() {
+        if let Note::ConfigurationAdopted { .. } = note
+            && let Some(configuration) = state.host.configuration()
+        {
             state.api_keys = Arc::new(ApiKeys::of(configuration));
         }
     }
