--- a/crates/core/commands/mod.rs
+++ b/crates/core/commands/mod.rs
@@ -6,6 +6,7 @@
 mod measure_path;
 mod operate;
 mod print;
+mod relay;
 mod report;
 mod scenario;
 mod serve;
@@ -45,6 +46,7 @@
             measure::measure(measurement, flags)?;
         }
         Command::Serve { settings } => block_on(serve::serve(&settings))?,
+        Command::Relay { settings } => relay::relay(&settings)?,
         Command::Check { settings, configuration } => {
             check::check(settings.as_deref(), configuration.as_deref())?
         }
--- /dev/null
+++ b/crates/core/commands/relay.rs
@@ -0,0 +1,49 @@
+//! `relay`: one entry host on the users' platform, until it is asked to stop.
+
+use std::path::Path;
+
+use foxtailhoist_platform::PlatformWire;
+use foxtailhoist_platform::Settings;
+use foxtailhoist_relay::Relay;
+use tokio::runtime::Builder;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::task::LocalSet;
+
+use crate::commands::signal::stop_requested;
+use crate::failure::Failure;
+use crate::logging;
+
+/// Runs an entry host with the settings of a file.
+///
+/// # Errors
+///
+/// Fails when the settings are not valid or an address cannot be listened on.
+pub fn relay(file: &Path) -> Result<(), Failure> {
+    let settings = Settings::load(file).map_err(|e| Failure::Settings(e.to_string()))?;
+    let _logger = logging::start_bounded(&settings.log)?;
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| Failure::Failed(format!("no runtime: {e}")))?;
+    LocalSet::new().block_on(&runtime, serve(file, settings))
+}
+
+async fn serve(file: &Path, settings: Settings) -> Result<(), Failure> {
+    let wire = Box::new(PlatformWire::new(settings.store));
+    let relay = Relay::start(settings.relay(), settings.dispatch(), wire)
+        .map_err(|e| Failure::Unreachable(e.to_string()))?;
+    let mut reload = signal(SignalKind::hangup())
+        .map_err(|e| Failure::Failed(format!("no handler for SIGHUP: {e}")))?;
+    loop {
+        tokio::select! {
+            () = stop_requested() => break,
+            _ = reload.recv() => {
+                let outcome = Settings::load(file).map(|_| ()).map_err(|e| e.to_string());
+                relay.note_reload(outcome);
+            }
+        }
+    }
+    relay.close().await;
+    Ok(())
+}
--- a/crates/core/commands/serve.rs
+++ b/crates/core/commands/serve.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
+use foxtailhoist_edge::ClientSettings;
+use foxtailhoist_edge::ClientSettingsBuilder;
 use foxtailhoist_host::operator::OperatorCommand;
 use foxtailhoist_model::ErrorKind;
-use foxtailhoist_platform::ClientSettings;
-use foxtailhoist_platform::ClientSettingsBuilder;
 use foxtailhoist_route::session::SessionKeys;
 use foxtailhoist_server::Edges;
 use foxtailhoist_server::Identity;
--- a/crates/core/flags/command.rs
+++ b/crates/core/flags/command.rs
@@ -13,22 +13,39 @@
 const DEFAULT_ADDRESS: &str = "127.0.0.1:7081";
 const ADDRESS_VARIABLE: &str = "FOXTAILHOIST_ADDRESS";
 const KEY_VARIABLE: &str = "FOXTAILHOIST_KEY";
+const SETTINGS_VARIABLE: &str = "FOXTAILHOIST_CONFIG";
 
 /// What the process is to do.
 #[derive(Clone, Debug)]
 pub enum Command {
     Help(String),
     Version,
-    Serve { settings: PathBuf },
-    Dev { configuration: Option<PathBuf>, hosts: u64, port: u16, seed: u64 },
-    Check { settings: Option<PathBuf>, configuration: Option<PathBuf> },
+    Serve {
+        settings: PathBuf,
+    },
+    /// An entry host on the users' platform.
+    Relay {
+        settings: PathBuf,
+    },
+    Dev {
+        configuration: Option<PathBuf>,
+        hosts: u64,
+        port: u16,
+        seed: u64,
+    },
+    Check {
+        settings: Option<PathBuf>,
+        configuration: Option<PathBuf>,
+    },
     Status(OperatorFlags),
     Preset(OperatorFlags, PresetCommand),
     Config(OperatorFlags, ConfigCommand),
     Versions(OperatorFlags, VersionCommand),
     Usage(OperatorFlags),
     ReportBurn(OperatorFlags, ReportFormat),
-    Scenario { file: PathBuf },
+    Scenario {
+        file: PathBuf,
+    },
     Measure(Measurement, MeasureFlags),
 }
 
@@ -114,6 +131,7 @@
         match words.as_slice() {
             [] => Err(Failure::Usage("no command given".to_owned())),
             ["serve"] => Ok(Command::Serve { settings: required_path(&flags, "settings")? }),
+            ["relay"] => Ok(Command::Relay { settings: relay_settings(&flags)? }),
             ["dev"] => dev(&flags),
             ["check"] => check(&flags),
             ["status"] => Ok(Command::Status(operator(&flags)?)),
@@ -276,6 +294,14 @@
     flags.value(long).map(PathBuf::from).ok_or_else(absent)
 }
 
+fn relay_settings(flags: &Flags) -> Result<PathBuf, Failure> {
+    let from_env = || std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
+    let absent = || {
+        Failure::Usage(format!("give the settings by --settings FILE or in ${SETTINGS_VARIABLE}"))
+    };
+    flags.value("settings").map(PathBuf::from).or_else(from_env).ok_or_else(absent)
+}
+
 fn why(flags: &Flags) -> Result<String, Failure> {
     match flags.value("why") {
         Some(why) if !why.trim().is_empty() => Ok(why.to_owned()),
--- a/crates/dev/src/fleet.rs
+++ b/crates/dev/src/fleet.rs
@@ -6,13 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use foxtailhoist_edge::BackendApi;
+use foxtailhoist_edge::ClientSettings;
 use foxtailhoist_host::operator::OperatorCommand;
 use foxtailhoist_model::Configuration;
 use foxtailhoist_model::ListedHost;
 use foxtailhoist_model::Presence;
 use foxtailhoist_model::Refusal;
-use foxtailhoist_platform::BackendApi;
-use foxtailhoist_platform::ClientSettings;
 use foxtailhoist_route::session::SessionKeys;
 use foxtailhoist_server::Edges;
 use foxtailhoist_server::Identity;
--- a/crates/platform/tests/answers.rs
+++ b/crates/edge/tests/answers.rs
@@ -4,13 +4,13 @@
 
 use std::time::Duration;
 
+use foxtailhoist_edge::AttemptOutput;
+use foxtailhoist_edge::AttemptRequest;
+use foxtailhoist_edge::BackendApi;
+use foxtailhoist_edge::ClientSettingsBuilder;
+use foxtailhoist_edge::HttpBackend;
 use foxtailhoist_model::ModelVersion;
 use foxtailhoist_model::Priority;
-use foxtailhoist_platform::AttemptOutput;
-use foxtailhoist_platform::AttemptRequest;
-use foxtailhoist_platform::BackendApi;
-use foxtailhoist_platform::ClientSettingsBuilder;
-use foxtailhoist_platform::HttpBackend;
 use foxtailhoist_route::event::AttemptFailure;
 use futures::StreamExt;
 use rstest::rstest;
--- a/crates/platform/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use foxtailhoist_platform::ClientSettings;
-use foxtailhoist_platform::ClientSettingsBuilder;
-use foxtailhoist_platform::HttpPeers;
-use foxtailhoist_platform::PeerApi;
-use foxtailhoist_platform::PeerError;
+use foxtailhoist_edge::ClientSettings;
+use foxtailhoist_edge::ClientSettingsBuilder;
+use foxtailhoist_edge::HttpPeers;
+use foxtailhoist_edge::PeerApi;
+use foxtailhoist_edge::PeerError;
 use rstest::rstest;
 
 use common::Answer;
--- /dev/null
+++ b/crates/relay/src/core.rs
@@ -0,0 +1,160 @@
+//! What the tasks of one entry host share. All of them run on one thread.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use foxtailhoist_model::DataCentreId;
+use foxtailhoist_model::EntryHostId;
+use foxtailhoist_model::ServiceId;
+use foxtailhoist_rollout::shift::Shift;
+use foxtailhoist_rollout::shift::ShiftRule;
+use foxtailhoist_route::dispatch::Dispatcher;
+use foxtailhoist_route::dispatch::Note;
+use foxtailhoist_route::version_rule::VersionRule;
+use tokio::sync::Notify;
+
+use crate::conn::ConnPool;
+use crate::log_event::EventLog;
+use crate::log_event::LogEvent;
+use crate::metrics::Metrics;
+use crate::wire::ObjectKind;
+use crate::wire::Wire;
+
+/// Settings of a relay.
+#[derive(Clone, Debug)]
+pub struct RelayConfig {
+    pub host: EntryHostId,
+    pub data_centre: DataCentreId,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether the host is ready.
+    pub readiness: SocketAddr,
+    /// Where the counters are shown, if anywhere.
+    pub metrics: Option<SocketAddr>,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Time between the signal to stop and the kill.
+    pub grace: Duration,
+}
+
+/// Shared state.
+pub(crate) struct Core {
+    pub(crate) cfg: RelayConfig,
+    pub(crate) wire: Box<dyn Wire>,
+    pub(crate) dispatcher: RefCell<Dispatcher>,
+    pub(crate) shifts: RefCell<BTreeMap<ServiceId, Shift>>,
+    pub(crate) pool: Rc<ConnPool>,
+    pub(crate) log: EventLog,
+    pub(crate) metrics: Metrics,
+    pub(crate) stopping: Cell<bool>,
+    /// Kinds that were listed whole once.
+    listed: RefCell<Vec<ObjectKind>>,
+    was_ready: Cell<bool>,
+    /// Suspected contents that are to be reported, with the number of deaths seen.
+    pub(crate) suspects: RefCell<Vec<(u64, u32)>>,
+    pub(crate) suspects_changed: Notify,
+    /// The process stood still: what was believed has to be asked again.
+    pub(crate) woke: Notify,
+    /// Open connections of callers.
+    pub(crate) connections: Cell<usize>,
+    pub(crate) all_closed: Notify,
+    pub(crate) closing: Notify,
+}
+
+impl Core {
+    pub(crate) fn new(
+        cfg: RelayConfig,
+        wire: Box<dyn Wire>,
+        dispatcher: Dispatcher,
+        metrics: Metrics,
+    ) -> Rc<Core> {
+        Rc::new(Core {
+            cfg,
+            wire,
+            dispatcher: RefCell::new(dispatcher),
+            shifts: RefCell::default(),
+            pool: Rc::default(),
+            log: EventLog::new(Instant::now()),
+            metrics,
+            stopping: Cell::new(false),
+            listed: RefCell::default(),
+            was_ready: Cell::new(false),
+            suspects: RefCell::default(),
+            suspects_changed: Notify::new(),
+            woke: Notify::new(),
+            connections: Cell::new(0),
+            all_closed: Notify::new(),
+            closing: Notify::new(),
+        })
+    }
+
+    /// Whether the host takes new connections: it knows routes, servers and shifts, and does not stop.
+    pub(crate) fn is_ready(&self) -> bool {
+        let needed = [ObjectKind::Configuration, ObjectKind::Servers, ObjectKind::Shifts];
+        let listed = self.listed.borrow();
+        let ready = needed.iter().all(|kind| listed.contains(kind))
+            && self.dispatcher.borrow().table().is_some()
+            && !self.stopping.get();
+        if self.was_ready.replace(ready) != ready {
+            self.log.write(&LogEvent::Ready(ready));
+        }
+        ready
+    }
+
+    pub(crate) fn set_listed(&self, kind: ObjectKind) {
+        let mut listed = self.listed.borrow_mut();
+        if !listed.contains(&kind) {
+            listed.push(kind);
+        }
+    }
+
+    /// Handles what the dispatcher wants others to know.
+    pub(crate) fn handle_notes(&self) {
+        let notes = self.dispatcher.borrow_mut().take_notes();
+        for note in notes {
+            match note {
+                Note::Evidence { service, version, server, is_bad } => {
+                    let mut shifts = self.shifts.borrow_mut();
+                    if let Some(shift) = shifts.get_mut(&service) {
+                        shift.observe(&version, &server, is_bad);
+                    }
+                }
+                Note::Suspect { content } => self.report_suspect(content, 1),
+                Note::Quarantined { content } => self.report_suspect(content, 2),
+            }
+        }
+    }
+
+    /// Puts the timetables of all shifts into force.
+    pub(crate) fn apply_shifts(&self, now: Instant) {
+        let shifts = self.shifts.borrow();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        for (service, shift) in shifts.iter() {
+            let rule = match shift.rule(now) {
+                ShiftRule::Share { target, share, is_trial } => {
+                    VersionRule::Shift { target, share, is_trial }
+                }
+                ShiftRule::Only(target) => {
+                    if dispatcher.backends().has_version(service, &target) {
+                        VersionRule::Only(target)
+                    } else {
+                        VersionRule::Any
+                    }
+                }
+                ShiftRule::Except(target) => VersionRule::Except(target),
+            };
+            dispatcher.set_rule(service.clone(), rule);
+        }
+    }
+
+    fn report_suspect(&self, content: u64, deaths: u32) {
+        self.log.write(&LogEvent::Suspect { content, deaths });
+        self.suspects.borrow_mut().push((content, deaths));
+        self.suspects_changed.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,148 @@
+//! Relays HTTP requests between callers and backend servers.
+//!
+//! The relay moves bytes and keeps time; what to do with a request is decided by
+//! [`Dispatcher`](foxtailhoist_route::dispatch::Dispatcher), and when a version takes traffic by
+//! [`Shift`](foxtailhoist_rollout::shift::Shift). What stands on the wire is translated by an implementation of
+//! [`Wire`](wire::Wire). Everything runs on one thread: an entry host has a fraction of a core.
+
+mod attempt;
+mod clock;
+mod conn;
+mod core;
+mod duties;
+mod follow;
+mod listen;
+pub mod log_event;
+mod metrics;
+mod running;
+mod serve;
+pub mod sse;
+mod store;
+mod stream;
+pub mod wire;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use foxtailhoist_route::dispatch::DispatchConfig;
+use foxtailhoist_route::dispatch::Dispatcher;
+use http::StatusCode;
+use thiserror::Error;
+use tokio::task::spawn_local;
+
+use crate::core::Core;
+pub use crate::core::RelayConfig;
+use crate::log_event::LogEvent;
+use crate::metrics::Metrics;
+use crate::metrics::MetricsError;
+use crate::wire::ObjectKind;
+use crate::wire::Wire;
+
+/// Time after the signal to stop in which unused connections still take requests: the balancer needs two misses, a
+/// second apart, to send no new ones.
+const STOP_LINGER: Duration = Duration::from_millis(3_000);
+/// Time before the kill at which the process ends by itself.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+
+/// The relay could not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    #[error("cannot listen on {address}: {source}")]
+    Listen { address: SocketAddr, source: std::io::Error },
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
+}
+
+/// A running relay. It has to run inside a `LocalSet`.
+pub struct Relay {
+    core: Rc<Core>,
+}
+
+impl Relay {
+    /// Listens and starts to follow the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be listened on.
+    pub fn start(
+        cfg: RelayConfig,
+        dispatch: DispatchConfig,
+        wire: Box<dyn Wire>,
+    ) -> Result<Relay, StartError> {
+        let metrics = Metrics::new()?;
+        let callers = bind(cfg.callers)?;
+        let readiness = bind(cfg.readiness)?;
+        let scrape = cfg.metrics.map(bind).transpose()?;
+        let core = Core::new(cfg, wire, Dispatcher::new(dispatch), metrics);
+        core.log
+            .write(&LogEvent::Started { host: &core.cfg.host, data_centre: &core.cfg.data_centre });
+        let kinds = [
+            ObjectKind::Configuration,
+            ObjectKind::Servers,
+            ObjectKind::Shifts,
+            ObjectKind::Suspects,
+        ];
+        for kind in kinds {
+            spawn_local(follow::follow(core.clone(), kind));
+        }
+        spawn_local(duties::tick(core.clone()));
+        spawn_local(duties::report_suspects(core.clone()));
+        spawn_local(listen::accept_callers(core.clone(), callers));
+        spawn_local(listen::serve_pages(readiness, readiness_page(core.clone())));
+        if let Some(scrape) = scrape {
+            spawn_local(listen::serve_pages(scrape, metrics_page(core.clone())));
+        }
+        Ok(Relay { core })
+    }
+
+    /// Logs what became of a reload of the settings.
+    pub fn note_reload(&self, outcome: Result<(), String>) {
+        match outcome {
+            Ok(()) => self.core.log.write(&LogEvent::Reloaded),
+            Err(reason) => self.core.log.write(&LogEvent::ReloadRefused { reason: &reason }),
+        }
+    }
+
+    /// Stops: takes no new connections, finishes what runs, and returns before the process would be killed.
+    pub async fn close(self) {
+        let core = self.core;
+        core.stopping.set(true);
+        core.log.write(&LogEvent::Stopping);
+        let grace = core.cfg.grace.saturating_sub(STOP_MARGIN);
+        let finish = async {
+            tokio::time::sleep(STOP_LINGER.min(grace)).await;
+            core.closing.notify_waiters();
+            while core.connections.get() > 0 {
+                core.all_closed.notified().await;
+            }
+        };
+        // What still runs at the end of the grace is cut off by the kill anyway.
+        let _ = tokio::time::timeout(grace, finish).await;
+        core.log.write(&LogEvent::Stopped { open: core.connections.get() });
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<tokio::net::TcpListener, StartError> {
+    listen::bind(address).map_err(|source| StartError::Listen { address, source })
+}
+
+fn readiness_page(core: Rc<Core>) -> impl Fn(&str) -> (StatusCode, Vec<u8>) + Clone {
+    move |path| {
+        if path != core.wire.ready_path() {
+            return (StatusCode::NOT_FOUND, Vec::new());
+        }
+        if core.is_ready() {
+            (StatusCode::OK, b"ready\n".to_vec())
+        } else {
+            (StatusCode::SERVICE_UNAVAILABLE, b"not ready\n".to_vec())
+        }
+    }
+}
+
+fn metrics_page(core: Rc<Core>) -> impl Fn(&str) -> (StatusCode, Vec<u8>) + Clone {
+    move |_| match core.metrics.page() {
+        Ok(page) => (StatusCode::OK, page),
+        Err(e) => (StatusCode::INTERNAL_SERVER_ERROR, e.to_string().into_bytes()),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/log_event.rs
@@ -0,0 +1,281 @@
+//! Log lines: one type for each decision that touches a request or changes what the host believes.
+//!
+//! Lines that a calm day would repeat are sampled by the request's id, so that all lines of a sampled request are kept
+//! together. Beyond a rate, lines are dropped and counted; the count is logged when there is room again.
+
+use std::cell::Cell;
+use std::fmt;
+use std::time::Duration;
+use std::time::Instant;
+
+use foxtailhoist_model::ErrorKind;
+use foxtailhoist_model::stable_hash;
+use foxtailhoist_rollout::shift::ShiftPhase;
+use foxtailhoist_route::backends::ListingChange;
+use foxtailhoist_route::flight::Attempt;
+use foxtailhoist_route::flight::AttemptOutcome;
+use foxtailhoist_route::flight::Flight;
+
+use crate::wire::ObjectKind;
+
+/// Lines a second that are written for a long time.
+const LINES_PER_SECOND: f64 = 120.0;
+/// Lines that may be written at once.
+const BURST: f64 = 400.0;
+/// One in so many requests without any incident is logged.
+const CALM_SAMPLE: u64 = 8;
+const SAMPLE_SEED: u64 = 0x6c_6f_67;
+
+/// One line.
+#[derive(Debug)]
+pub enum LogEvent<'a> {
+    Started {
+        host: &'a str,
+        data_centre: &'a str,
+    },
+    Stopping,
+    Stopped {
+        open: usize,
+    },
+    Reloaded,
+    ReloadRefused {
+        reason: &'a str,
+    },
+    Ready(bool),
+    Woke {
+        gap: Duration,
+    },
+    StoreLost {
+        kind: ObjectKind,
+        reason: &'a str,
+    },
+    StoreRegained {
+        kind: ObjectKind,
+        away: Duration,
+    },
+    Unreadable {
+        kind: ObjectKind,
+        name: &'a str,
+        reason: &'a str,
+    },
+    Configured {
+        version: u64,
+        routes: usize,
+    },
+    ConfigurationIgnored {
+        version: u64,
+        in_force: u64,
+    },
+    Server {
+        id: &'a str,
+        change: ListingChange,
+    },
+    Shift {
+        service: &'a str,
+        target: &'a str,
+        phase: Option<ShiftPhase>,
+    },
+    ShiftReported {
+        service: &'a str,
+        phase: ShiftPhase,
+        status: u16,
+    },
+    ShiftWithdrawn {
+        service: &'a str,
+        target: &'a str,
+        bad: u64,
+        answers: u64,
+    },
+    Suspect {
+        content: u64,
+        deaths: u32,
+    },
+    /// An attempt ended other than with a whole answer.
+    AttemptEnded {
+        flight: &'a Flight,
+        attempt: &'a Attempt,
+        outcome: AttemptOutcome,
+        elapsed: Duration,
+        reason: &'a str,
+    },
+    /// A request has its final answer.
+    Answered {
+        flight: &'a Flight,
+        status: u16,
+        elapsed: Duration,
+        model: Option<&'a str>,
+        server: &'a str,
+    },
+    /// A request was refused; without a flight it was never admitted.
+    Refused {
+        id: &'a str,
+        flight: Option<&'a Flight>,
+        kind: ErrorKind,
+        elapsed: Duration,
+    },
+    /// A stream that had begun could not be finished.
+    StreamBroken {
+        flight: &'a Flight,
+        elapsed: Duration,
+    },
+    CallerLeft {
+        flight: &'a Flight,
+        elapsed: Duration,
+    },
+    Dropped {
+        lines: u64,
+    },
+}
+
+/// Writes lines within the rate.
+#[derive(Debug)]
+pub struct EventLog {
+    tokens: Cell<f64>,
+    filled: Cell<Instant>,
+    dropped: Cell<u64>,
+}
+
+impl EventLog {
+    #[must_use]
+    pub fn new(now: Instant) -> EventLog {
+        EventLog { tokens: Cell::new(BURST), filled: Cell::new(now), dropped: Cell::new(0) }
+    }
+
+    /// Writes a line, or counts it as dropped.
+    pub fn write(&self, event: &LogEvent<'_>) {
+        if !event.is_sampled() || !self.has_room(Instant::now()) {
+            return;
+        }
+        let dropped = self.dropped.take();
+        if dropped > 0 {
+            log::warn!("{}", LogEvent::Dropped { lines: dropped });
+        }
+        log::info!("{event}");
+    }
+
+    fn has_room(&self, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.filled.get()).as_secs_f64();
+        let tokens = (self.tokens.get() + age * LINES_PER_SECOND).min(BURST);
+        self.filled.set(now);
+        if tokens < 1.0 {
+            self.tokens.set(tokens);
+            self.dropped.set(self.dropped.get() + 1);
+            return false;
+        }
+        self.tokens.set(tokens - 1.0);
+        true
+    }
+}
+
+impl LogEvent<'_> {
+    /// Whether the line is among those that are written; all but calm answers are.
+    #[must_use]
+    pub fn is_sampled(&self) -> bool {
+        match self {
+            LogEvent::Answered { flight, status, .. } => {
+                let is_calm = flight.attempts <= 1 && *status < 400;
+                !is_calm || stable_hash(SAMPLE_SEED, &[flight.id.as_bytes()]) % CALM_SAMPLE == 0
+            }
+            _ => true,
+        }
+    }
+}
+
+impl fmt::Display for LogEvent<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            LogEvent::Started { host, data_centre } => {
+                write!(f, "event=started host={host} data_centre={data_centre}")
+            }
+            LogEvent::Stopping => write!(f, "event=stopping"),
+            LogEvent::Stopped { open } => write!(f, "event=stopped open_connections={open}"),
+            LogEvent::Reloaded => write!(f, "event=reloaded"),
+            LogEvent::ReloadRefused { reason } => {
+                write!(f, "event=reload_refused reason={reason:?}")
+            }
+            LogEvent::Ready(ready) => write!(f, "event=ready value={ready}"),
+            LogEvent::Woke { gap } => write!(f, "event=woke gap_ms={}", gap.as_millis()),
+            LogEvent::StoreLost { kind, reason } => {
+                write!(f, "event=store_lost kind={kind:?} reason={reason:?}")
+            }
+            LogEvent::StoreRegained { kind, away } => {
+                write!(f, "event=store_regained kind={kind:?} away_ms={}", away.as_millis())
+            }
+            LogEvent::Unreadable { kind, name, reason } => {
+                write!(f, "event=object_unreadable kind={kind:?} name={name:?} reason={reason:?}")
+            }
+            LogEvent::Configured { version, routes } => {
+                write!(f, "event=configured version={version} routes={routes}")
+            }
+            LogEvent::ConfigurationIgnored { version, in_force } => {
+                write!(f, "event=configuration_ignored version={version} in_force={in_force}")
+            }
+            LogEvent::Server { id, change } => write!(f, "event=server id={id} change={change:?}"),
+            LogEvent::Shift { service, target, phase } => {
+                write!(f, "event=shift service={service} target={target} phase={phase:?}")
+            }
+            LogEvent::ShiftReported { service, phase, status } => {
+                write!(f, "event=shift_reported service={service} phase={phase:?} status={status}")
+            }
+            LogEvent::ShiftWithdrawn { service, target, bad, answers } => write!(
+                f,
+                "event=shift_withdrawn service={service} target={target} bad={bad} answers={answers}"
+            ),
+            LogEvent::Suspect { content, deaths } => {
+                write!(f, "event=suspect content={content:016x} deaths={deaths}")
+            }
+            LogEvent::AttemptEnded { flight, attempt, outcome, elapsed, reason } => write!(
+                f,
+                "event=attempt_ended request={} attempt={} server={} model={} outcome={outcome:?} \
+                 ms={} cost_ms={:.0} last_event={} reason={reason:?}",
+                flight.id,
+                attempt.number,
+                attempt.server,
+                attempt.model.as_deref().unwrap_or("-"),
+                elapsed.as_millis(),
+                attempt.cost_ms,
+                flight.last_event().map_or_else(|| "-".to_owned(), |id| id.to_string()),
+            ),
+            LogEvent::Answered { flight, status, elapsed, model, server } => write!(
+                f,
+                "event=answered request={} route={} configuration={} status={status} attempts={} \
+                 model={} server={server} ms={}",
+                flight.id,
+                flight.route.id,
+                flight.table_version,
+                flight.attempts,
+                model.unwrap_or("-"),
+                elapsed.as_millis(),
+            ),
+            LogEvent::Refused { id, flight, kind, elapsed } => {
+                write!(f, "event=refused request={id} kind={}", kind.name())?;
+                if let Some(flight) = flight {
+                    write!(
+                        f,
+                        " route={} configuration={} known={:?} attempts={}",
+                        flight.route.id, flight.table_version, flight.knowledge, flight.attempts
+                    )?;
+                }
+                write!(f, " ms={}", elapsed.as_millis())
+            }
+            LogEvent::StreamBroken { flight, elapsed } => write!(
+                f,
+                "event=stream_broken request={} route={} attempts={} last_event={} ms={}",
+                flight.id,
+                flight.route.id,
+                flight.attempts,
+                flight.last_event().map_or_else(|| "-".to_owned(), |id| id.to_string()),
+                elapsed.as_millis()
+            ),
+            LogEvent::CallerLeft { flight, elapsed } => write!(
+                f,
+                "event=caller_left request={} route={} attempts={} ms={}",
+                flight.id,
+                flight.route.id,
+                flight.attempts,
+                elapsed.as_millis()
+            ),
+            LogEvent::Dropped { lines } => write!(f, "event=log_dropped lines={lines}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/metrics.rs
@@ -0,0 +1,86 @@
+//! Counters and latency histograms of one entry host, as text for scraping.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use thiserror::Error;
+
+/// Instruments of one process; label sets are bounded by closed lists and by the routes in force.
+pub struct Metrics {
+    registry: Registry,
+    // Held so that the instruments stay connected.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    first_byte: Histogram<f64>,
+    store_calls: Counter<u64>,
+}
+
+/// The instruments could not be set up or shown.
+#[derive(Debug, Error)]
+#[error("metrics: {0}")]
+pub struct MetricsError(String);
+
+impl Metrics {
+    /// Sets the instruments up.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the exporter cannot be registered.
+    pub fn new() -> Result<Metrics, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|e| MetricsError(e.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("foxtailhoist");
+        Ok(Metrics {
+            requests: meter.u64_counter("relay_requests").build(),
+            attempts: meter.u64_counter("relay_attempts").build(),
+            first_byte: meter.f64_histogram("relay_first_byte_seconds").build(),
+            store_calls: meter.u64_counter("relay_store_calls").build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// A request ended; `outcome` is `answered`, `caller_left`, `stream_broken` or a kind of refusal.
+    pub fn request(&self, outcome: &'static str) {
+        self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    pub fn attempt(&self, outcome: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Time from a request's arrival to the head of the answer that is delivered.
+    pub fn first_byte(&self, elapsed: Duration, is_stream: bool) {
+        let kind = if is_stream { "stream" } else { "plain" };
+        self.first_byte.record(elapsed.as_secs_f64(), &[KeyValue::new("kind", kind)]);
+    }
+
+    pub fn store_call(&self, outcome: &'static str) {
+        self.store_calls.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// The page for scraping.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a family cannot be encoded.
+    pub fn page(&self) -> Result<Vec<u8>, MetricsError> {
+        let mut buf = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut buf)
+            .map_err(|e| MetricsError(e.to_string()))?;
+        Ok(buf)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/running.rs
@@ -0,0 +1,171 @@
+//! A flight and its attempt under way, with the accounts kept right however it ends.
+//!
+//! A caller that leaves drops the task that serves it, at any point. The drop of a [`Running`] then ends the attempt in
+//! the dispatcher's accounts and logs that the caller left.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use foxtailhoist_model::Refusal;
+use foxtailhoist_route::dispatch::AnswerHead;
+use foxtailhoist_route::dispatch::HeadVerdict;
+use foxtailhoist_route::dispatch::Step;
+use foxtailhoist_route::flight::Attempt;
+use foxtailhoist_route::flight::AttemptOutcome;
+use foxtailhoist_route::flight::Flight;
+
+use crate::core::Core;
+use crate::log_event::LogEvent;
+
+/// A request of a caller while it is served.
+pub(crate) struct Running {
+    pub(crate) core: Rc<Core>,
+    pub(crate) flight: Flight,
+    under_way: Option<UnderWay>,
+    is_finished: bool,
+}
+
+struct UnderWay {
+    attempt: Box<Attempt>,
+    begun: Instant,
+    had_head: bool,
+}
+
+impl Running {
+    pub(crate) fn new(core: Rc<Core>, flight: Flight) -> Running {
+        Running { core, flight, under_way: None, is_finished: false }
+    }
+
+    /// The next step; a step that sends has begun in the accounts.
+    pub(crate) fn next(&mut self) -> Step {
+        let now = Instant::now();
+        let step = self.core.dispatcher.borrow_mut().next(&mut self.flight, now);
+        if let Step::Send(attempt) = &step {
+            let attempt = attempt.clone();
+            self.under_way = Some(UnderWay { attempt, begun: now, had_head: false });
+        }
+        step
+    }
+
+    /// The attempt's bytes are about to be sent.
+    pub(crate) fn sent(&mut self) {
+        if let Some(under_way) = &self.under_way {
+            self.core.dispatcher.borrow_mut().sent(&mut self.flight, &under_way.attempt);
+        }
+    }
+
+    /// What to do with the answer whose head arrived.
+    pub(crate) fn head(&mut self, head: &AnswerHead, elapsed: Duration) -> HeadVerdict {
+        let Some(under_way) = &mut self.under_way else {
+            return HeadVerdict::Drop(AttemptOutcome::Cancelled);
+        };
+        let now = Instant::now();
+        let mut dispatcher = self.core.dispatcher.borrow_mut();
+        let verdict = dispatcher.head(&mut self.flight, &under_way.attempt, head, elapsed, now);
+        under_way.had_head = head.is_own && !head.not_run;
+        verdict
+    }
+
+    /// An event of the stream arrived.
+    pub(crate) fn progressed(&self, gap: Option<Duration>) {
+        if let Some(under_way) = &self.under_way {
+            let now = Instant::now();
+            self.core.dispatcher.borrow_mut().progressed(&under_way.attempt, gap, now);
+        }
+    }
+
+    /// Whether a stream without an event since then should be given up.
+    pub(crate) fn is_stalled(&self, since: Instant) -> bool {
+        let dispatcher = self.core.dispatcher.borrow();
+        self.under_way.as_ref().is_some_and(|under_way| {
+            dispatcher.is_stalled(&under_way.attempt, since, Instant::now())
+        })
+    }
+
+    /// The attempt under way.
+    pub(crate) fn attempt(&self) -> Option<&Attempt> {
+        self.under_way.as_ref().map(|under_way| &*under_way.attempt)
+    }
+
+    /// Ends the attempt under way.
+    pub(crate) fn ended(&mut self, outcome: AttemptOutcome, reason: &str) {
+        let Some(under_way) = self.under_way.take() else {
+            return;
+        };
+        let now = Instant::now();
+        let UnderWay { attempt, begun, had_head } = under_way;
+        let core = &self.core;
+        core.dispatcher.borrow_mut().ended(&mut self.flight, &attempt, had_head, outcome, now);
+        core.metrics.attempt(outcome_name(outcome));
+        if outcome != AttemptOutcome::Whole {
+            let elapsed = now - begun;
+            let flight = &self.flight;
+            let attempt = &attempt;
+            core.log.write(&LogEvent::AttemptEnded { flight, attempt, outcome, elapsed, reason });
+        }
+        core.handle_notes();
+    }
+
+    /// The whole answer went out; ends the attempt, too.
+    pub(crate) fn answered(mut self, status: u16, outcome: AttemptOutcome) {
+        let attempt = self.under_way.as_ref().map(|under_way| under_way.attempt.clone());
+        self.ended(outcome, "passed on");
+        self.is_finished = true;
+        self.core.metrics.request("answered");
+        self.core.log.write(&LogEvent::Answered {
+            flight: &self.flight,
+            status,
+            elapsed: self.flight.arrived.elapsed(),
+            model: attempt.as_ref().and_then(|attempt| attempt.model.as_deref()),
+            server: attempt.as_ref().map_or("-", |attempt| &attempt.server),
+        });
+    }
+
+    /// The final answer is a refusal.
+    pub(crate) fn refused(mut self, refusal: &Refusal) {
+        self.is_finished = true;
+        self.core.metrics.request(refusal.kind.name());
+        self.core.log.write(&LogEvent::Refused {
+            id: &self.flight.id,
+            flight: Some(&self.flight),
+            kind: refusal.kind,
+            elapsed: self.flight.arrived.elapsed(),
+        });
+    }
+
+    /// The stream that had begun ends without its end.
+    pub(crate) fn stream_broken(mut self) {
+        self.is_finished = true;
+        self.core.metrics.request("stream_broken");
+        let elapsed = self.flight.arrived.elapsed();
+        self.core.log.write(&LogEvent::StreamBroken { flight: &self.flight, elapsed });
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if self.is_finished {
+            return;
+        }
+        self.ended(AttemptOutcome::Cancelled, "caller left");
+        self.core.metrics.request("caller_left");
+        let elapsed = self.flight.arrived.elapsed();
+        self.core.log.write(&LogEvent::CallerLeft { flight: &self.flight, elapsed });
+    }
+}
+
+fn outcome_name(outcome: AttemptOutcome) -> &'static str {
+    match outcome {
+        AttemptOutcome::Whole => "whole",
+        AttemptOutcome::Failed => "failed",
+        AttemptOutcome::Garbled => "garbled",
+        AttemptOutcome::Broken => "broken",
+        AttemptOutcome::Silent => "silent",
+        AttemptOutcome::Unreachable => "unreachable",
+        AttemptOutcome::Misdirected => "misdirected",
+        AttemptOutcome::Full { .. } => "full",
+        AttemptOutcome::Dropped => "dropped",
+        AttemptOutcome::Cancelled => "cancelled",
+    }
+}
--- /dev/null
+++ b/crates/relay/src/serve.rs
@@ -0,0 +1,203 @@
+//! Serves one request of a caller: reads it, has it admitted, finds an answer, answers.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use foxtailhoist_model::ErrorKind;
+use foxtailhoist_model::Refusal;
+use foxtailhoist_model::stable_hash;
+use foxtailhoist_route::flight::AttemptOutcome;
+use foxtailhoist_route::routes::CallerLimits;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::Version;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Either;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+
+use crate::attempt::CallerRequest;
+use crate::attempt::Found;
+use crate::attempt::find_answer;
+use crate::core::Core;
+use crate::log_event::LogEvent;
+use crate::running::Running;
+use crate::stream;
+use crate::stream::EventBody;
+
+/// Longest time for a request's body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+const FINGERPRINT_SEED: u64 = 0x62_6f_64_79;
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Body of an answer.
+pub(crate) type AnswerBody = Either<Full<Bytes>, EventBody>;
+
+/// Serves one request.
+pub(crate) async fn serve(core: Rc<Core>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let (head, body) = request.into_parts();
+    // After a body in chunks nothing else is read from the connection, so that framing which two readers could see
+    // differently cannot bring in a second request.
+    let must_close = head.headers.contains_key(header::TRANSFER_ENCODING);
+    let mut answer = answer(&core, head, body).await;
+    if must_close || core.stopping.get() {
+        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
+
+async fn answer(
+    core: &Rc<Core>,
+    head: http::request::Parts,
+    body: Incoming,
+) -> Response<AnswerBody> {
+    let arrived = Instant::now();
+    if is_ambiguous(&head) {
+        return refuse(core, "-", ErrorKind::BadRequest, "ambiguous framing", arrived);
+    }
+    let mut arrival = match core.wire.decode_request(&head) {
+        Ok(arrival) => arrival,
+        Err(malformed) => {
+            return refuse(core, "-", ErrorKind::BadRequest, &malformed.0, arrived);
+        }
+    };
+    let limits =
+        core.dispatcher.borrow().table().map_or_else(CallerLimits::default, |table| table.limits);
+    let body = match read_body(body, limits.body_bytes).await {
+        Ok(body) => body,
+        Err(kind) => return refuse(core, &arrival.id, kind, "", arrived),
+    };
+    arrival.fingerprint = stable_hash(FINGERPRINT_SEED, &[arrival.path.as_bytes(), &body]);
+    let id = arrival.id.clone();
+    let admitted = core.dispatcher.borrow_mut().admit(arrival, arrived);
+    let flight = match admitted {
+        Ok(flight) => flight,
+        Err(refusal) => {
+            core.metrics.request(refusal.kind.name());
+            let elapsed = arrived.elapsed();
+            let kind = refusal.kind;
+            core.log.write(&LogEvent::Refused { id: &id, flight: None, kind, elapsed });
+            return refusal_response(core, &refusal);
+        }
+    };
+    let caller = CallerRequest {
+        target: head.uri.path_and_query().map_or(head.uri.clone(), |path| path.clone().into()),
+        method: head.method,
+        headers: end_to_end(&head.headers),
+        body,
+    };
+    let mut running = Running::new(core.clone(), flight);
+    match find_answer(&mut running, &caller).await {
+        Found::Refused(refusal) => {
+            running.refused(&refusal);
+            refusal_response(core, &refusal)
+        }
+        Found::Plain(parts, body) => {
+            let is_failure = parts.status.is_server_error();
+            let outcome = if is_failure { AttemptOutcome::Failed } else { AttemptOutcome::Whole };
+            core.metrics.first_byte(running.flight.arrived.elapsed(), false);
+            running.answered(parts.status.as_u16(), outcome);
+            response(&parts, Either::Left(Full::new(body)))
+        }
+        Found::Stream(parts, body, conn) => {
+            core.metrics.first_byte(running.flight.arrived.elapsed(), true);
+            let status = parts.status.as_u16();
+            let events = stream::pass_on(running, caller, body, conn, status);
+            response(&parts, Either::Right(events))
+        }
+    }
+}
+
+/// Both a length and an encoding: readers may disagree on where the body ends.
+fn is_ambiguous(head: &http::request::Parts) -> bool {
+    let has_encoding = head.headers.contains_key(header::TRANSFER_ENCODING);
+    let lengths = head.headers.get_all(header::CONTENT_LENGTH).iter().count();
+    let encodings = head.headers.get_all(header::TRANSFER_ENCODING).iter().count();
+    (has_encoding && lengths > 0)
+        || lengths > 1
+        || encodings > 1
+        || (has_encoding && head.version == Version::HTTP_10)
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, ErrorKind> {
+    let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
+    match collected {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(ErrorKind::BodyTooLarge),
+        Ok(Err(_)) => Err(ErrorKind::BadRequest),
+        Err(_) => Err(ErrorKind::SlowSender),
+    }
+}
+
+/// Copies the headers that concern the request or answer itself.
+fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|token| token.trim().to_ascii_lowercase())
+        .collect();
+    let mut copy = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let is_named = named.iter().any(|named| named == name.as_str());
+        let is_framing = *name == header::CONTENT_LENGTH || *name == header::EXPECT;
+        if !is_named && !is_framing && !HOP_BY_HOP.contains(&name.as_str()) {
+            copy.append(name.clone(), value.clone());
+        }
+    }
+    copy
+}
+
+fn response(parts: &http::response::Parts, body: AnswerBody) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = end_to_end(&parts.headers);
+    response
+}
+
+fn refuse(
+    core: &Core,
+    id: &str,
+    kind: ErrorKind,
+    message: &str,
+    arrived: Instant,
+) -> Response<AnswerBody> {
+    let refusal =
+        Refusal { kind, ran: kind.answer().ran, message: message.to_owned(), retry_after: None };
+    core.metrics.request(kind.name());
+    core.log.write(&LogEvent::Refused { id, flight: None, kind, elapsed: arrived.elapsed() });
+    let mut response = refusal_response(core, &refusal);
+    // The rest of what the caller sent may not have been read.
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+fn refusal_response(core: &Core, refusal: &Refusal) -> Response<AnswerBody> {
+    let (status, headers) = core.wire.encode_refusal(refusal);
+    let text = format!("{}: {}\n", refusal.kind.name(), refusal.message);
+    let mut response = Response::new(Either::Left(Full::new(Bytes::from(text))));
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    *response.headers_mut() = headers;
+    response
+}
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod event;
 pub mod judge;
 pub mod lifecycle;
+pub mod shift;
 
 /// Settings of one entry host's judge and controller.
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/crates/route/src/backends/mod.rs
@@ -0,0 +1,380 @@
+//! Backend servers: who is listed, what this host has under way there, and which one to choose.
+//!
+//! Entries come from a directory that lags. An entry that says leaving, or that is gone, takes the server out of use at
+//! once; one that went missing while the directory was away keeps the server until a deadline, since it may only have
+//! lapsed. A server that shows another start time is a new incarnation of which nothing before holds.
+
+mod cache;
+pub(crate) mod choose;
+mod health;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use foxtailhoist_model::BackendServerId;
+use foxtailhoist_model::DataCentreId;
+use foxtailhoist_model::ModelId;
+use foxtailhoist_model::Presence;
+use foxtailhoist_model::ServiceId;
+use foxtailhoist_model::VersionId;
+
+use crate::backends::cache::CacheRecord;
+pub(crate) use crate::backends::choose::Query;
+use crate::backends::health::Health;
+use crate::flight::Attempt;
+use crate::flight::AttemptOutcome;
+use crate::flight::PromptPart;
+
+/// Weight of a new sample in a mean time.
+const MEAN_WEIGHT: f64 = 0.1;
+
+/// A backend server as the directory shows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listing {
+    pub id: BackendServerId,
+    pub service: ServiceId,
+    pub address: SocketAddr,
+    pub data_centre: DataCentreId,
+    /// Version of what it runs.
+    pub version: VersionId,
+    /// Requests that run at once.
+    pub slots: u32,
+    pub presence: Presence,
+    /// How much longer it is slow after its start.
+    pub warm_up: Duration,
+    /// Start of the process in Unix milliseconds; tells incarnations with one id apart.
+    pub started_ms: Option<u64>,
+}
+
+/// Number of an incarnation, unique on this host.
+pub type Generation = u64;
+
+/// A change of what is believed of a server, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListingChange {
+    Added,
+    /// A new incarnation took the place of the old one.
+    Restarted,
+    Leaving,
+    Removed,
+    /// Missing after an outage of the directory; kept for a while.
+    Missing,
+    Unchanged,
+}
+
+/// All backend servers.
+#[derive(Debug)]
+pub struct Backends {
+    own: DataCentreId,
+    servers: BTreeMap<BackendServerId, Server>,
+    services: BTreeMap<ServiceId, BTreeSet<BackendServerId>>,
+    means: BTreeMap<(ServiceId, Option<ModelId>), MeanTimes>,
+    next_generation: Generation,
+}
+
+/// What is known of one server.
+#[derive(Debug)]
+struct Server {
+    listing: Listing,
+    generation: Generation,
+    /// Counts as gone then, unless it is listed again.
+    missing_until: Option<Instant>,
+    warm_at: Instant,
+    in_flight: u32,
+    /// Prompt tokens sent and not known to be read.
+    unread_tokens: u64,
+    /// Last head or event of any answer.
+    last_sign: Option<Instant>,
+    /// Said that it was full.
+    full_until: Option<Instant>,
+    health: Health,
+    cache: CacheRecord,
+}
+
+/// Mean times of a service, for one model where it has several.
+#[derive(Clone, Copy, Debug, Default)]
+struct MeanTimes {
+    /// Milliseconds for each unit of work up to the first byte.
+    first_byte: Option<f64>,
+    /// Milliseconds between two events.
+    event_gap: Option<f64>,
+}
+
+impl Backends {
+    /// No servers yet; `own` is the host's data centre.
+    #[must_use]
+    pub fn new(own: DataCentreId) -> Backends {
+        Backends {
+            own,
+            servers: BTreeMap::new(),
+            services: BTreeMap::new(),
+            means: BTreeMap::new(),
+            next_generation: 0,
+        }
+    }
+
+    /// Takes in an entry.
+    pub fn list(&mut self, listing: Listing, now: Instant) -> ListingChange {
+        let known = self.servers.get_mut(&listing.id);
+        let change = match known {
+            None => ListingChange::Added,
+            Some(server) if server.is_other_incarnation(&listing) => ListingChange::Restarted,
+            Some(server) => {
+                let left = listing.presence == Presence::Leaving
+                    && server.listing.presence == Presence::Live;
+                server.missing_until = None;
+                server.warm_at = now + listing.warm_up;
+                server.listing = listing;
+                return if left { ListingChange::Leaving } else { ListingChange::Unchanged };
+            }
+        };
+        self.remove(&listing.id.clone());
+        self.next_generation += 1;
+        let members = self.services.entry(listing.service.clone()).or_default();
+        members.insert(listing.id.clone());
+        let server = Server::new(listing, self.next_generation, now);
+        self.servers.insert(server.listing.id.clone(), server);
+        change
+    }
+
+    /// The directory, sound all the while, says that the server is gone.
+    pub fn unlist(&mut self, id: &str) -> ListingChange {
+        if self.remove(id) { ListingChange::Removed } else { ListingChange::Unchanged }
+    }
+
+    /// An entry went missing while the directory was away: the server stays until then unless it is listed again.
+    pub fn keep_missing(&mut self, id: &str, until: Instant) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.missing_until.get_or_insert(until);
+        }
+    }
+
+    /// Drops entries that stayed missing.
+    pub fn expire_missing(&mut self, now: Instant) -> Vec<BackendServerId> {
+        let is_due = |server: &Server| server.missing_until.is_some_and(|until| until <= now);
+        let due = self.servers.iter().filter(|(_, server)| is_due(server));
+        let due: Vec<BackendServerId> = due.map(|(id, _)| id.clone()).collect();
+        for id in &due {
+            self.remove(id);
+        }
+        due
+    }
+
+    /// What is listed of a server.
+    #[must_use]
+    pub fn listing(&self, id: &str) -> Option<&Listing> {
+        self.servers.get(id).map(|server| &server.listing)
+    }
+
+    /// Ids of all known servers.
+    pub fn ids(&self) -> impl Iterator<Item = &BackendServerId> {
+        self.servers.keys()
+    }
+
+    /// Whether any server of the service takes new work.
+    #[must_use]
+    pub fn is_served(&self, service: &str) -> bool {
+        self.members(service).any(Server::takes_new_work)
+    }
+
+    /// Whether the service has servers of the version that take new work.
+    #[must_use]
+    pub fn has_version(&self, service: &str, version: &str) -> bool {
+        self.members(service)
+            .any(|server| server.takes_new_work() && server.listing.version == version)
+    }
+
+    /// Versions of a service's servers.
+    #[must_use]
+    pub fn versions(&self, service: &str) -> BTreeSet<VersionId> {
+        self.members(service).map(|server| server.listing.version.clone()).collect()
+    }
+
+    /// Whether the attempt's server still is the incarnation it was sent to and takes work.
+    #[must_use]
+    pub fn is_current(&self, attempt: &Attempt) -> bool {
+        self.incarnation(attempt).is_some_and(Server::takes_new_work)
+    }
+
+    /// Last sign of life of the attempt's server in any answer.
+    #[must_use]
+    pub fn last_sign(&self, attempt: &Attempt) -> Option<Instant> {
+        self.incarnation(attempt).and_then(|server| server.last_sign)
+    }
+
+    /// Requests under way at a service, and the slots of its servers in use.
+    #[must_use]
+    pub fn occupancy(&self, service: &str) -> (u32, u32) {
+        let live = self.members(service).filter(|server| server.takes_new_work());
+        live.fold((0, 0), |(busy, slots), server| {
+            (busy + server.in_flight, slots + server.listing.slots)
+        })
+    }
+
+    /// Counts an attempt that is about to be sent.
+    pub(crate) fn begin(&mut self, attempt: &Attempt) {
+        if let Some(server) = self.incarnation_mut(attempt) {
+            server.in_flight += 1;
+            server.unread_tokens += attempt.unread_tokens;
+        }
+    }
+
+    /// The head of the answer arrived.
+    pub(crate) fn answered(
+        &mut self,
+        attempt: &Attempt,
+        parts: &[PromptPart],
+        elapsed: Duration,
+        now: Instant,
+    ) {
+        let work = attempt.work();
+        let sample = elapsed.as_secs_f64() * 1_000.0 / work;
+        let ratio = self.mean(attempt).sample_first_byte(sample);
+        let Some(server) = self.incarnation_mut(attempt) else {
+            return;
+        };
+        server.last_sign = Some(now);
+        server.unread_tokens = server.unread_tokens.saturating_sub(attempt.unread_tokens);
+        server.health.observe_speed(ratio, now);
+        if let Some(model) = &attempt.model {
+            server.cache.read(model, parts, now);
+        }
+    }
+
+    /// An event of a stream arrived, `gap` after the one before.
+    pub(crate) fn progressed(&mut self, attempt: &Attempt, gap: Option<Duration>, now: Instant) {
+        let ratio = gap.map(|gap| {
+            let sample = gap.as_secs_f64() * 1_000.0;
+            self.mean(attempt).sample_event_gap(sample)
+        });
+        let Some(server) = self.incarnation_mut(attempt) else {
+            return;
+        };
+        server.last_sign = Some(now);
+        if let Some(ratio) = ratio {
+            server.health.observe_speed(ratio, now);
+        }
+    }
+
+    /// An attempt ended; `had_head` tells whether [`Backends::answered`] was called for it.
+    pub(crate) fn end(
+        &mut self,
+        attempt: &Attempt,
+        had_head: bool,
+        outcome: AttemptOutcome,
+        now: Instant,
+    ) {
+        let Some(server) = self.incarnation_mut(attempt) else {
+            return;
+        };
+        server.in_flight = server.in_flight.saturating_sub(1);
+        if !had_head {
+            server.unread_tokens = server.unread_tokens.saturating_sub(attempt.unread_tokens);
+        }
+        match outcome {
+            AttemptOutcome::Whole => server.health.succeed(now),
+            AttemptOutcome::Failed | AttemptOutcome::Garbled => server.health.fail(now),
+            AttemptOutcome::Broken => server.health.fail(now),
+            AttemptOutcome::Silent => {
+                server.health.fail(now);
+                server.health.pause(now);
+            }
+            AttemptOutcome::Unreachable => server.health.pause(now),
+            AttemptOutcome::Misdirected => {
+                // The address belongs to another server now; only a new entry makes it usable.
+                server.missing_until = Some(now);
+            }
+            AttemptOutcome::Full { retry_after } => server.full_until = Some(now + retry_after),
+            AttemptOutcome::Dropped | AttemptOutcome::Cancelled => {}
+        }
+    }
+
+    /// Mean milliseconds up to the first byte for a unit of work.
+    pub(crate) fn mean_first_byte(&self, service: &str, model: Option<&str>) -> Option<f64> {
+        let key = (service.to_owned(), model.map(str::to_owned));
+        self.means.get(&key).and_then(|mean| mean.first_byte)
+    }
+
+    fn members(&self, service: &str) -> impl Iterator<Item = &Server> {
+        let ids = self.services.get(service).into_iter().flatten();
+        ids.filter_map(|id| self.servers.get(id))
+    }
+
+    fn mean(&mut self, attempt: &Attempt) -> &mut MeanTimes {
+        let key = (attempt.service.clone(), attempt.model.clone());
+        self.means.entry(key).or_default()
+    }
+
+    fn incarnation(&self, attempt: &Attempt) -> Option<&Server> {
+        let server = self.servers.get(&attempt.server)?;
+        (server.generation == attempt.generation).then_some(server)
+    }
+
+    fn incarnation_mut(&mut self, attempt: &Attempt) -> Option<&mut Server> {
+        let server = self.servers.get_mut(&attempt.server)?;
+        (server.generation == attempt.generation).then_some(server)
+    }
+
+    fn remove(&mut self, id: &str) -> bool {
+        let Some(server) = self.servers.remove(id) else {
+            return false;
+        };
+        if let Some(members) = self.services.get_mut(&server.listing.service) {
+            members.remove(id);
+        }
+        true
+    }
+}
+
+impl Server {
+    fn new(listing: Listing, generation: Generation, now: Instant) -> Server {
+        Server {
+            warm_at: now + listing.warm_up,
+            listing,
+            generation,
+            missing_until: None,
+            in_flight: 0,
+            unread_tokens: 0,
+            last_sign: None,
+            full_until: None,
+            health: Health::new(now),
+            cache: CacheRecord::default(),
+        }
+    }
+
+    fn is_other_incarnation(&self, listing: &Listing) -> bool {
+        let restarted = match (self.listing.started_ms, listing.started_ms) {
+            (Some(before), Some(after)) => before != after,
+            _ => false,
+        };
+        restarted
+            || self.listing.address != listing.address
+            || self.listing.service != listing.service
+    }
+
+    fn takes_new_work(&self) -> bool {
+        self.listing.presence == Presence::Live
+    }
+
+    fn is_full(&self, now: Instant) -> bool {
+        self.full_until.is_some_and(|until| now < until)
+    }
+}
+
+impl MeanTimes {
+    /// Adds a sample; returns it beside the mean before.
+    fn sample_first_byte(&mut self, sample: f64) -> f64 {
+        let mean = self.first_byte.unwrap_or(sample);
+        self.first_byte = Some(mean + MEAN_WEIGHT * (sample.min(mean * 4.0) - mean));
+        sample / mean.max(0.001)
+    }
+
+    fn sample_event_gap(&mut self, sample: f64) -> f64 {
+        let mean = self.event_gap.unwrap_or(sample);
+        self.event_gap = Some(mean + MEAN_WEIGHT * (sample.min(mean * 4.0) - mean));
+        sample / mean.max(0.001)
+    }
+}
--- /dev/null
+++ b/crates/route/src/dispatch.rs
@@ -0,0 +1,589 @@
+//! The way of one request over the backend servers: admission, attempts, cascade, retries, refusal.
+//!
+//! The dispatcher is a plain state machine without sockets or clocks. The shell asks it for the next step of a
+//! [`Flight`], carries the step out and reports how it ended; a step is a send to a server, a short wait for one, or
+//! the refusal that is the final answer.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use foxtailhoist_model::BackendServerId;
+use foxtailhoist_model::DataCentreId;
+use foxtailhoist_model::ErrorKind;
+use foxtailhoist_model::Fingerprint;
+use foxtailhoist_model::Ran;
+use foxtailhoist_model::Refusal;
+use foxtailhoist_model::ServiceId;
+use foxtailhoist_model::VersionId;
+use foxtailhoist_model::stable_hash;
+
+use crate::backends::Backends;
+use crate::backends::Query;
+use crate::backends::choose::Choice;
+use crate::backends::choose::NoServer;
+use crate::backends::choose::VersionFilter;
+use crate::flight::Arrival;
+use crate::flight::Attempt;
+use crate::flight::AttemptOutcome;
+use crate::flight::Flight;
+use crate::flight::Knowledge;
+use crate::poison::Poison;
+use crate::poison::Standing;
+use crate::retry_window::RetryLimit;
+use crate::retry_window::RetryWindows;
+use crate::routes::Identity;
+use crate::routes::Repeatability;
+use crate::routes::RoutingTable;
+use crate::version_rule::SessionVersions;
+use crate::version_rule::VersionRule;
+
+/// Time that a caller without a deadline on a route without a time-out is given.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+/// Share of the latency target that a request may wait for a server to come free.
+const WAIT_SHARE: f64 = 0.125;
+/// Longest wait for a server to come free.
+const WAIT_MAX: Duration = Duration::from_millis(300);
+/// Pause between two looks for a free server.
+const WAIT_STEP: Duration = Duration::from_millis(40);
+/// Shortest time left in which another attempt is still made.
+const LEAST_TIME_LEFT: Duration = Duration::from_millis(20);
+/// Wait for the head of an idempotent answer, as a multiple of the mean time.
+const HEAD_MEANS: f64 = 4.0;
+/// Bounds of that wait for plain services and for engines.
+const SERVICE_HEAD_TIMEOUT: (Duration, Duration) =
+    (Duration::from_millis(90), Duration::from_millis(400));
+const ENGINE_HEAD_TIMEOUT: (Duration, Duration) =
+    (Duration::from_millis(1_200), Duration::from_millis(6_000));
+/// Silence of one stream after which it is given up although its server shows life.
+const EVENT_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Time after a broken connection in which the server's death still counts against what ran there.
+const SUSPICION: Duration = Duration::from_millis(1_500);
+/// Part of the retry allowance that a change of model leaves for retries after failures.
+const KEEP_FOR_RETRIES: f64 = 0.3;
+/// Return times told to refused callers: a share of the time that they have left, within bounds.
+const RETURN_SHARE: f64 = 0.1;
+const RETURN_MIN: Duration = Duration::from_millis(60);
+const RETURN_MAX: Duration = Duration::from_millis(1_500);
+const CHOICE_SEED: u64 = 0x64_69_73_70;
+
+/// Settings of a dispatcher.
+#[derive(Clone, Debug)]
+pub struct DispatchConfig {
+    pub data_centre: DataCentreId,
+    pub retries: RetryLimit,
+    /// Time in which requests of one session belong together.
+    pub session_gap: Duration,
+    /// An answer of a small model below this confidence, from 0 to 100, is replaced by a larger model's.
+    pub confidence_floor: u8,
+}
+
+/// Decides for each request of one entry host.
+#[derive(Debug)]
+pub struct Dispatcher {
+    cfg: DispatchConfig,
+    table: Option<Arc<RoutingTable>>,
+    backends: Backends,
+    retries: RetryWindows,
+    rules: BTreeMap<ServiceId, VersionRule>,
+    sessions: SessionVersions,
+    poison: Poison,
+    /// Contents whose connections to a server broke, until its death is seen.
+    suspects: BTreeMap<String, Vec<(Fingerprint, Instant)>>,
+    notes: Vec<Note>,
+}
+
+/// What the shell does next for a request.
+#[derive(Debug)]
+pub enum Step {
+    /// Send it to a server.
+    Send(Box<Attempt>),
+    /// Ask again then, or when the caller leaves.
+    WaitUntil(Instant),
+    /// The final answer.
+    Refuse(Refusal),
+}
+
+/// What the head of an answer says.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct AnswerHead {
+    pub status: u16,
+    /// The answer echoes the request's id.
+    pub is_own: bool,
+    /// The server states that it did not run the request.
+    pub not_run: bool,
+    /// When a full server wants to be asked again.
+    pub retry_after: Option<Duration>,
+    /// The model's opinion of its answer, from 0 to 100.
+    pub confidence: Option<u8>,
+}
+
+/// What to do with an answer whose head arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeadVerdict {
+    /// Pass it on to the caller.
+    Deliver,
+    /// Drop it and report this outcome.
+    Drop(AttemptOutcome),
+}
+
+/// Something that others should know.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// An answer of a version, good or bad.
+    Evidence {
+        service: ServiceId,
+        version: VersionId,
+        server: BackendServerId,
+        is_bad: bool,
+    },
+    /// A content was running when a server died.
+    Suspect {
+        content: Fingerprint,
+    },
+    Quarantined {
+        content: Fingerprint,
+    },
+}
+
+impl Dispatcher {
+    /// Knows no routes and no servers yet.
+    #[must_use]
+    pub fn new(cfg: DispatchConfig) -> Dispatcher {
+        Dispatcher {
+            backends: Backends::new(cfg.data_centre.clone()),
+            retries: RetryWindows::new(cfg.retries),
+            sessions: SessionVersions::new(cfg.session_gap),
+            cfg,
+            table: None,
+            rules: BTreeMap::new(),
+            poison: Poison::default(),
+            suspects: BTreeMap::new(),
+            notes: Vec::new(),
+        }
+    }
+
+    /// Takes a routing table into force; an older one than that in force is ignored.
+    pub fn configure(&mut self, table: Arc<RoutingTable>) -> bool {
+        let is_newer = self.table.as_ref().is_none_or(|present| present.version < table.version);
+        if is_newer {
+            self.table = Some(table);
+        }
+        is_newer
+    }
+
+    /// The routing table in force.
+    #[must_use]
+    pub fn table(&self) -> Option<&Arc<RoutingTable>> {
+        self.table.as_ref()
+    }
+
+    #[must_use]
+    pub fn backends(&self) -> &Backends {
+        &self.backends
+    }
+
+    pub fn backends_mut(&mut self) -> &mut Backends {
+        &mut self.backends
+    }
+
+    /// Sets which versions of a service take new work.
+    pub fn set_rule(&mut self, service: ServiceId, rule: VersionRule) {
+        self.rules.insert(service, rule);
+    }
+
+    /// Another host saw a content run when a server died.
+    pub fn suspect(&mut self, content: Fingerprint, now: Instant) {
+        self.poison.suspect(content, now);
+    }
+
+    /// Another host saw a content kill servers repeatedly.
+    pub fn quarantine(&mut self, content: Fingerprint, now: Instant) {
+        self.poison.quarantine(content, now);
+    }
+
+    /// A new incarnation stands where a server was: it has died.
+    pub fn server_died(&mut self, server: &str, now: Instant) {
+        for (content, at) in self.suspects.remove(server).unwrap_or_default() {
+            if now.saturating_duration_since(at) > SUSPICION {
+                continue;
+            }
+            let note = match self.poison.died(content, now) {
+                Standing::Suspect => Note::Suspect { content },
+                Standing::Quarantined => Note::Quarantined { content },
+            };
+            self.notes.push(note);
+        }
+    }
+
+    /// Takes what others should know.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Admits a request or refuses it.
+    ///
+    /// # Errors
+    ///
+    /// The refusal is the final answer; nothing was sent.
+    pub fn admit(&mut self, arrival: Arrival, now: Instant) -> Result<Flight, Refusal> {
+        let Some(table) = &self.table else {
+            return Err(refusal(ErrorKind::ConfigurationStale, Some(RETURN_MAX)));
+        };
+        let Some(route) = table.find(&arrival.host, &arrival.path) else {
+            return Err(refusal(ErrorKind::NotFound, None));
+        };
+        let workspace = match table.identify(route, arrival.key.as_deref()) {
+            Identity::Unknown => return Err(refusal(ErrorKind::Unauthenticated, None)),
+            Identity::Anonymous => None,
+            Identity::Workspace(workspace) => Some(workspace),
+        };
+        if self.poison.is_quarantined(arrival.fingerprint, now) {
+            return Err(refusal(ErrorKind::Quarantined, None));
+        }
+        let point = stable_hash(CHOICE_SEED, &[arrival.id.as_bytes()]);
+        let Some(service) = route.service(point).cloned() else {
+            return Err(refusal(ErrorKind::NoServer, Some(RETURN_MAX)));
+        };
+        let patience = [arrival.patience, route.timeout].into_iter().flatten().min();
+        let deadline = now + patience.unwrap_or(DEFAULT_PATIENCE);
+        let session = arrival.parts.last().map(|part| part.id);
+        let rule = self.rules.get(&service).unwrap_or(&VersionRule::Any);
+        let versions = self.sessions.filter(rule, &service, session.unwrap_or(point), now);
+        Ok(Flight {
+            id: arrival.id,
+            route: route.clone(),
+            workspace,
+            table_version: table.version,
+            arrived: now,
+            deadline,
+            parts: arrival.parts,
+            prompt_tokens: arrival.prompt_tokens,
+            knowledge: Knowledge::NotRun,
+            attempts: 0,
+            requested_model: arrival.model,
+            model_step: 0,
+            versions,
+            session,
+            fingerprint: arrival.fingerprint,
+            tried: Vec::new(),
+            counted: false,
+            last_event: arrival.last_event,
+            started: false,
+            waiting_since: None,
+            service,
+        })
+    }
+
+    /// What to do next for a request that has no attempt under way.
+    pub fn next(&mut self, flight: &mut Flight, now: Instant) -> Step {
+        let left = flight.deadline.saturating_duration_since(now);
+        if left < LEAST_TIME_LEFT {
+            return Step::Refuse(self.out_of_time(flight));
+        }
+        if !flight.may_be_sent() || flight.attempts >= flight.route.max_attempts.max(1) {
+            return Step::Refuse(self.give_up(flight, now));
+        }
+        if self.poison.is_quarantined(flight.fingerprint, now) {
+            return Step::Refuse(refusal_after(ErrorKind::Quarantined, flight));
+        }
+        let choice = match self.choose(flight, now) {
+            Ok(choice) => choice,
+            Err(reason) => return self.wait_or_refuse(flight, reason, now),
+        };
+        if !flight.counted {
+            flight.counted = true;
+            self.retries.first_attempt(&flight.service, now);
+        } else if !self.retries.spend(&flight.service, 0.0, now) {
+            return Step::Refuse(self.give_up(flight, now));
+        }
+        flight.waiting_since = None;
+        let Some(attempt) = self.attempt(flight, &choice, now) else {
+            return Step::Refuse(self.give_up(flight, now));
+        };
+        self.backends.begin(&attempt);
+        if let Some(session) = flight.session {
+            self.sessions.ran(&flight.service, session, &attempt.version, now);
+        }
+        Step::Send(Box::new(attempt))
+    }
+
+    /// The request's bytes are about to reach the server: it counts as an attempt from now on.
+    pub fn sent(&mut self, flight: &mut Flight, attempt: &Attempt) {
+        flight.attempts += 1;
+        flight.tried.push(attempt.server.clone());
+    }
+
+    /// The head of the answer arrived.
+    pub fn head(
+        &mut self,
+        flight: &mut Flight,
+        attempt: &Attempt,
+        head: &AnswerHead,
+        elapsed: Duration,
+        now: Instant,
+    ) -> HeadVerdict {
+        if head.status == 421 {
+            return HeadVerdict::Drop(AttemptOutcome::Misdirected);
+        }
+        if head.not_run {
+            let retry_after = head.retry_after.unwrap_or(RETURN_MIN).min(RETURN_MAX);
+            return HeadVerdict::Drop(AttemptOutcome::Full { retry_after });
+        }
+        if !head.is_own {
+            return HeadVerdict::Drop(AttemptOutcome::Garbled);
+        }
+        self.backends.answered(attempt, &flight.parts, elapsed, now);
+        if !(200..300).contains(&head.status) {
+            return self.failed_head(flight, attempt, head, now);
+        }
+        if self.should_escalate(flight, head, now) {
+            return HeadVerdict::Drop(AttemptOutcome::Dropped);
+        }
+        flight.started = true;
+        HeadVerdict::Deliver
+    }
+
+    /// An event of the stream arrived.
+    pub fn progressed(&mut self, attempt: &Attempt, gap: Option<Duration>, now: Instant) {
+        self.backends.progressed(attempt, gap, now);
+    }
+
+    /// Whether a stream without an event since `since` should be given up.
+    #[must_use]
+    pub fn is_stalled(&self, attempt: &Attempt, since: Instant, now: Instant) -> bool {
+        let silence = now.saturating_duration_since(since);
+        let server_silence = self
+            .backends
+            .last_sign(attempt)
+            .map_or(silence, |at| now.saturating_duration_since(at));
+        silence >= EVENT_TIMEOUT || server_silence >= attempt.event_timeout
+    }
+
+    /// An attempt ended.
+    pub fn ended(
+        &mut self,
+        flight: &mut Flight,
+        attempt: &Attempt,
+        had_head: bool,
+        outcome: AttemptOutcome,
+        now: Instant,
+    ) {
+        self.backends.end(attempt, had_head, outcome, now);
+        match outcome {
+            AttemptOutcome::Whole => {
+                flight.learn(Knowledge::Ran);
+                self.evidence(attempt, false);
+            }
+            AttemptOutcome::Failed => {
+                flight.learn(Knowledge::Ran);
+                self.evidence(attempt, true);
+            }
+            AttemptOutcome::Dropped => {
+                flight.learn(Knowledge::Ran);
+                flight.model_step = flight.route.models.len() - 1;
+            }
+            AttemptOutcome::Broken => {
+                flight.learn(Knowledge::MayHaveRun);
+                if !had_head {
+                    let suspects = self.suspects.entry(attempt.server.clone()).or_default();
+                    suspects.push((flight.fingerprint, now));
+                }
+            }
+            AttemptOutcome::Garbled | AttemptOutcome::Silent | AttemptOutcome::Cancelled => {
+                flight.learn(Knowledge::MayHaveRun);
+            }
+            AttemptOutcome::Unreachable => {
+                flight.tried.push(attempt.server.clone());
+                self.server_died(&attempt.server, now);
+            }
+            AttemptOutcome::Misdirected | AttemptOutcome::Full { .. } => {}
+        }
+    }
+
+    /// Whether a request that failed now would get another attempt.
+    #[must_use]
+    pub fn has_another_try(&self, flight: &Flight, now: Instant) -> bool {
+        let left = flight.deadline.saturating_duration_since(now);
+        flight.route.repeatability.may_run_again()
+            && flight.attempts < flight.route.max_attempts
+            && left >= LEAST_TIME_LEFT
+            && self.backends.is_served(&flight.service)
+    }
+
+    fn failed_head(
+        &mut self,
+        flight: &mut Flight,
+        attempt: &Attempt,
+        head: &AnswerHead,
+        now: Instant,
+    ) -> HeadVerdict {
+        let is_servers_fault = head.status >= 500;
+        let promises_no_run = matches!(head.status, 408 | 429 | 503);
+        if is_servers_fault && self.has_another_try(flight, now) {
+            return HeadVerdict::Drop(AttemptOutcome::Failed);
+        }
+        if promises_no_run {
+            // The server does not vouch that it did not run, so the status must not reach the caller.
+            return HeadVerdict::Drop(AttemptOutcome::Failed);
+        }
+        if is_servers_fault {
+            self.evidence(attempt, true);
+        }
+        flight.started = true;
+        HeadVerdict::Deliver
+    }
+
+    fn should_escalate(&mut self, flight: &Flight, head: &AnswerHead, now: Instant) -> bool {
+        let largest = flight.route.models.len().saturating_sub(1);
+        let is_weak =
+            head.confidence.is_some_and(|confidence| confidence < self.cfg.confidence_floor);
+        if flight.started || flight.model_step >= largest || !is_weak {
+            return false;
+        }
+        flight.attempts < flight.route.max_attempts
+            && flight.route.repeatability.may_run_again()
+            && self.retries.has_room(&flight.service, KEEP_FOR_RETRIES, now)
+    }
+
+    fn choose(&self, flight: &mut Flight, now: Instant) -> Result<Choice, NoServer> {
+        let model = flight.model().cloned();
+        let query = Query {
+            service: &flight.service,
+            versions: &flight.versions,
+            model: model.as_deref(),
+            parts: &flight.parts,
+            prompt_tokens: flight.prompt_tokens,
+            repeatable: flight.route.repeatability.may_run_again(),
+            avoid: &flight.tried,
+        };
+        match self.backends.choose(&query, now) {
+            Err(NoServer::AllBusy) if !flight.tried.is_empty() && query.repeatable => {
+                self.backends.choose(&Query { avoid: &[], ..query }, now)
+            }
+            Err(NoServer::Unserved) if matches!(query.versions, VersionFilter::Only(_)) => {
+                let choice =
+                    self.backends.choose(&Query { versions: &VersionFilter::Any, ..query }, now);
+                flight.versions = VersionFilter::Any;
+                choice
+            }
+            other => other,
+        }
+    }
+
+    fn attempt(&self, flight: &Flight, choice: &Choice, now: Instant) -> Option<Attempt> {
+        let listing = self.backends.listing(&choice.server)?;
+        let model = flight.model().cloned();
+        let is_engine = model.is_some();
+        let left = flight.deadline.saturating_duration_since(now);
+        let may_run_again = flight.route.repeatability.may_run_again();
+        let mut attempt = Attempt {
+            number: flight.attempts + 1,
+            server: choice.server.clone(),
+            generation: choice.generation,
+            service: flight.service.clone(),
+            version: listing.version.clone(),
+            address: listing.address,
+            deadline: flight.deadline,
+            head_timeout: left,
+            event_timeout: EVENT_TIMEOUT / 2,
+            priority: is_engine.then(|| priority(flight)),
+            resume_after: flight.last_event,
+            fresh_connection: !may_run_again,
+            unread_tokens: choice.unread_tokens,
+            cost_ms: choice.cost_ms,
+            model,
+        };
+        let has_spare_try = flight.attempts + 1 < flight.route.max_attempts;
+        if may_run_again && has_spare_try {
+            attempt.head_timeout = self.head_timeout(&attempt, is_engine).min(left);
+        }
+        Some(attempt)
+    }
+
+    fn head_timeout(&self, attempt: &Attempt, is_engine: bool) -> Duration {
+        let mean = self.backends.mean_first_byte(&attempt.service, attempt.model.as_deref());
+        let (least, most) = if is_engine { ENGINE_HEAD_TIMEOUT } else { SERVICE_HEAD_TIMEOUT };
+        let expected = mean.unwrap_or(1.0) * attempt.work() * HEAD_MEANS;
+        Duration::from_secs_f64(expected / 1_000.0).clamp(least, most)
+    }
+
+    fn wait_or_refuse(&self, flight: &mut Flight, reason: NoServer, now: Instant) -> Step {
+        let since = *flight.waiting_since.get_or_insert(now);
+        let target = flight.route.latency_target.unwrap_or(WAIT_MAX);
+        let longest = target.mul_f64(WAIT_SHARE).min(WAIT_MAX);
+        let until = now + WAIT_STEP;
+        if until <= since + longest && until < flight.deadline {
+            return Step::WaitUntil(until);
+        }
+        let kind = match reason {
+            NoServer::Unserved => ErrorKind::NoServer,
+            NoServer::AllBusy => ErrorKind::Overloaded,
+        };
+        Step::Refuse(self.refuse(flight, kind, now))
+    }
+
+    fn out_of_time(&self, flight: &Flight) -> Refusal {
+        match flight.knowledge {
+            Knowledge::NotRun => refusal_after(ErrorKind::DeadlineTooShort, flight),
+            _ => refusal_after(ErrorKind::DeadlineExceeded, flight),
+        }
+    }
+
+    /// No further attempt is allowed.
+    fn give_up(&self, flight: &Flight, now: Instant) -> Refusal {
+        let kind = match flight.knowledge {
+            Knowledge::NotRun => ErrorKind::Overloaded,
+            Knowledge::MayHaveRun => ErrorKind::OutcomeUnknown,
+            Knowledge::Ran => ErrorKind::BackendFailed,
+        };
+        self.refuse(flight, kind, now)
+    }
+
+    /// A refusal that is true for what is known of the request's runs.
+    fn refuse(&self, flight: &Flight, kind: ErrorKind, now: Instant) -> Refusal {
+        let left = flight.deadline.saturating_duration_since(now);
+        let may_promise =
+            flight.knowledge == Knowledge::NotRun || flight.route.repeatability.may_run_again();
+        let kind = match (may_promise, flight.knowledge) {
+            (true, _) => kind,
+            (false, Knowledge::Ran) => ErrorKind::BackendFailed,
+            (false, _) => ErrorKind::OutcomeUnknown,
+        };
+        let wait = left.mul_f64(RETURN_SHARE).clamp(RETURN_MIN, RETURN_MAX);
+        let mut refusal = refusal_after(kind, flight);
+        refusal.retry_after = (refusal.ran == Ran::NotRun).then_some(wait);
+        refusal
+    }
+
+    fn evidence(&mut self, attempt: &Attempt, is_bad: bool) {
+        let service = attempt.service.clone();
+        let version = attempt.version.clone();
+        let server = attempt.server.clone();
+        self.notes.push(Note::Evidence { service, version, server, is_bad });
+    }
+}
+
+fn priority(flight: &Flight) -> u8 {
+    let workspace = flight.workspace.as_ref().and_then(|workspace| workspace.priority);
+    workspace.unwrap_or(flight.route.priority).min(9)
+}
+
+fn refusal(kind: ErrorKind, retry_after: Option<Duration>) -> Refusal {
+    Refusal { kind, ran: kind.answer().ran, message: String::new(), retry_after }
+}
+
+/// A refusal that says of the run what is known of the flight.
+fn refusal_after(kind: ErrorKind, flight: &Flight) -> Refusal {
+    let ran = match flight.knowledge {
+        Knowledge::NotRun => Ran::NotRun,
+        Knowledge::MayHaveRun => Ran::Unknown,
+        Knowledge::Ran => Ran::Ran,
+    };
+    let message = match flight.route.repeatability {
+        Repeatability::AtMostOnce if ran != Ran::NotRun => "do not repeat it blindly".to_owned(),
+        _ => String::new(),
+    };
+    Refusal { kind, ran, message, retry_after: None }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -5,11 +5,14 @@
 //! code. Each mechanism has a module of its own and can be switched off in [`RouterConfig`], so that a measurement
 //! can show what it is worth.
 
+pub mod backends;
 mod budget;
 mod config;
 mod destination;
+pub mod dispatch;
 mod entry;
 pub mod event;
+pub mod flight;
 mod life;
 mod limit;
 mod orders;
@@ -17,12 +20,15 @@
 mod poison;
 mod quality;
 mod queue;
+pub mod retry_window;
 mod router;
+pub mod routes;
 mod sampling;
 mod servers;
 pub mod session;
 pub mod shared;
 mod stats;
+pub mod version_rule;
 
 pub use config::Mechanisms;
 pub use config::RouterConfig;
--- a/crates/server/src/attempt.rs
+++ b/crates/server/src/attempt.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use foxtailhoist_edge::AttemptOutput;
+use foxtailhoist_edge::AttemptRequest;
+use foxtailhoist_edge::AttemptStart;
 use foxtailhoist_host::event::AttemptEvent;
-use foxtailhoist_platform::AttemptOutput;
-use foxtailhoist_platform::AttemptRequest;
-use foxtailhoist_platform::AttemptStart;
 use foxtailhoist_route::event::AnswerSummary;
 use foxtailhoist_route::event::AttemptFailure;
 use foxtailhoist_route::event::Dispatch;
--- a/crates/server/src/chat.rs
+++ b/crates/server/src/chat.rs
@@ -3,11 +3,11 @@
 //! The body itself goes to the engine as it came. Tokens are estimated from its length: engines count them exactly
 //! and the bill uses their count, while the estimate only steers the choice of a server.
 
+use foxtailhoist_edge::CompletionRequest;
+use foxtailhoist_edge::Message;
 use foxtailhoist_model::ErrorKind;
 use foxtailhoist_model::PrefixHash;
 use foxtailhoist_model::Refusal;
-use foxtailhoist_platform::CompletionRequest;
-use foxtailhoist_platform::Message;
 use serde::Deserialize;
 
 /// Output tokens of a request that states no bound.
--- a/crates/server/src/edges.rs
+++ b/crates/server/src/edges.rs
@@ -3,17 +3,17 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use foxtailhoist_platform::BackendApi;
-use foxtailhoist_platform::ClientSettings;
-use foxtailhoist_platform::HostListApi;
-use foxtailhoist_platform::HttpBackend;
-use foxtailhoist_platform::HttpHostList;
-use foxtailhoist_platform::HttpObjectApi;
-use foxtailhoist_platform::HttpPeers;
-use foxtailhoist_platform::HttpRating;
-use foxtailhoist_platform::ObjectApi;
-use foxtailhoist_platform::PeerApi;
-use foxtailhoist_platform::RatingApi;
+use foxtailhoist_edge::BackendApi;
+use foxtailhoist_edge::ClientSettings;
+use foxtailhoist_edge::HostListApi;
+use foxtailhoist_edge::HttpBackend;
+use foxtailhoist_edge::HttpHostList;
+use foxtailhoist_edge::HttpObjectApi;
+use foxtailhoist_edge::HttpPeers;
+use foxtailhoist_edge::HttpRating;
+use foxtailhoist_edge::ObjectApi;
+use foxtailhoist_edge::PeerApi;
+use foxtailhoist_edge::RatingApi;
 
 /// The edges of the process.
 #[derive(Clone)]
--- a/crates/server/src/http/peers.rs
+++ b/crates/server/src/http/peers.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
+use foxtailhoist_edge::PEER_CONTENT_TYPE;
 use foxtailhoist_host::event::Event;
 use foxtailhoist_model::ErrorKind;
 use foxtailhoist_model::Refusal;
-use foxtailhoist_platform::PEER_CONTENT_TYPE;
 use salvo::handler;
 use salvo::prelude::Request;
 use salvo::prelude::Response;
--- a/crates/server/src/perform.rs
+++ b/crates/server/src/perform.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use foxtailhoist_edge::AttemptRequest;
 use foxtailhoist_host::event::CallId;
 use foxtailhoist_host::event::Effect;
 use foxtailhoist_host::event::Event;
@@ -15,7 +16,6 @@
 use foxtailhoist_model::Refusal;
 use foxtailhoist_model::RequestId;
 use foxtailhoist_model::StoreOp;
-use foxtailhoist_platform::AttemptRequest;
 use foxtailhoist_route::event::Completion;
 use foxtailhoist_route::event::Dispatch;
 use tokio::sync::watch;
--- a/crates/server/src/ratings.rs
+++ b/crates/server/src/ratings.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
+use foxtailhoist_edge::RatingRequest;
 use foxtailhoist_model::AttemptId;
 use foxtailhoist_model::RequestId;
-use foxtailhoist_platform::RatingRequest;
 use foxtailhoist_report::Labels;
 use foxtailhoist_route::event::Completion;
 
--- a/crates/server/src/shell.rs
+++ b/crates/server/src/shell.rs
@@ -14,6 +14,7 @@
 use std::time::Instant;
 use std::time::SystemTime;
 
+use foxtailhoist_edge::HostList;
 use foxtailhoist_host::EntryHost;
 use foxtailhoist_host::event::AttemptEvent;
 use foxtailhoist_host::event::CommandId;
@@ -32,7 +33,6 @@
 use foxtailhoist_model::RequestId;
 use foxtailhoist_model::WorkspaceId;
 use foxtailhoist_peers::event::Member;
-use foxtailhoist_platform::HostList;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -16,6 +16,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
+use foxtailhoist_edge::HostList;
 use foxtailhoist_model::BackendServer;
 use foxtailhoist_model::BackendServerId;
 use foxtailhoist_model::DataCentreId;
@@ -24,7 +25,6 @@
 use foxtailhoist_model::Presence;
 use foxtailhoist_model::Serves;
 use foxtailhoist_model::ServiceId;
-use foxtailhoist_platform::HostList;
 use serde::Deserialize;
 use serde::Serialize;
 
--- a/crates/standin/src/engine/answer.rs
+++ b/crates/standin/src/engine/answer.rs
@@ -3,10 +3,10 @@
 //! Everything follows from the seed, the version and the prompt, so that a resumed answer continues the same text, and
 //! answers of two versions to one prompt tend to fail together: some prompts are hard.
 
+use foxtailhoist_edge::CompletionRequest;
+use foxtailhoist_edge::CompletionUsage;
 use foxtailhoist_model::ModelVersion;
 use foxtailhoist_model::stable_hash;
-use foxtailhoist_platform::CompletionRequest;
-use foxtailhoist_platform::CompletionUsage;
 
 use super::spec::EngineFaults;
 use super::spec::EngineSpec;
--- a/crates/standin/src/engine/attempts.rs
+++ b/crates/standin/src/engine/attempts.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
+use foxtailhoist_edge::AttemptState;
+use foxtailhoist_edge::AttemptStatus;
 use foxtailhoist_model::AttemptId;
-use foxtailhoist_platform::AttemptState;
-use foxtailhoist_platform::AttemptStatus;
 
 /// Attempts remembered; the oldest goes first.
 const ATTEMPTS_LIMIT: usize = 8_192;
--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use foxtailhoist_edge::SharedPrefix;
 use foxtailhoist_model::BackendServerId;
 use foxtailhoist_model::CacheEvent;
 use foxtailhoist_model::PrefixHash;
 use foxtailhoist_model::stable_hash;
-use foxtailhoist_platform::SharedPrefix;
 
 use crate::draw::unit_interval;
 
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -25,7 +25,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use foxtailhoist_platform::headers;
+use foxtailhoist_edge::headers;
 use salvo::Depot;
 use salvo::FlowCtrl;
 use salvo::Handler;
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -5,12 +5,12 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use foxtailhoist_edge::AttemptState;
+use foxtailhoist_edge::EngineFeed;
+use foxtailhoist_edge::SharedPrefix;
 use foxtailhoist_model::AttemptId;
 use foxtailhoist_model::LoadReport;
 use foxtailhoist_model::ModelVersion;
-use foxtailhoist_platform::AttemptState;
-use foxtailhoist_platform::EngineFeed;
-use foxtailhoist_platform::SharedPrefix;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
--- a/crates/standin/src/host_list.rs
+++ b/crates/standin/src/host_list.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use foxtailhoist_edge::HostList;
 use foxtailhoist_model::ListedHost;
 use foxtailhoist_model::Presence;
-use foxtailhoist_platform::HostList;
 use salvo::Depot;
 use salvo::FlowCtrl;
 use salvo::Handler;
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -6,8 +6,8 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use foxtailhoist_edge::headers;
 use foxtailhoist_model::AttemptId;
-use foxtailhoist_platform::headers;
 use futures::StreamExt;
 use futures::stream;
 use futures::stream::BoxStream;
--- a/crates/standin/src/object_api.rs
+++ b/crates/standin/src/object_api.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use foxtailhoist_edge::ObjectPage;
 use foxtailhoist_model::Condition;
 use foxtailhoist_model::ObjectVersion;
 use foxtailhoist_model::StoreError;
@@ -14,7 +15,6 @@
 use foxtailhoist_model::StoreReply;
 use foxtailhoist_model::StoreResult;
 use foxtailhoist_objects::MemoryStore;
-use foxtailhoist_platform::ObjectPage;
 use reqwest::Url;
 use salvo::Depot;
 use salvo::FlowCtrl;
--- a/crates/standin/src/plain_service.rs
+++ b/crates/standin/src/plain_service.rs
@@ -10,7 +10,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use foxtailhoist_platform::headers;
+use foxtailhoist_edge::headers;
 use salvo::Depot;
 use salvo::FlowCtrl;
 use salvo::Handler;
--- a/crates/standin/src/rating.rs
+++ b/crates/standin/src/rating.rs
@@ -9,9 +9,9 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use foxtailhoist_edge::RatingRequest;
 use foxtailhoist_model::Rating;
 use foxtailhoist_model::stable_hash;
-use foxtailhoist_platform::RatingRequest;
 use salvo::Depot;
 use salvo::FlowCtrl;
 use salvo::Handler;
--- a/crates/standin/tests/backend_faults.rs
+++ b/crates/standin/tests/backend_faults.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use foxtailhoist_platform::BackendApi;
+use foxtailhoist_edge::BackendApi;
 use foxtailhoist_route::event::AttemptFailure;
 use foxtailhoist_standin::BadVersion;
 use foxtailhoist_standin::CRASH_TIME;
@@ -74,7 +74,7 @@
 }
 
 fn text(payload: &bytes::Bytes) -> String {
-    let chunk: foxtailhoist_platform::CompletionChunk = serde_json::from_slice(payload).unwrap();
+    let chunk: foxtailhoist_edge::CompletionChunk = serde_json::from_slice(payload).unwrap();
     chunk.choices[0].delta.text().to_owned()
 }
 
--- a/crates/standin/tests/engine_model.rs
+++ b/crates/standin/tests/engine_model.rs
@@ -4,13 +4,13 @@
 
 use std::time::Duration;
 
+use foxtailhoist_edge::BackendApi;
+use foxtailhoist_edge::PlatformError;
 use foxtailhoist_model::EngineOrder;
 use foxtailhoist_model::EngineRole;
 use foxtailhoist_model::ModelVersion;
 use foxtailhoist_model::OrderedState;
 use foxtailhoist_model::Priority;
-use foxtailhoist_platform::BackendApi;
-use foxtailhoist_platform::PlatformError;
 use foxtailhoist_route::event::AttemptFailure;
 use foxtailhoist_standin::EngineSpec;
 use rstest::rstest;
@@ -53,7 +53,7 @@
 }
 
 async fn engine_waiting(
-    backend: &foxtailhoist_platform::HttpBackend,
+    backend: &foxtailhoist_edge::HttpBackend,
     engine: &foxtailhoist_standin::EngineServer,
 ) -> u32 {
     let feed = backend.feed(engine.address(), 0).await.unwrap();
--- a/crates/standin/tests/platform_services.rs
+++ b/crates/standin/tests/platform_services.rs
@@ -4,6 +4,13 @@
 
 use std::net::SocketAddr;
 
+use foxtailhoist_edge::BackendApi;
+use foxtailhoist_edge::HostListApi;
+use foxtailhoist_edge::HttpHostList;
+use foxtailhoist_edge::HttpRating;
+use foxtailhoist_edge::PlatformError;
+use foxtailhoist_edge::RatingApi;
+use foxtailhoist_edge::RatingRequest;
 use foxtailhoist_model::DataCentreId;
 use foxtailhoist_model::EngineOrder;
 use foxtailhoist_model::EngineRole;
@@ -11,13 +18,6 @@
 use foxtailhoist_model::ModelVersion;
 use foxtailhoist_model::OrderedState;
 use foxtailhoist_model::Presence;
-use foxtailhoist_platform::BackendApi;
-use foxtailhoist_platform::HostListApi;
-use foxtailhoist_platform::HttpHostList;
-use foxtailhoist_platform::HttpRating;
-use foxtailhoist_platform::PlatformError;
-use foxtailhoist_platform::RatingApi;
-use foxtailhoist_platform::RatingRequest;
 use foxtailhoist_standin::Deployment;
 use foxtailhoist_standin::DeploymentSpec;
 use foxtailhoist_standin::HostListFaults;
--- a/crates/standin/tests/store_faults.rs
+++ b/crates/standin/tests/store_faults.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use foxtailhoist_edge::CallTotals;
+use foxtailhoist_edge::ClientSettings;
+use foxtailhoist_edge::HttpObjectApi;
+use foxtailhoist_edge::ObjectApi;
 use foxtailhoist_model::Condition;
 use foxtailhoist_model::StoreError;
 use foxtailhoist_model::StoreOp;
 use foxtailhoist_model::StoreReply;
-use foxtailhoist_platform::CallTotals;
-use foxtailhoist_platform::ClientSettings;
-use foxtailhoist_platform::HttpObjectApi;
-use foxtailhoist_platform::ObjectApi;
 use foxtailhoist_standin::ObjectApiFaults;
 use foxtailhoist_standin::ObjectApiServer;
 use foxtailhoist_standin::ObjectApiSpec;
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -8,13 +8,13 @@
 
 use bytes::Bytes;
 use foxtailhoist_dev::Fleet;
+use foxtailhoist_edge::AttemptOutput;
+use foxtailhoist_edge::AttemptRequest;
+use foxtailhoist_edge::AttemptStart;
+use foxtailhoist_edge::BackendApi;
+use foxtailhoist_edge::EngineFeed;
+use foxtailhoist_edge::PlatformError;
 use foxtailhoist_model::EngineOrder;
-use foxtailhoist_platform::AttemptOutput;
-use foxtailhoist_platform::AttemptRequest;
-use foxtailhoist_platform::AttemptStart;
-use foxtailhoist_platform::BackendApi;
-use foxtailhoist_platform::EngineFeed;
-use foxtailhoist_platform::PlatformError;
 use foxtailhoist_route::event::AttemptFailure;
 use foxtailhoist_standin::EngineFaults;
 use futures::StreamExt;
@@ -217,7 +217,7 @@
     const REQUESTS: u64 = 12;
     let fleet = fleet(1).await;
     let system = "You help bakers with their starters. ".repeat(200);
-    let prefix_tokens = u64::from(foxtailhoist_platform::estimated_tokens(&system));
+    let prefix_tokens = u64::from(foxtailhoist_edge::estimated_tokens(&system));
     for index in 0..REQUESTS {
         let body = serde_json::json!({
             "model": "levain-large",
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -8,8 +8,8 @@
 
 use foxtailhoist_dev::Fleet;
 use foxtailhoist_dev::FleetOptions;
-use foxtailhoist_platform::ClientSettings;
-use foxtailhoist_platform::ClientSettingsBuilder;
+use foxtailhoist_edge::ClientSettings;
+use foxtailhoist_edge::ClientSettingsBuilder;
 use foxtailhoist_standin::DeploymentSpec;
 use foxtailhoist_standin::EngineFaults;
 use reqwest::RequestBuilder;
