--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -248,7 +248,7 @@
         };
         let patience = [arrival.patience, route.timeout].into_iter().flatten().min();
         let deadline = now + patience.unwrap_or(DEFAULT_PATIENCE);
-        let session = arrival.parts.last().map(|part| part.id);
+        let session = arrival.session;
         let rule = self.rules.get(&service).unwrap_or(&VersionRule::Any);
         let versions = self.sessions.filter(rule, &service, session.unwrap_or(point), now);
         Ok(Flight {
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -41,6 +41,10 @@
     pub parts: Vec<PromptPart>,
     pub prompt_tokens: u64,
     pub max_output_tokens: u64,
+    /// The caller's guess of the output; right at the median, often far off.
+    pub likely_output_tokens: Option<u64>,
+    /// Stable hash of the session, where the caller names one.
+    pub session: Option<u64>,
     /// Last event that the caller has, where it resumes a stream.
     pub last_event: Option<u64>,
     /// Stable hash of workspace, path and body.
