Refuse streams on a stopping host that it could not finish

Cause: with half of a data centre's hosts being replaced the balancer goes on sending new connections to hosts that are not ready; a stream taken late in the grace was cut.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,6 +24,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use foxtailhoist_route::dispatch::DispatchConfig;
 use foxtailhoist_route::dispatch::Dispatcher;
@@ -110,6 +111,7 @@
         core.stopping.set(true);
         core.log.write(&LogEvent::Stopping);
         let grace = core.cfg.grace.saturating_sub(STOP_MARGIN);
+        core.dispatcher.borrow_mut().stop(Instant::now() + grace);
         let finish = async {
             tokio::time::sleep(STOP_LINGER.min(grace)).await;
             core.closing.notify_waiters();
--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -47,6 +47,8 @@
 const WAIT_MAX: Duration = Duration::from_millis(300);
 /// Pause between two looks for a free server.
 const WAIT_STEP: Duration = Duration::from_millis(40);
+/// Time that a stream is expected to take: a host that stops before admits no new one.
+const STREAM_TIME: Duration = Duration::from_secs(5);
 /// Shortest time left in which another attempt is still made.
 const LEAST_TIME_LEFT: Duration = Duration::from_millis(20);
 /// Wait for the head of an idempotent answer, as a multiple of the mean time.
@@ -92,6 +94,8 @@
     /// Contents whose connections to a server broke, until its death is seen.
     suspects: BTreeMap<String, Vec<(Fingerprint, Instant)>>,
     notes: Vec<Note>,
+    /// When the process ends, once it was asked to stop.
+    ends_at: Option<Instant>,
 }
 
 /// What the shell does next for a request.
@@ -161,9 +165,15 @@
             poison: Poison::default(),
             suspects: BTreeMap::new(),
             notes: Vec::new(),
+            ends_at: None,
         }
     }
 
+    /// The process was asked to stop and ends then.
+    pub fn stop(&mut self, ends_at: Instant) {
+        self.ends_at = Some(ends_at);
+    }
+
     /// Takes a routing table into force; an older one than that in force is ignored.
     pub fn configure(&mut self, table: Arc<RoutingTable>) -> bool {
         let is_newer = self.table.as_ref().is_none_or(|present| present.version < table.version);
@@ -248,6 +258,11 @@
         };
         let patience = [arrival.patience, route.timeout].into_iter().flatten().min();
         let deadline = now + patience.unwrap_or(DEFAULT_PATIENCE);
+        let expected_end =
+            if route.repeatability.is_stream() { now + STREAM_TIME } else { deadline };
+        if self.ends_at.is_some_and(|ends_at| ends_at < expected_end) {
+            return Err(refusal(ErrorKind::Stopping, Some(RETURN_MIN)));
+        }
         let session = arrival.session;
         let rule = self.rules.get(&service).unwrap_or(&VersionRule::Any);
         let versions = self.sessions.filter(rule, &service, session.unwrap_or(point), now);
