--- a/crates/relay/src/duties.rs
+++ b/crates/relay/src/duties.rs
@@ -33,7 +33,7 @@
 const SUSPECTS_MAX: usize = 64;
 /// Pause between two reports of suspects.
 const SUSPECT_PAUSE: Duration = Duration::from_millis(250);
-const SPREAD_SEED: u64 = 0x73_70_72_64;
+const SPREAD_SEED: u64 = 0x7370_7264;
 
 /// Reports under way, with the time at which each may be made again.
 type Reports = BTreeMap<(ServiceId, u64), Instant>;
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -154,10 +154,10 @@
             let mut dispatcher = core.dispatcher.borrow_mut();
             if dispatcher.configure(Arc::from(table)) {
                 core.log.write(&LogEvent::Configured { version, routes });
-            } else if let Some(in_force) = dispatcher.table().map(|table| table.version) {
-                if in_force > version {
-                    core.log.write(&LogEvent::ConfigurationIgnored { version, in_force });
-                }
+            } else if let Some(in_force) =
+                dispatcher.table().map(|table| table.version).filter(|present| *present > version)
+            {
+                core.log.write(&LogEvent::ConfigurationIgnored { version, in_force });
             }
         }
         Content::Server(listing) => {
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -24,7 +24,7 @@
 const BURST: f64 = 400.0;
 /// One in so many requests without any incident is logged.
 const CALM_SAMPLE: u64 = 8;
-const SAMPLE_SEED: u64 = 0x6c_6f_67;
+const SAMPLE_SEED: u64 = 0x006c_6f67;
 
 /// One line.
 #[derive(Debug)]
@@ -174,7 +174,8 @@
         match self {
             LogEvent::Answered { flight, status, .. } => {
                 let is_calm = flight.attempts <= 1 && *status < 400;
-                !is_calm || stable_hash(SAMPLE_SEED, &[flight.id.as_bytes()]) % CALM_SAMPLE == 0
+                !is_calm
+                    || stable_hash(SAMPLE_SEED, &[flight.id.as_bytes()]).is_multiple_of(CALM_SAMPLE)
             }
             _ => true,
         }
--- a/crates/relay/src/running.rs
+++ b/crates/relay/src/running.rs
@@ -83,11 +83,6 @@
         })
     }
 
-    /// The attempt under way.
-    pub(crate) fn attempt(&self) -> Option<&Attempt> {
-        self.under_way.as_ref().map(|under_way| &*under_way.attempt)
-    }
-
     /// Ends the attempt under way.
     pub(crate) fn ended(&mut self, outcome: AttemptOutcome, reason: &str) {
         let Some(under_way) = self.under_way.take() else {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -35,7 +35,7 @@
 
 /// Longest time for a request's body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-const FINGERPRINT_SEED: u64 = 0x62_6f_64_79;
+const FINGERPRINT_SEED: u64 = 0x626f_6479;
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [&str; 9] = [
     "connection",
--- /dev/null
+++ b/crates/rollout/tests/shift.rs
@@ -0,0 +1,126 @@
+//! A shift of traffic: its timetable, its judge, its reports, and a host that starts in the middle.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use foxtailhoist_rollout::shift::Shift;
+use foxtailhoist_rollout::shift::ShiftOrder;
+use foxtailhoist_rollout::shift::ShiftPhase;
+use foxtailhoist_rollout::shift::ShiftRule;
+use rstest::rstest;
+
+const NOW_MS: u64 = 1_000_000_000;
+/// Share of a service's requests that operators let a bad version have.
+const EXPOSURE_LIMIT: f64 = 0.12;
+
+#[test]
+fn the_trial_stays_below_the_exposure_limit_and_the_whole_follows() {
+    let start = Instant::now();
+    let shift = Shift::new(order(24), start, NOW_MS);
+    let share = |seconds| match shift.rule(start + Duration::from_secs(seconds)) {
+        ShiftRule::Share { share, is_trial, .. } => (share, is_trial),
+        ShiftRule::Only(_) => (1.0, false),
+        ShiftRule::Except(_) => (0.0, false),
+    };
+    for seconds in 0..12 {
+        let (share, is_trial) = share(seconds);
+        assert!(is_trial && share <= EXPOSURE_LIMIT, "share {share} at {seconds} s");
+    }
+    assert!(share(13).0 < 1.0);
+    assert_eq!(share(18), (1.0, false));
+}
+
+#[test]
+fn reports_follow_the_timetable() {
+    let start = Instant::now();
+    let mut shift = Shift::new(order(20), start, NOW_MS);
+    let first = shift.due_report(true, start, NOW_MS).expect("due at once");
+    assert_eq!((first.phase, first.revision), (ShiftPhase::InProgress, 5));
+    shift.update(ShiftOrder {
+        phase: Some(ShiftPhase::InProgress),
+        started_ms: Some(NOW_MS),
+        revision: 6,
+        ..order(20)
+    });
+    let half = start + Duration::from_secs(10);
+    assert_eq!(shift.due_report(true, half, NOW_MS + 10_000), None);
+    let late = start + Duration::from_secs(17);
+    let done = shift.due_report(true, late, NOW_MS + 17_000).expect("due");
+    assert_eq!((done.phase, done.revision, done.started_ms), (ShiftPhase::Completed, 6, NOW_MS));
+    // Without servers of the target the old ones must not be stopped.
+    assert_eq!(shift.due_report(false, late, NOW_MS + 17_000), None);
+}
+
+#[rstest]
+#[case::half_fail(2)]
+#[case::a_third_fails(3)]
+fn a_bad_version_is_withdrawn_after_few_answers(#[case] every: u64) {
+    let mut shift = Shift::new(order(24), Instant::now(), NOW_MS);
+    for _ in 0..100 {
+        shift.observe("v1", &"old".to_owned(), false);
+    }
+    let mut answers = 0;
+    while !matches!(shift.rule(Instant::now()), ShiftRule::Except(_)) {
+        answers += 1;
+        assert!(answers <= 50, "still in use after {answers} answers");
+        let server = format!("new-{}", answers % 4);
+        shift.observe("v2", &server, answers % every == 0);
+    }
+    let report = shift.due_report(true, Instant::now(), NOW_MS).expect("due");
+    assert_eq!(report.phase, ShiftPhase::RolledBack);
+}
+
+#[test]
+fn one_failing_server_does_not_condemn_its_version() {
+    let mut shift = Shift::new(order(24), Instant::now(), NOW_MS);
+    for _ in 0..40 {
+        shift.observe("v1", &"old".to_owned(), false);
+        shift.observe("v2", &"new-1".to_owned(), true);
+        shift.observe("v2", &"new-2".to_owned(), false);
+    }
+    assert!(!matches!(shift.rule(Instant::now()), ShiftRule::Except(_)));
+}
+
+#[test]
+fn failures_that_the_old_version_has_too_condemn_nothing() {
+    let mut shift = Shift::new(order(24), Instant::now(), NOW_MS);
+    for number in 0..300 {
+        let is_bad = number % 5 == 0;
+        shift.observe("v1", &"old".to_owned(), is_bad);
+        shift.observe("v2", &format!("new-{}", number % 3), is_bad);
+    }
+    assert!(!matches!(shift.rule(Instant::now()), ShiftRule::Except(_)));
+}
+
+#[test]
+fn a_host_that_starts_in_the_middle_goes_on_from_the_store() {
+    let start = Instant::now();
+    let running =
+        ShiftOrder { phase: Some(ShiftPhase::InProgress), started_ms: Some(NOW_MS), ..order(20) };
+    let shift = Shift::new(running, start, NOW_MS + 17_000);
+    assert_eq!(shift.rule(start), ShiftRule::Only("v2".to_owned()));
+    assert!(shift.due_report(true, start, NOW_MS + 17_000).is_some());
+    let ended = ShiftOrder { phase: Some(ShiftPhase::RolledBack), ..order(20) };
+    let shift = Shift::new(ended, start, NOW_MS);
+    assert_eq!(shift.rule(start), ShiftRule::Except("v2".to_owned()));
+    assert_eq!(shift.due_report(true, start, NOW_MS), None);
+}
+
+#[test]
+fn the_same_target_ordered_again_begins_anew() {
+    let ended = ShiftOrder { phase: Some(ShiftPhase::RolledBack), ..order(20) };
+    let shift = Shift::new(ended, Instant::now(), NOW_MS);
+    assert!(!shift.is_same(&order(20)));
+    assert!(!shift.is_same(&ShiftOrder { target: "v3".to_owned(), ..order(20) }));
+}
+
+fn order(seconds: u64) -> ShiftOrder {
+    ShiftOrder {
+        service: "llm".to_owned(),
+        target: "v2".to_owned(),
+        duration: Duration::from_secs(seconds),
+        phase: None,
+        started_ms: None,
+        revision: 5,
+    }
+}
--- a/crates/route/src/backends/choose.rs
+++ b/crates/route/src/backends/choose.rs
@@ -38,7 +38,7 @@
 const WARM_UP_MS: f64 = 100.0;
 /// Mean time of a request of a plain service, before any was seen.
 const SERVICE_MS: f64 = 30.0;
-const HASH_SEED: u64 = 0x70_61_72_74;
+const HASH_SEED: u64 = 0x7061_7274;
 
 /// What a request needs of a server.
 #[derive(Clone, Copy, Debug)]
--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -68,7 +68,7 @@
 const RETURN_SHARE: f64 = 0.1;
 const RETURN_MIN: Duration = Duration::from_millis(60);
 const RETURN_MAX: Duration = Duration::from_millis(1_500);
-const CHOICE_SEED: u64 = 0x64_69_73_70;
+const CHOICE_SEED: u64 = 0x6469_7370;
 
 /// Settings of a dispatcher.
 #[derive(Clone, Debug)]
--- a/crates/route/src/version_rule.rs
+++ b/crates/route/src/version_rule.rs
@@ -16,7 +16,7 @@
 
 /// Sessions that are remembered; the one that ran longest ago is forgotten first.
 const MAX_SESSIONS: usize = 4_096;
-const SHARE_SEED: u64 = 0x73_68_61_72;
+const SHARE_SEED: u64 = 0x7368_6172;
 
 /// Rule for the versions of one service.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/crates/route/tests/dispatch_admission.rs
+++ b/crates/route/tests/dispatch_admission.rs
@@ -90,8 +90,7 @@
         new.version = "v2".to_owned();
         bed.list(new);
     }
-    let trial =
-        VersionRule::Shift { target: "v2".to_owned(), share: 0.1, is_trial: true };
+    let trial = VersionRule::Shift { target: "v2".to_owned(), share: 0.1, is_trial: true };
     bed.dispatcher.set_rule("llm".to_owned(), VersionRule::Except("v2".to_owned()));
     // Sessions that run on the old version before the trial stay there.
     let before: Vec<u64> = (0..300).collect();
--- a/crates/route/tests/dispatch_attempts.rs
+++ b/crates/route/tests/dispatch_attempts.rs
@@ -61,10 +61,7 @@
     let mut flight = bed.flight("/renew/1");
     let attempt = bed.send(&mut flight);
     let head = AnswerHead { status: 503, is_own: true, ..AnswerHead::default() };
-    assert_eq!(
-        bed.head(&mut flight, &attempt, head),
-        HeadVerdict::Drop(AttemptOutcome::Failed)
-    );
+    assert_eq!(bed.head(&mut flight, &attempt, head), HeadVerdict::Drop(AttemptOutcome::Failed));
     bed.end(&mut flight, &attempt, AttemptOutcome::Failed);
     assert_eq!(bed.refusal(&mut flight).ran, Ran::Ran);
 }
--- a/crates/route/tests/fleet/mod.rs
+++ b/crates/route/tests/fleet/mod.rs
@@ -61,7 +61,12 @@
 pub fn config() -> DispatchConfig {
     DispatchConfig {
         data_centre: OWN.to_owned(),
-        retries: RetryLimit { ratio: 0.8, slack: 50.0, window: Duration::from_secs(10), host_share: 0.2 },
+        retries: RetryLimit {
+            ratio: 0.8,
+            slack: 50.0,
+            window: Duration::from_secs(10),
+            host_share: 0.2,
+        },
         session_gap: Duration::from_secs(5),
         confidence_floor: 50,
     }
@@ -143,7 +148,11 @@
             path: path.to_owned(),
             key: Some(KEY.to_owned()),
             patience: Some(Duration::from_secs(20)),
-            parts: if is_chat { vec![PromptPart { id: 7, tokens: 4_000 }, own_part] } else { Vec::new() },
+            parts: if is_chat {
+                vec![PromptPart { id: 7, tokens: 4_000 }, own_part]
+            } else {
+                Vec::new()
+            },
             prompt_tokens: if is_chat { 4_500 } else { 0 },
             max_output_tokens: 300,
             fingerprint: self.next_id,
@@ -183,7 +192,12 @@
         }
     }
 
-    pub fn head(&mut self, flight: &mut Flight, attempt: &Attempt, head: AnswerHead) -> HeadVerdict {
+    pub fn head(
+        &mut self,
+        flight: &mut Flight,
+        attempt: &Attempt,
+        head: AnswerHead,
+    ) -> HeadVerdict {
         self.dispatcher.head(flight, attempt, &head, millis(50), self.now)
     }
 
