Shift sessions in the second half of a roll-out; never end the last attempt for silence

Cause of PINNED on the grown Foerbundet: sessions are served by several hosts at once, so a host's own memory of a session's version disagreed with its neighbours'. Now the version follows from the session's hash and the timetable alone, and no session moves before the second half. Cause of LOST on both grown sites: a stream's last attempt was ended after a silence although nothing could follow it. Tests: dispatch_admission, silence_ends_a_stream_only_while_another_attempt_is_left.

With it: shared parts of prompts are looked for over all data centres where reading them again costs more than the way; confidence floors by the route's priority.

--- a/crates/relay/src/running.rs
+++ b/crates/relay/src/running.rs
@@ -79,7 +79,7 @@
     pub(crate) fn is_stalled(&self, since: Instant) -> bool {
         let dispatcher = self.core.dispatcher.borrow();
         self.under_way.as_ref().is_some_and(|under_way| {
-            dispatcher.is_stalled(&under_way.attempt, since, Instant::now())
+            dispatcher.is_stalled(&self.flight, &under_way.attempt, since, Instant::now())
         })
     }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -106,7 +106,7 @@
             Err(_) if Instant::now() >= running.flight.deadline => {
                 return Pumped::Failed(AttemptOutcome::Cancelled, "deadline".to_owned());
             }
-            Err(_) if running.is_stalled(last_event) && running.flight.may_be_sent() => {
+            Err(_) if running.is_stalled(last_event) => {
                 return Pumped::Failed(AttemptOutcome::Silent, "no event in time".to_owned());
             }
             Err(_) => continue,
--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -1,7 +1,7 @@
 //! Shift of a service's traffic to a new version, against a deadline and without talk between hosts.
 //!
-//! The operators order a shift; every host follows the same timetable from the order's start: a trial on a small share,
-//! a partial step, everything, and the report that it is done. Each host judges the version on its own answers; the
+//! The operators order a shift; every host follows the same timetable from the order's start: a trial without
+//! sessions, growing shares, everything, and the report that it is done. Each host judges the version on its own answers; the
 //! first that finds it bad withdraws it for all. The order and its outcome are in the store, so a host that starts in
 //! the middle goes on from there.
 
@@ -16,14 +16,13 @@
 use crate::judge::sequential::Count;
 use crate::judge::sequential::MixtureTest;
 
-/// Share of the sessions in the trial; well below any exposure limit that operators set.
-const TRIAL_SHARE: f64 = 0.08;
-/// Share in the step between the trial and the whole.
-const STEP_SHARE: f64 = 0.35;
-/// Parts of the ordered duration at which the trial ends, everything is shifted and the shift is reported done.
-const TRIAL_END: f64 = 0.52;
-const STEP_END: f64 = 0.62;
-const REPORT_AT: f64 = 0.82;
+/// Steps of a shift: from this part of the ordered duration on, this share of the sessions. Up to the first step only
+/// requests without a session take part.
+const STEPS: [(f64, f64); 4] = [(0.52, 0.06), (0.59, 0.2), (0.66, 0.45), (0.72, 1.0)];
+/// Share of the requests without a session that take part before the first step.
+const TRIAL_SHARE: f64 = 0.06;
+/// Part of the ordered duration at which the shift is reported done, so that what runs on the old version can end.
+const REPORT_AT: f64 = 0.86;
 /// Logarithm of the odds against the version at which it is withdrawn: one false alarm in a hundred.
 const WITHDRAW_EVIDENCE: f64 = 4.6;
 /// Bad answers and servers that gave them before a version is withdrawn.
@@ -160,12 +159,10 @@
             return ShiftRule::Except(target);
         }
         let part = self.part(now);
-        if part < TRIAL_END {
-            ShiftRule::Share { target, share: TRIAL_SHARE, is_trial: true }
-        } else if part < STEP_END {
-            ShiftRule::Share { target, share: STEP_SHARE, is_trial: false }
-        } else {
-            ShiftRule::Only(target)
+        match STEPS.iter().rev().find(|(begin, _)| part >= *begin) {
+            None => ShiftRule::Share { target, share: TRIAL_SHARE, is_trial: true },
+            Some((_, share)) if *share >= 1.0 => ShiftRule::Only(target),
+            Some((_, share)) => ShiftRule::Share { target, share: *share, is_trial: false },
         }
     }
 
--- a/crates/route/src/backends/choose.rs
+++ b/crates/route/src/backends/choose.rs
@@ -142,7 +142,7 @@
         let failure = server.health.failure_share(now) - least_failing;
         let weight = if query.repeatable { REPEATABLE_FAILURE_MS } else { FINAL_FAILURE_MS };
         cost_ms += failure * weight;
-        if server.health.is_doubtful() {
+        if server.health.is_doubtful(now) {
             cost_ms += DOUBT_MS;
         }
         if now < server.warm_at {
@@ -173,12 +173,15 @@
     parts[..shared].iter().map(|part| part.tokens).sum()
 }
 
-/// The near server that rendezvous hashing names for the last shared part.
+/// The server that rendezvous hashing names for the last shared part: among all where reading the shared parts again
+/// takes longer than the way to another data centre, else among the near ones.
 fn favourite<'a>(candidates: &[&'a Server], query: &Query<'_>, own: &str) -> Option<&'a str> {
     query.model?;
     let shared = query.parts.len().checked_sub(2)?;
     let part = query.parts[shared].id.to_be_bytes();
     let score = |server: &Server| stable_hash(HASH_SEED, &[&part, server.listing.id.as_bytes()]);
-    let near = candidates.iter().filter(|server| server.listing.data_centre == own);
-    near.max_by_key(|server| score(server)).map(|server| server.listing.id.as_str())
+    let goes_far = shared_tokens(query.parts) as f64 / PREFILL_TOKENS_PER_MS > ENGINE_DISTANCE_MS;
+    let within_reach =
+        candidates.iter().filter(|server| goes_far || server.listing.data_centre == own);
+    within_reach.max_by_key(|server| score(server)).map(|server| server.listing.id.as_str())
 }
--- a/crates/route/src/backends/health.rs
+++ b/crates/route/src/backends/health.rs
@@ -9,6 +9,8 @@
 const PAUSE_BASE: Duration = Duration::from_millis(300);
 /// Longest pause: well within the time in which a restarted server is listed again.
 const PAUSE_MAX: Duration = Duration::from_millis(2_400);
+/// Time after a pause in which a server is still avoided where others can do the work.
+const DOUBT: Duration = Duration::from_secs(4);
 /// Time in which half of what was seen is forgotten.
 const HALF_LIFE: Duration = Duration::from_secs(4);
 /// Successes that an unknown server is credited with, so that one failure does not condemn it.
@@ -64,8 +66,8 @@
     }
 
     /// Whether the server failed lately and has not succeeded since.
-    pub(crate) fn is_doubtful(&self) -> bool {
-        self.pause.is_some()
+    pub(crate) fn is_doubtful(&self, now: Instant) -> bool {
+        self.pause.is_some_and(|pause| now < pause.until + DOUBT)
     }
 
     /// Takes in how long a piece of work took beside the service's mean.
--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -36,7 +36,6 @@
 use crate::routes::Identity;
 use crate::routes::Repeatability;
 use crate::routes::RoutingTable;
-use crate::version_rule::SessionVersions;
 use crate::version_rule::VersionRule;
 
 /// Time that a caller without a deadline on a route without a time-out is given.
@@ -75,10 +74,9 @@
 pub struct DispatchConfig {
     pub data_centre: DataCentreId,
     pub retries: RetryLimit,
-    /// Time in which requests of one session belong together.
-    pub session_gap: Duration,
-    /// An answer of a small model below this confidence, from 0 to 100, is replaced by a larger model's.
-    pub confidence_floor: u8,
+    /// An answer of a small model below this confidence, from 0 to 100, is replaced by a larger model's; by the route's
+    /// priority, the last for all less urgent ones. Empty lets every answer pass.
+    pub confidence_floors: Vec<u8>,
 }
 
 /// Decides for each request of one entry host.
@@ -89,7 +87,6 @@
     backends: Backends,
     retries: RetryWindows,
     rules: BTreeMap<ServiceId, VersionRule>,
-    sessions: SessionVersions,
     poison: Poison,
     /// Contents whose connections to a server broke, until its death is seen.
     suspects: BTreeMap<String, Vec<(Fingerprint, Instant)>>,
@@ -158,7 +155,6 @@
         Dispatcher {
             backends: Backends::new(cfg.data_centre.clone()),
             retries: RetryWindows::new(cfg.retries),
-            sessions: SessionVersions::new(cfg.session_gap),
             cfg,
             table: None,
             rules: BTreeMap::new(),
@@ -263,9 +259,8 @@
         if self.ends_at.is_some_and(|ends_at| ends_at < expected_end) {
             return Err(refusal(ErrorKind::Stopping, Some(RETURN_MIN)));
         }
-        let session = arrival.session;
         let rule = self.rules.get(&service).unwrap_or(&VersionRule::Any);
-        let versions = self.sessions.filter(rule, &service, session.unwrap_or(point), now);
+        let versions = rule.filter(arrival.session, point);
         Ok(Flight {
             id: arrival.id,
             route: route.clone(),
@@ -280,7 +275,6 @@
             requested_model: arrival.model,
             model_step: 0,
             versions,
-            session,
             fingerprint: arrival.fingerprint,
             tried: Vec::new(),
             counted: false,
@@ -318,9 +312,6 @@
             return Step::Refuse(self.give_up(flight, now));
         };
         self.backends.begin(&attempt);
-        if let Some(session) = flight.session {
-            self.sessions.ran(&flight.service, session, &attempt.version, now);
-        }
         Step::Send(Box::new(attempt))
     }
 
@@ -365,9 +356,19 @@
         self.backends.progressed(attempt, gap, now);
     }
 
-    /// Whether a stream without an event since `since` should be given up.
+    /// Whether a stream without an event since `since` should be given up for another attempt; the last attempt never
+    /// is, since a silent server may still go on.
     #[must_use]
-    pub fn is_stalled(&self, attempt: &Attempt, since: Instant, now: Instant) -> bool {
+    pub fn is_stalled(
+        &self,
+        flight: &Flight,
+        attempt: &Attempt,
+        since: Instant,
+        now: Instant,
+    ) -> bool {
+        if !self.has_another_try(flight, now) {
+            return false;
+        }
         let silence = now.saturating_duration_since(since);
         let server_silence = self
             .backends
@@ -452,8 +453,9 @@
 
     fn should_escalate(&mut self, flight: &Flight, head: &AnswerHead, now: Instant) -> bool {
         let largest = flight.route.models.len().saturating_sub(1);
-        let is_weak =
-            head.confidence.is_some_and(|confidence| confidence < self.cfg.confidence_floor);
+        let floors = &self.cfg.confidence_floors;
+        let floor = floors.get(usize::from(flight.route.priority)).or(floors.last());
+        let is_weak = floor.is_some_and(|floor| head.confidence.is_some_and(|own| own < *floor));
         if flight.started || flight.model_step >= largest || !is_weak {
             return false;
         }
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -137,7 +137,6 @@
     /// Index into the route's models.
     pub(crate) model_step: usize,
     pub(crate) versions: VersionFilter,
-    pub(crate) session: Option<u64>,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) tried: Vec<BackendServerId>,
     pub(crate) counted: bool,
--- a/crates/route/src/version_rule.rs
+++ b/crates/route/src/version_rule.rs
@@ -1,21 +1,15 @@
 //! Which versions of a service a request may run on while traffic shifts from one to another.
 //!
-//! A request belongs to the new version if the hash of its session lies below the share, so all hosts agree without
-//! talking and a growing share moves each session once. A session that ran lately keeps its version: on the new one
-//! until the shift is withdrawn, on the old one while the shift is in its trial.
+//! A request belongs to the new version if the hash of its session lies below the share. All hosts agree on that without
+//! talking, and a growing share moves each session once. While the shift is in its trial, sessions stay where they are
+//! and only requests without one take part: sessions are served by many hosts at once, so none of these knows whether
+//! one is new.
 
-use std::collections::BTreeMap;
-use std::time::Duration;
-use std::time::Instant;
-
-use foxtailhoist_model::ServiceId;
 use foxtailhoist_model::VersionId;
 use foxtailhoist_model::stable_hash;
 
 use crate::backends::choose::VersionFilter;
 
-/// Sessions that are remembered; the one that ran longest ago is forgotten first.
-const MAX_SESSIONS: usize = 4_096;
 const SHARE_SEED: u64 = 0x7368_6172;
 
 /// Rule for the versions of one service.
@@ -27,47 +21,26 @@
     Except(VersionId),
     /// Only this one.
     Only(VersionId),
-    /// A share of the sessions goes to a new version.
+    /// A share of the requests goes to a new version.
     Shift {
         target: VersionId,
         /// From 0 to 1.
         share: f64,
-        /// Sessions on the old version stay there.
+        /// Sessions stay on the old version.
         is_trial: bool,
     },
 }
 
-/// Versions that sessions ran on lately.
-#[derive(Debug)]
-pub(crate) struct SessionVersions {
-    gap: Duration,
-    sessions: BTreeMap<(ServiceId, u64), (VersionId, Instant)>,
-}
-
-impl SessionVersions {
-    pub(crate) fn new(gap: Duration) -> SessionVersions {
-        SessionVersions { gap, sessions: BTreeMap::new() }
-    }
-
-    /// The versions that a session's request may run on.
-    pub(crate) fn filter(
-        &self,
-        rule: &VersionRule,
-        service: &ServiceId,
-        session: u64,
-        now: Instant,
-    ) -> VersionFilter {
-        match rule {
+impl VersionRule {
+    /// The versions that a request may run on; `point` stands for a request without a session and is spread evenly.
+    pub(crate) fn filter(&self, session: Option<u64>, point: u64) -> VersionFilter {
+        match self {
             VersionRule::Any => VersionFilter::Any,
             VersionRule::Except(version) => VersionFilter::Except(version.clone()),
             VersionRule::Only(version) => VersionFilter::Only(version.clone()),
             VersionRule::Shift { target, share, is_trial } => {
-                let on_target = match self.recent(service, session, now) {
-                    Some(version) if version == target => true,
-                    Some(_) if *is_trial => false,
-                    _ => fraction(target, session) < *share,
-                };
-                if on_target {
+                let stays = *is_trial && session.is_some();
+                if !stays && fraction(target, session.unwrap_or(point)) < *share {
                     VersionFilter::Only(target.clone())
                 } else {
                     VersionFilter::Except(target.clone())
@@ -75,24 +48,6 @@
             }
         }
     }
-
-    /// Records the version that a session's request runs on.
-    pub(crate) fn ran(&mut self, service: &ServiceId, session: u64, version: &str, now: Instant) {
-        let key = (service.clone(), session);
-        if self.sessions.len() >= MAX_SESSIONS && !self.sessions.contains_key(&key) {
-            let gap = self.gap;
-            self.sessions.retain(|_, (_, at)| now.saturating_duration_since(*at) <= gap);
-            if self.sessions.len() >= MAX_SESSIONS {
-                self.sessions.pop_first();
-            }
-        }
-        self.sessions.insert(key, (version.to_owned(), now));
-    }
-
-    fn recent(&self, service: &ServiceId, session: u64, now: Instant) -> Option<&VersionId> {
-        let (version, at) = self.sessions.get(&(service.clone(), session))?;
-        (now.saturating_duration_since(*at) <= self.gap).then_some(version)
-    }
 }
 
 /// Place of a session between 0 and 1, the same on every host.
--- a/crates/route/tests/dispatch_attempts.rs
+++ b/crates/route/tests/dispatch_attempts.rs
@@ -177,3 +177,19 @@
     assert!(retries <= 170, "{retries} retries");
     assert!(retries >= 100, "{retries} retries");
 }
+
+#[test]
+fn silence_ends_a_stream_only_while_another_attempt_is_left() {
+    let mut bed = bed();
+    let mut flight = bed.flight("/chat/1");
+    for number in 1..=3 {
+        let attempt = bed.send(&mut flight);
+        assert_eq!(bed.head(&mut flight, &attempt, good()), HeadVerdict::Deliver);
+        let since = bed.now;
+        bed.pass(millis(5_000));
+        let is_stalled = bed.dispatcher.is_stalled(&flight, &attempt, since, bed.now);
+        assert_eq!(is_stalled, number < 3, "attempt {number}");
+        bed.end(&mut flight, &attempt, AttemptOutcome::Silent);
+        bed.pass(millis(500));
+    }
+}
