Take the store's news from other entry hosts

Now one host of a small data centre and two of a large one watch; the rest take the news from two hosts before them in rendezvous order, and any host without sources watches for itself. Each host enters itself in the store; the seeds of the settings serve a host that starts while the store is away.

Tests: peers/tests/feeds.rs.

--- /dev/null
+++ b/crates/peers/src/feeds.rs
@@ -0,0 +1,184 @@
+//! Which hosts of a data centre watch the store, and from whom the others take its news.
+//!
+//! Each call to the store has its price, so only the first hosts of a data centre watch it: one in a small data centre,
+//! two in a large one. The rest take the news from two hosts before them, of another data centre where their own has too
+//! few. The order is that of rendezvous hashing, the same on all hosts without talk. Two sources at once, because a host
+//! whose connection to the store has gone silent does not know it for a while; watchers listen to one another for the
+//! same reason. A host without enough sources watches for itself, so the loss of any hosts leaves the rest served.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use foxtailhoist_model::DataCentreId;
+use foxtailhoist_model::EntryHostId;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::hash::homes;
+
+/// Hosts of a large data centre that watch the store while all is well.
+const WATCHERS: usize = 2;
+/// Hosts from which on a data centre is large: news from elsewhere would cost more than a second watcher.
+const LARGE: usize = 4;
+/// Sources of a host that does not watch.
+const SOURCES: usize = 2;
+/// Hosts of a data centre that try the store while the sources' news are old; the others would only add calls.
+const WATCHERS_MAX: usize = 5;
+/// Time for which a source that failed is passed over.
+const PASS_OVER: Duration = Duration::from_secs(5);
+/// Time without any contact after which a host's entry is taken for left behind.
+const ABANDONED: Duration = Duration::from_secs(60);
+
+/// Where a host is reached by the others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostEntry {
+    pub address: SocketAddr,
+    pub data_centre: DataCentreId,
+}
+
+/// What a host does to get the store's news.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FeedPlan {
+    pub sources: BTreeMap<EntryHostId, SocketAddr>,
+    pub watches: bool,
+}
+
+/// Why a source is not used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SourceFault {
+    /// It cannot be reached.
+    Unreachable,
+    /// It has had no contact with the store for too long.
+    Stale,
+}
+
+/// The entry hosts and the sources among them.
+#[derive(Debug)]
+pub struct Feeds {
+    own: EntryHostId,
+    data_centre: DataCentreId,
+    hosts: BTreeMap<EntryHostId, HostEntry>,
+    /// Asked while no host is known.
+    seeds: BTreeMap<EntryHostId, SocketAddr>,
+    faults: BTreeMap<EntryHostId, Fault>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Fault {
+    kind: SourceFault,
+    until: Instant,
+    /// Begin of the time without contact.
+    since: Instant,
+}
+
+impl Feeds {
+    #[must_use]
+    pub fn new(
+        own: EntryHostId,
+        data_centre: DataCentreId,
+        seeds: BTreeMap<EntryHostId, SocketAddr>,
+    ) -> Feeds {
+        Feeds { own, data_centre, hosts: BTreeMap::new(), seeds, faults: BTreeMap::new() }
+    }
+
+    /// Takes in a host's entry.
+    pub fn list(&mut self, host: EntryHostId, entry: HostEntry) {
+        self.hosts.insert(host, entry);
+    }
+
+    pub fn unlist(&mut self, host: &str) {
+        self.hosts.remove(host);
+        self.faults.remove(host);
+    }
+
+    /// The entry of a host.
+    #[must_use]
+    pub fn entry(&self, host: &str) -> Option<&HostEntry> {
+        self.hosts.get(host)
+    }
+
+    pub fn ids(&self) -> impl Iterator<Item = &EntryHostId> {
+        self.hosts.keys()
+    }
+
+    /// Hosts of the fleet and of the own data centre, this one included.
+    #[must_use]
+    pub fn sizes(&self) -> (usize, usize) {
+        let is_near = |entry: &&HostEntry| entry.data_centre == self.data_centre;
+        let near = self.hosts.values().filter(is_near).count();
+        (self.hosts.len().max(1), near.max(1))
+    }
+
+    /// A source failed.
+    pub fn failed(&mut self, host: &str, kind: SourceFault, now: Instant) {
+        let since = self.faults.get(host).map_or(now, |fault| fault.since);
+        self.faults.insert(host.to_owned(), Fault { kind, until: now + PASS_OVER, since });
+    }
+
+    /// A source sent fresh news.
+    pub fn succeeded(&mut self, host: &str) {
+        self.faults.remove(host);
+    }
+
+    /// Hosts that could not be reached for so long that their entries are to be removed.
+    #[must_use]
+    pub fn abandoned(&self, now: Instant) -> BTreeSet<EntryHostId> {
+        let is_abandoned = |fault: &Fault| {
+            fault.kind == SourceFault::Unreachable
+                && now.saturating_duration_since(fault.since) >= ABANDONED
+        };
+        let hosts = self.faults.iter().filter(|(_, fault)| is_abandoned(fault));
+        hosts.map(|(host, _)| host.clone()).filter(|host| self.hosts.contains_key(host)).collect()
+    }
+
+    /// What to do now.
+    #[must_use]
+    pub fn plan(&self, now: Instant) -> FeedPlan {
+        if !self.hosts.contains_key(&self.own) && self.hosts.len() < 2 {
+            let usable =
+                self.seeds.iter().filter(|(seed, _)| !self.is_passed_over(seed, true, now));
+            let sources = usable.map(|(seed, address)| (seed.clone(), *address));
+            return FeedPlan { sources: sources.take(SOURCES).collect(), watches: true };
+        }
+        let near = self.order(&self.data_centre);
+        let rank = near.iter().position(|host| **host == self.own).unwrap_or(near.len());
+        let far = self.first_elsewhere();
+        let watchers = if near.len() >= LARGE || far.is_empty() { WATCHERS } else { 1 };
+        let is_watcher = rank < watchers;
+        let wanted = if is_watcher { 1 } else { SOURCES };
+        let before = if is_watcher { watchers.min(near.len()) } else { rank };
+        let candidates = near[..before].iter().chain(&far).filter(|host| ***host != self.own);
+        let may_watch = rank < WATCHERS_MAX;
+        let usable = candidates.filter(|host| !self.is_passed_over(host, may_watch, now));
+        let sources: BTreeMap<EntryHostId, SocketAddr> = usable
+            .take(wanted)
+            .filter_map(|host| Some(((*host).clone(), self.hosts.get(*host)?.address)))
+            .collect();
+        let is_short = sources.is_empty() || (may_watch && sources.len() < wanted);
+        FeedPlan { sources, watches: is_watcher || is_short }
+    }
+
+    /// Hosts of a data centre, those that watch first.
+    fn order(&self, data_centre: &str) -> Vec<&EntryHostId> {
+        let members = self.hosts.iter().filter(|(_, entry)| entry.data_centre == data_centre);
+        homes(data_centre.as_bytes(), members.map(|(host, _)| host), usize::MAX)
+    }
+
+    /// The first host of each other data centre, in an order of this host's own so that they share the listeners.
+    fn first_elsewhere(&self) -> Vec<&EntryHostId> {
+        let centres: BTreeSet<&DataCentreId> =
+            self.hosts.values().map(|entry| &entry.data_centre).collect();
+        let others = centres.into_iter().filter(|centre| **centre != self.data_centre);
+        let firsts = others.filter_map(|centre| self.order(centre).into_iter().next());
+        homes(self.own.as_bytes(), firsts, usize::MAX)
+    }
+
+    fn is_passed_over(&self, host: &str, minds_age: bool, now: Instant) -> bool {
+        self.faults.get(host).is_some_and(|fault| {
+            now < fault.until && (minds_age || fault.kind == SourceFault::Unreachable)
+        })
+    }
+}
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -7,6 +7,7 @@
 mod centre;
 mod detector;
 pub mod event;
+pub mod feeds;
 mod hash;
 mod member;
 pub mod message;
--- /dev/null
+++ b/crates/peers/tests/feeds.rs
@@ -0,0 +1,158 @@
+//! Who watches the store and who listens to whom, whichever hosts are lost.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use foxtailhoist_peers::feeds::FeedPlan;
+use foxtailhoist_peers::feeds::Feeds;
+use foxtailhoist_peers::feeds::HostEntry;
+use foxtailhoist_peers::feeds::SourceFault;
+use rstest::rstest;
+
+/// A fleet with the given number of hosts in each data centre.
+fn fleet(sizes: &[usize]) -> BTreeMap<String, HostEntry> {
+    let mut hosts = BTreeMap::new();
+    for (centre, size) in sizes.iter().enumerate() {
+        for number in 0..*size {
+            let port = u16::try_from(centre * 1_000 + number + 1).expect("a port");
+            let entry = HostEntry {
+                address: ([127, 0, 0, 1], port).into(),
+                data_centre: format!("dc-{centre}"),
+            };
+            hosts.insert(format!("host-{centre}-{number}"), entry);
+        }
+    }
+    hosts
+}
+
+fn feeds(own: &str, hosts: &BTreeMap<String, HostEntry>) -> Feeds {
+    let mut feeds = Feeds::new(own.to_owned(), hosts[own].data_centre.clone(), BTreeMap::new());
+    for (host, entry) in hosts {
+        feeds.list(host.clone(), entry.clone());
+    }
+    feeds
+}
+
+/// Plans of all hosts that live, after each has found out which of its sources are lost.
+fn plans(
+    hosts: &BTreeMap<String, HostEntry>,
+    lost: &BTreeSet<String>,
+) -> BTreeMap<String, FeedPlan> {
+    let now = Instant::now();
+    let living = hosts.keys().filter(|host| !lost.contains(*host));
+    let plan = |host: &String| {
+        let mut feeds = feeds(host, hosts);
+        loop {
+            let plan = feeds.plan(now);
+            let dead: Vec<&String> =
+                plan.sources.keys().filter(|source| lost.contains(*source)).collect();
+            if dead.is_empty() {
+                return (host.clone(), plan);
+            }
+            for source in dead {
+                feeds.failed(source, SourceFault::Unreachable, now);
+            }
+        }
+    };
+    living.map(plan).collect()
+}
+
+/// Hosts that get news, directly or over others.
+fn reached(plans: &BTreeMap<String, FeedPlan>) -> BTreeSet<&String> {
+    let watching = plans.iter().filter(|(_, plan)| plan.watches);
+    let mut reached: BTreeSet<&String> = watching.map(|(host, _)| host).collect();
+    loop {
+        let more: Vec<&String> = plans
+            .iter()
+            .filter(|(host, plan)| {
+                !reached.contains(host)
+                    && plan.sources.keys().any(|source| reached.contains(source))
+            })
+            .map(|(host, _)| host)
+            .collect();
+        if more.is_empty() {
+            return reached;
+        }
+        reached.extend(more);
+    }
+}
+
+#[rstest]
+#[case::today(&[3, 2, 1], 3)]
+#[case::grown(&[25, 24, 24], 6)]
+#[case::one_large_data_centre(&[9], 2)]
+#[case::alone(&[1], 1)]
+#[case::two_years(&[21; 24], 48)]
+fn few_hosts_watch_while_all_is_well(#[case] sizes: &[usize], #[case] watchers: usize) {
+    let hosts = fleet(sizes);
+    let plans = plans(&hosts, &BTreeSet::new());
+    assert_eq!(plans.values().filter(|plan| plan.watches).count(), watchers);
+    assert_eq!(reached(&plans).len(), hosts.len());
+    let listeners = plans.values().filter(|plan| !plan.watches);
+    assert!(listeners.into_iter().all(|plan| plan.sources.len() == 2));
+}
+
+#[rstest]
+#[case::today(&[3, 2, 1])]
+#[case::grown(&[25, 24, 24])]
+fn any_loss_leaves_the_rest_served(#[case] sizes: &[usize]) {
+    let hosts = fleet(sizes);
+    let names: Vec<&String> = hosts.keys().collect();
+    // Every host in turn, then growing sets of hosts that begin at each place.
+    for count in [1, 2, hosts.len() / 3, hosts.len() / 2, hosts.len() - 1] {
+        for begin in 0..names.len() {
+            let lost = names.iter().cycle().skip(begin).take(count);
+            let lost: BTreeSet<String> = lost.map(|host| (*host).clone()).collect();
+            let plans = plans(&hosts, &lost);
+            assert_eq!(reached(&plans).len(), hosts.len() - lost.len(), "without {lost:?}");
+        }
+    }
+}
+
+#[test]
+fn hosts_with_old_news_do_not_all_turn_to_the_store() {
+    let hosts = fleet(&[25]);
+    let now = Instant::now();
+    let mut watching = 0;
+    for host in hosts.keys() {
+        let mut feeds = feeds(host, &hosts);
+        for source in hosts.keys() {
+            feeds.failed(source, SourceFault::Stale, now);
+        }
+        watching += usize::from(feeds.plan(now).watches);
+    }
+    assert_eq!(watching, 5);
+}
+
+#[test]
+fn a_failed_source_is_tried_again_and_its_entry_removed_when_it_stays_away() {
+    let hosts = fleet(&[25]);
+    let mut now = Instant::now();
+    let own = hosts
+        .keys()
+        .find(|host| !feeds(host, &hosts).plan(now).watches)
+        .expect("a host that listens");
+    let mut feeds = feeds(own, &hosts);
+    let source = feeds.plan(now).sources.keys().next().expect("a source").clone();
+    feeds.failed(&source, SourceFault::Unreachable, now);
+    assert!(!feeds.plan(now).sources.contains_key(&source));
+    now += Duration::from_secs(6);
+    assert!(feeds.plan(now).sources.contains_key(&source));
+    feeds.failed(&source, SourceFault::Unreachable, now);
+    assert!(feeds.abandoned(now).is_empty());
+    now += Duration::from_secs(60);
+    assert_eq!(feeds.abandoned(now), BTreeSet::from([source.clone()]));
+    feeds.succeeded(&source);
+    assert!(feeds.abandoned(now).is_empty());
+}
+
+#[test]
+fn a_host_that_knows_nobody_asks_the_seeds_and_the_store() {
+    let seeds = BTreeMap::from([("seed".to_owned(), ([127, 0, 0, 1], 9).into())]);
+    let feeds = Feeds::new("host-1".to_owned(), "dc-0".to_owned(), seeds);
+    let plan = feeds.plan(Instant::now());
+    assert!(plan.watches);
+    assert_eq!(plan.sources.len(), 1);
+}
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -11,17 +11,20 @@
 use foxtailhoist_model::DataCentreId;
 use foxtailhoist_model::EntryHostId;
 use foxtailhoist_model::ServiceId;
+use foxtailhoist_peers::feeds::Feeds;
 use foxtailhoist_rollout::shift::Shift;
 use foxtailhoist_rollout::shift::ShiftRule;
 use foxtailhoist_route::dispatch::Dispatcher;
 use foxtailhoist_route::dispatch::Note;
 use foxtailhoist_route::version_rule::VersionRule;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use crate::conn::ConnPool;
 use crate::log_event::EventLog;
 use crate::log_event::LogEvent;
 use crate::metrics::Metrics;
+use crate::mirror::Mirror;
 use crate::wire::ObjectKind;
 use crate::wire::Wire;
 
@@ -34,6 +37,12 @@
     pub callers: SocketAddr,
     /// Where the balancer asks whether the host is ready.
     pub readiness: SocketAddr,
+    /// Where other entry hosts take the store's news.
+    pub peers: SocketAddr,
+    /// Peer addresses of hosts that may be up, this one's possibly among them.
+    pub seeds: Vec<SocketAddr>,
+    /// The whole system starts for the first time.
+    pub is_first_start: bool,
     /// Where the counters are shown, if anywhere.
     pub metrics: Option<SocketAddr>,
     /// The platform's store.
@@ -49,6 +58,10 @@
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) shifts: RefCell<BTreeMap<ServiceId, Shift>>,
     pub(crate) pool: Rc<ConnPool>,
+    pub(crate) mirror: Mirror,
+    pub(crate) feeds: RefCell<Feeds>,
+    /// Whether this host watches the store itself.
+    pub(crate) watching: watch::Sender<bool>,
     pub(crate) log: EventLog,
     pub(crate) metrics: Metrics,
     pub(crate) stopping: Cell<bool>,
@@ -58,6 +71,8 @@
     /// Suspected contents that are to be reported, with the number of deaths seen.
     pub(crate) suspects: RefCell<Vec<(u64, u32)>>,
     pub(crate) suspects_changed: Notify,
+    /// A watch of the store got no answer in time.
+    pub(crate) store_silent: Notify,
     /// The process stood still: what was believed has to be asked again.
     pub(crate) woke: Notify,
     /// Open connections of callers.
@@ -73,7 +88,13 @@
         dispatcher: Dispatcher,
         metrics: Metrics,
     ) -> Rc<Core> {
+        let others = cfg.seeds.iter().filter(|seed| **seed != cfg.peers);
+        let seeds = others.map(|seed| (seed.to_string(), *seed)).collect();
+        let feeds = Feeds::new(cfg.host.clone(), cfg.data_centre.clone(), seeds);
         Rc::new(Core {
+            mirror: Mirror::default(),
+            feeds: RefCell::new(feeds),
+            watching: watch::Sender::new(false),
             cfg,
             wire,
             dispatcher: RefCell::new(dispatcher),
@@ -86,6 +107,7 @@
             was_ready: Cell::new(false),
             suspects: RefCell::default(),
             suspects_changed: Notify::new(),
+            store_silent: Notify::new(),
             woke: Notify::new(),
             connections: Cell::new(0),
             all_closed: Notify::new(),
@@ -106,6 +128,11 @@
         ready
     }
 
+    /// Whether a kind was listed whole.
+    pub(crate) fn is_listed(&self, kind: ObjectKind) -> bool {
+        self.listed.borrow().contains(&kind)
+    }
+
     pub(crate) fn set_listed(&self, kind: ObjectKind) {
         let mut listed = self.listed.borrow_mut();
         if !listed.contains(&kind) {
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the store's objects: a list, then watches from its revision, and what to believe when the store is away.
 //!
-//! Each kind has a task of its own. A watch waits for a short time only, since an open connection may go silent for
+//! Each kind has a task of its own, which rests while this host takes the news from others. A watch waits for a short time only, since an open connection may go silent for
 //! good. After an outage, entries of servers that are missing may only have lapsed: they stay in use for a while.
 
 use std::collections::BTreeSet;
@@ -9,7 +9,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use foxtailhoist_model::BackendServerId;
 use foxtailhoist_rollout::shift::Shift;
 use foxtailhoist_rollout::shift::ShiftOrder;
 use foxtailhoist_route::backends::ListingChange;
@@ -19,6 +18,7 @@
 use crate::clock::unix_ms;
 use crate::core::Core;
 use crate::log_event::LogEvent;
+use crate::mirror::Frame;
 use crate::store::StoreClient;
 use crate::store::StoreError;
 use crate::wire::Content;
@@ -26,12 +26,16 @@
 use crate::wire::Page;
 use crate::wire::Record;
 
-/// Wait of one watch for the kinds on whose news bounds depend; a silent connection is noticed after this time.
-const SHORT_WATCH: Duration = Duration::from_millis(2_500);
+/// Wait of one watch for the configuration: a silent connection is noticed after this time, on all kinds.
+const CONFIGURATION_WATCH: Duration = Duration::from_millis(2_500);
+/// Wait of one watch for the servers, whose news come often anyway.
+const SERVERS_WATCH: Duration = Duration::from_millis(5_000);
 /// Wait of one watch for the other kinds.
-const LONG_WATCH: Duration = Duration::from_millis(8_000);
+const LONG_WATCH: Duration = Duration::from_millis(20_000);
 /// Time beyond its wait after which a watch counts as lost.
 const WATCH_MARGIN: Duration = Duration::from_millis(700);
+/// Pause after a change before the next watch, well below the time in which servers that leave must be left alone.
+const GATHER: Duration = Duration::from_millis(300);
 /// Longest time for a list.
 const LIST_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// First pause after a failed call and the longest one.
@@ -55,16 +59,59 @@
 pub(crate) async fn follow(core: Rc<Core>, kind: ObjectKind) {
     let mut client = StoreClient::new(core.cfg.store);
     let mut presence = Presence::default();
+    let mut watching = core.watching.subscribe();
     loop {
-        let revision = match list(&core, &mut client, kind, &presence).await {
-            Ok(revision) => revision,
-            Err(e) => {
-                presence.failed(&core, kind, &e).await;
-                continue;
-            }
+        // The sender lives in the core, as long as this task.
+        let _ = watching.wait_for(|watching| *watching).await;
+        let work = follow_while_watching(&core, &mut client, kind, &mut presence);
+        tokio::select! {
+            () = work => {}
+            _ = watching.wait_for(|watching| !*watching) => {}
+        }
+    }
+}
+
+/// Lists a kind once.
+pub(crate) async fn list_once(
+    core: &Rc<Core>,
+    client: &mut StoreClient,
+    kind: ObjectKind,
+) -> Result<(), StoreError> {
+    list(core, client, kind, None).await.map(|_| ())
+}
+
+/// Takes in news of another entry host.
+pub(crate) fn take_frame(core: &Rc<Core>, frame: Frame) {
+    match frame {
+        Frame::Whole { kind, records, revision, keep_for } => {
+            take_whole(core, kind, records, revision, keep_for);
+        }
+        Frame::Changes { kind, records, revision } => take_changes(core, kind, records, revision),
+        Frame::Beat { .. } => {}
+    }
+}
+
+async fn follow_while_watching(
+    core: &Rc<Core>,
+    client: &mut StoreClient,
+    kind: ObjectKind,
+    presence: &mut Presence,
+) {
+    // What other hosts told is followed up without a list.
+    let mut revision = core.mirror.revision(kind);
+    loop {
+        let from = match revision.take() {
+            Some(revision) => revision,
+            None => match list(core, client, kind, presence.keep_for(Instant::now())).await {
+                Ok(revision) => revision,
+                Err(e) => {
+                    presence.failed(core, kind, &e).await;
+                    continue;
+                }
+            },
         };
-        presence.succeeded(&core, kind);
-        watch(&core, &mut client, kind, &mut presence, revision).await;
+        presence.succeeded(core, kind);
+        watch(core, client, kind, presence, from).await;
     }
 }
 
@@ -83,7 +130,12 @@
         let answer = tokio::select! {
             answer = call => answer,
             () = core.woke.notified() => return,
+            () = core.store_silent.notified() => continue,
         };
+        if kind == ObjectKind::Configuration && matches!(answer, Err(StoreError::NoAnswer(_))) {
+            // Other open connections to the store may have gone silent, too.
+            core.store_silent.notify_waiters();
+        }
         let page = answer.and_then(|(status, body)| match status {
             StatusCode::GONE => Ok(None),
             StatusCode::OK => {
@@ -96,9 +148,14 @@
             Ok(Some(page)) => {
                 core.metrics.store_call("watch");
                 presence.succeeded(core, kind);
+                note_fresh(core, kind);
                 revision = page.revision.max(revision);
-                for record in page.records {
-                    apply(core, kind, record, presence);
+                let records = presence.mark_lapsed(page.records, Instant::now());
+                let has_news = !records.is_empty();
+                take_changes(core, kind, records, revision);
+                if has_news && kind != ObjectKind::Configuration {
+                    // Changes come in clusters, and each call has its price.
+                    tokio::time::sleep(GATHER).await;
                 }
             }
             // The history is gone: list again.
@@ -108,16 +165,16 @@
     }
 }
 
-/// Lists a kind whole; returns the revision from which to watch.
+/// Lists a kind whole; returns the revision from which to watch. What is missing may have lapsed for `keep_for`.
 async fn list(
     core: &Rc<Core>,
     client: &mut StoreClient,
     kind: ObjectKind,
-    presence: &Presence,
+    keep_for: Option<Duration>,
 ) -> Result<u64, StoreError> {
     let mut after: Option<String> = None;
-    let mut revision = None;
-    let mut names = BTreeSet::new();
+    let mut revision = u64::MAX;
+    let mut records = Vec::new();
     loop {
         let request = core.wire.list(kind, after.as_deref());
         let page = match client.call(request, LIST_TIMEOUT).await? {
@@ -129,22 +186,61 @@
             (status, _) => return Err(StoreError::Status(status)),
         };
         core.metrics.store_call("list");
-        revision = Some(revision.unwrap_or(page.revision).min(page.revision));
-        for record in page.records {
-            names.insert(record.name.clone());
-            apply(core, kind, record, presence);
-        }
+        revision = revision.min(page.revision);
+        records.extend(page.records);
         match page.next {
             Some(next) => after = Some(next),
             None => break,
         }
     }
-    drop_unlisted(core, kind, &names, presence);
-    core.set_listed(kind);
-    Ok(revision.unwrap_or(0))
+    note_fresh(core, kind);
+    take_whole(core, kind, records, revision, keep_for);
+    Ok(revision)
+}
+
+/// Takes in all objects of a kind.
+fn take_whole(
+    core: &Rc<Core>,
+    kind: ObjectKind,
+    records: Vec<Record>,
+    revision: u64,
+    keep_for: Option<Duration>,
+) {
+    let names: BTreeSet<String> = records.iter().map(|record| record.name.clone()).collect();
+    let missing = core.mirror.missing(kind, &names, revision);
+    let deleted = missing.into_iter().map(|name| Record {
+        name,
+        revision,
+        content: Content::Deleted { keep_for },
+    });
+    let all = records.iter().cloned().chain(deleted).collect();
+    take_changes(core, kind, all, revision);
+    if !core.is_listed(kind) {
+        core.set_listed(kind);
+        core.mirror.publish(&Frame::Whole { kind, records, revision, keep_for });
+    }
+}
+
+/// Takes in changes, in order, and passes on what is news.
+fn take_changes(core: &Rc<Core>, kind: ObjectKind, records: Vec<Record>, revision: u64) {
+    let news: Vec<Record> =
+        records.into_iter().filter(|record| core.mirror.take(kind, record)).collect();
+    for record in &news {
+        apply(core, kind, record.clone());
+    }
+    core.mirror.set_revision(kind, revision);
+    if !news.is_empty() {
+        core.mirror.publish(&Frame::Changes { kind, records: news, revision });
+    }
+}
+
+fn note_fresh(core: &Core, kind: ObjectKind) {
+    if kind == ObjectKind::Configuration {
+        core.mirror.set_fresh(Instant::now());
+    }
 }
 
-fn apply(core: &Rc<Core>, kind: ObjectKind, record: Record, presence: &Presence) {
+fn apply(core: &Rc<Core>, kind: ObjectKind, record: Record) {
     let now = Instant::now();
     let name = record.name;
     match record.content {
@@ -179,7 +275,8 @@
             }
             core.log.write(&LogEvent::Suspect { content, deaths });
         }
-        Content::Deleted => forget(core, kind, name, presence, now),
+        Content::Host(entry) => core.feeds.borrow_mut().list(name, entry),
+        Content::Deleted { keep_for } => forget(core, kind, &name, keep_for, now),
         Content::Unreadable(reason) => {
             let reason = &reason;
             core.log.write(&LogEvent::Unreadable { kind, name: &name, reason });
@@ -203,52 +300,27 @@
     core.apply_shifts(now);
 }
 
-fn forget(core: &Rc<Core>, kind: ObjectKind, name: String, presence: &Presence, now: Instant) {
+fn forget(core: &Rc<Core>, kind: ObjectKind, name: &str, keep_for: Option<Duration>, now: Instant) {
     match kind {
-        ObjectKind::Servers => match presence.lapsed_until.filter(|until| now < *until) {
-            Some(until) => keep_missing(core, BTreeSet::from([name]), until),
-            None => {
-                let mut dispatcher = core.dispatcher.borrow_mut();
-                let change = dispatcher.backends_mut().unlist(&name);
-                drop(dispatcher);
-                log_server(core, &name, change);
-            }
-        },
+        ObjectKind::Servers => {
+            let mut dispatcher = core.dispatcher.borrow_mut();
+            let backends = dispatcher.backends_mut();
+            let change = match keep_for {
+                Some(keep_for) => {
+                    backends.keep_missing(name, now + keep_for);
+                    ListingChange::Missing
+                }
+                None => backends.unlist(name),
+            };
+            drop(dispatcher);
+            log_server(core, name, change);
+        }
+        ObjectKind::Hosts => core.feeds.borrow_mut().unlist(name),
         // What was accepted last stays in force.
         ObjectKind::Configuration | ObjectKind::Shifts | ObjectKind::Suspects => {}
     }
 }
 
-/// Servers that the whole list did not show.
-fn drop_unlisted(
-    core: &Rc<Core>,
-    kind: ObjectKind,
-    names: &BTreeSet<BackendServerId>,
-    presence: &Presence,
-) {
-    if kind != ObjectKind::Servers {
-        return;
-    }
-    let known: Vec<BackendServerId> = core.dispatcher.borrow().backends().ids().cloned().collect();
-    let missing: BTreeSet<BackendServerId> =
-        known.into_iter().filter(|id| !names.contains(id)).collect();
-    let now = Instant::now();
-    if presence.was_away(now) {
-        keep_missing(core, missing, now + RELIST_TIME);
-        return;
-    }
-    for name in missing {
-        forget(core, kind, name, presence, now);
-    }
-}
-
-fn keep_missing(core: &Rc<Core>, missing: BTreeSet<BackendServerId>, until: Instant) {
-    for id in &missing {
-        core.dispatcher.borrow_mut().backends_mut().keep_missing(id, until);
-        log_server(core, id, ListingChange::Missing);
-    }
-}
-
 fn log_server(core: &Core, id: &str, change: ListingChange) {
     if change != ListingChange::Unchanged {
         core.log.write(&LogEvent::Server { id, change });
@@ -257,8 +329,9 @@
 
 fn watch_time(kind: ObjectKind) -> Duration {
     match kind {
-        ObjectKind::Configuration | ObjectKind::Servers => SHORT_WATCH,
-        ObjectKind::Shifts | ObjectKind::Suspects => LONG_WATCH,
+        ObjectKind::Configuration => CONFIGURATION_WATCH,
+        ObjectKind::Servers => SERVERS_WATCH,
+        ObjectKind::Shifts | ObjectKind::Suspects | ObjectKind::Hosts => LONG_WATCH,
     }
 }
 
@@ -268,6 +341,26 @@
         self.failing_since.is_some_and(|since| now.saturating_duration_since(since) >= OUTAGE)
     }
 
+    /// How long entries that are missing now may only have lapsed.
+    fn keep_for(&self, now: Instant) -> Option<Duration> {
+        if self.was_away(now) {
+            return Some(RELIST_TIME);
+        }
+        let left = self.lapsed_until?.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Marks deletions that may only be lapses.
+    fn mark_lapsed(&self, mut records: Vec<Record>, now: Instant) -> Vec<Record> {
+        let left = self.keep_for(now);
+        for record in &mut records {
+            if let Content::Deleted { keep_for } = &mut record.content {
+                *keep_for = left;
+            }
+        }
+        records
+    }
+
     fn succeeded(&mut self, core: &Core, kind: ObjectKind) {
         let now = Instant::now();
         if self.was_away(now) {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,10 +10,12 @@
 mod conn;
 mod core;
 mod duties;
+mod feed;
 mod follow;
 mod listen;
 pub mod log_event;
 mod metrics;
+mod mirror;
 mod running;
 mod serve;
 pub mod sse;
@@ -74,19 +76,16 @@
         let metrics = Metrics::new()?;
         let callers = bind(cfg.callers)?;
         let readiness = bind(cfg.readiness)?;
+        let peers = bind(cfg.peers)?;
         let scrape = cfg.metrics.map(bind).transpose()?;
         let core = Core::new(cfg, wire, Dispatcher::new(dispatch), metrics);
         core.log
             .write(&LogEvent::Started { host: &core.cfg.host, data_centre: &core.cfg.data_centre });
-        let kinds = [
-            ObjectKind::Configuration,
-            ObjectKind::Servers,
-            ObjectKind::Shifts,
-            ObjectKind::Suspects,
-        ];
-        for kind in kinds {
+        for kind in ObjectKind::ALL {
             spawn_local(follow::follow(core.clone(), kind));
         }
+        spawn_local(feed::run(core.clone(), core.cfg.is_first_start));
+        spawn_local(feed::serve(core.clone(), peers));
         spawn_local(duties::tick(core.clone()));
         spawn_local(duties::report_suspects(core.clone()));
         spawn_local(listen::accept_callers(core.clone(), callers));
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -10,6 +10,7 @@
 
 use foxtailhoist_model::ErrorKind;
 use foxtailhoist_model::stable_hash;
+use foxtailhoist_peers::feeds::SourceFault;
 use foxtailhoist_rollout::shift::ShiftPhase;
 use foxtailhoist_route::backends::ListingChange;
 use foxtailhoist_route::flight::Attempt;
@@ -90,6 +91,13 @@
         content: u64,
         deaths: u32,
     },
+    /// This host watches the store itself, or no longer.
+    Watching(bool),
+    /// Another entry host became a source of the store's news, or failed as one.
+    Source {
+        host: &'a str,
+        fault: Option<SourceFault>,
+    },
     /// An attempt ended other than with a whole answer.
     AttemptEnded {
         flight: &'a Flight,
@@ -225,6 +233,11 @@
             LogEvent::Suspect { content, deaths } => {
                 write!(f, "event=suspect content={content:016x} deaths={deaths}")
             }
+            LogEvent::Watching(watching) => write!(f, "event=watching value={watching}"),
+            LogEvent::Source { host, fault: None } => write!(f, "event=source host={host}"),
+            LogEvent::Source { host, fault: Some(fault) } => {
+                write!(f, "event=source_failed host={host} fault={fault:?}")
+            }
             LogEvent::AttemptEnded { flight, attempt, outcome, elapsed, reason } => write!(
                 f,
                 "event=attempt_ended request={} attempt={} server={} model={} outcome={outcome:?} \
--- a/crates/relay/src/wire.rs
+++ b/crates/relay/src/wire.rs
@@ -6,8 +6,10 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use foxtailhoist_model::EntryHostId;
 use foxtailhoist_model::Fingerprint;
 use foxtailhoist_model::Refusal;
+use foxtailhoist_peers::feeds::HostEntry;
 use foxtailhoist_rollout::shift::ShiftOrder;
 use foxtailhoist_rollout::shift::ShiftReport;
 use foxtailhoist_route::backends::Listing;
@@ -18,10 +20,12 @@
 use foxtailhoist_route::routes::RoutingTable;
 use http::HeaderMap;
 use http::Request;
+use serde::Deserialize;
+use serde::Serialize;
 use thiserror::Error;
 
 /// Kinds of objects in the store that the relay follows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum ObjectKind {
     /// The routing table.
     Configuration,
@@ -31,17 +35,32 @@
     Shifts,
     /// Contents that were running when servers died.
     Suspects,
+    /// Entries of the entry hosts themselves.
+    Hosts,
+}
+
+impl ObjectKind {
+    /// All kinds.
+    pub const ALL: [ObjectKind; 5] = [
+        ObjectKind::Configuration,
+        ObjectKind::Servers,
+        ObjectKind::Shifts,
+        ObjectKind::Suspects,
+        ObjectKind::Hosts,
+    ];
 }
 
 /// One object as it is now.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Record {
     pub name: String,
+    /// Revision of the object's last change; of the page that shows it for one that was deleted.
+    pub revision: u64,
     pub content: Content,
 }
 
 /// What an object holds.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Content {
     Configuration(Box<RoutingTable>),
     Server(Listing),
@@ -50,7 +69,11 @@
         content: Fingerprint,
         deaths: u32,
     },
-    Deleted,
+    Host(HostEntry),
+    /// Gone; it may only have lapsed, and what it named is kept for that long.
+    Deleted {
+        keep_for: Option<Duration>,
+    },
     /// Written by somebody else in another form; it names nothing.
     Unreadable(String),
 }
@@ -120,6 +143,12 @@
     /// Writes a report on a shift, if the order's object is unchanged.
     fn report_shift(&self, report: &ShiftReport) -> Request<Bytes>;
 
+    /// Enters this host among the entry hosts.
+    fn register_host(&self, host: &EntryHostId, entry: &HostEntry) -> Request<Bytes>;
+
+    /// Removes the entry of a host.
+    fn remove_host(&self, host: &EntryHostId) -> Request<Bytes>;
+
     /// Records that a content was running when servers died.
     fn report_suspect(&self, content: Fingerprint, deaths: u32) -> Request<Bytes>;
 }
--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -12,6 +12,8 @@
 use foxtailhoist_model::BackendServerId;
 use foxtailhoist_model::ServiceId;
 use foxtailhoist_model::VersionId;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::judge::sequential::Count;
 use crate::judge::sequential::MixtureTest;
@@ -34,7 +36,7 @@
 const REFERENCE_MAX: f64 = 0.5;
 
 /// Where an ordered shift stands in the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ShiftPhase {
     InProgress,
     Completed,
@@ -42,7 +44,7 @@
 }
 
 /// An order to shift a service's traffic.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ShiftOrder {
     pub service: ServiceId,
     pub target: VersionId,
--- a/crates/route/src/backends/choose.rs
+++ b/crates/route/src/backends/choose.rs
@@ -20,8 +20,6 @@
 
 /// Prompt tokens that an engine reads in a millisecond, roughly; only the balance of costs depends on it.
 const PREFILL_TOKENS_PER_MS: f64 = 50.0;
-/// Entry hosts that send to a server, roughly: what this host has under way stands for that many times as much.
-const HOSTS_PER_SERVER: f64 = 4.0;
 /// Milliseconds that a running request of an engine adds to another one's expected time.
 const CROWDING_MS: f64 = 6.0;
 /// Milliseconds that the bytes and the delay of another data centre are worth for a model request.
@@ -128,9 +126,9 @@
         };
         let unread_tokens = query.prompt_tokens.saturating_sub(held);
         let slowness = server.health.slowness(now).max(0.5);
-        let others = f64::from(server.in_flight) * HOSTS_PER_SERVER;
+        let others = f64::from(server.in_flight) * self.hosts_per_server;
         let mut cost_ms = if query.model.is_some() {
-            let queue = unread_tokens as f64 + server.unread_tokens as f64 * HOSTS_PER_SERVER;
+            let queue = unread_tokens as f64 + server.unread_tokens as f64 * self.hosts_per_server;
             let distance = if is_near { 0.0 } else { ENGINE_DISTANCE_MS };
             (queue / PREFILL_TOKENS_PER_MS + others * CROWDING_MS + SERVICE_MS) * slowness
                 + distance
--- a/crates/route/src/backends/mod.rs
+++ b/crates/route/src/backends/mod.rs
@@ -20,6 +20,8 @@
 use foxtailhoist_model::Presence;
 use foxtailhoist_model::ServiceId;
 use foxtailhoist_model::VersionId;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::backends::cache::CacheRecord;
 pub(crate) use crate::backends::choose::Query;
@@ -32,7 +34,7 @@
 const MEAN_WEIGHT: f64 = 0.1;
 
 /// A backend server as the directory shows it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
     pub id: BackendServerId,
     pub service: ServiceId,
@@ -73,6 +75,9 @@
     services: BTreeMap<ServiceId, BTreeSet<BackendServerId>>,
     means: BTreeMap<(ServiceId, Option<ModelId>), MeanTimes>,
     next_generation: Generation,
+    /// Entry hosts that send to the same servers, roughly: what this one has under way stands for that many times as
+    /// much.
+    hosts_per_server: f64,
 }
 
 /// What is known of one server.
@@ -113,9 +118,15 @@
             services: BTreeMap::new(),
             means: BTreeMap::new(),
             next_generation: 0,
+            hosts_per_server: 1.0,
         }
     }
 
+    /// Sets how many entry hosts there are in this data centre.
+    pub(crate) fn share_with(&mut self, hosts: usize) {
+        self.hosts_per_server = hosts.max(1) as f64;
+    }
+
     /// Takes in an entry.
     pub fn list(&mut self, listing: Listing, now: Instant) -> ListingChange {
         let known = self.servers.get_mut(&listing.id);
--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -194,6 +194,13 @@
         &mut self.backends
     }
 
+    /// Entry hosts of the fleet and of the own data centre: shares of fleet-wide bounds and the load that other hosts
+    /// add follow from them.
+    pub fn set_hosts(&mut self, fleet: usize, near: usize) {
+        self.retries.share_with(fleet);
+        self.backends.share_with(near);
+    }
+
     /// Sets which versions of a service take new work.
     pub fn set_rule(&mut self, service: ServiceId, rule: VersionRule) {
         self.rules.insert(service, rule);
--- a/crates/route/src/retry_window.rs
+++ b/crates/route/src/retry_window.rs
@@ -44,6 +44,11 @@
         RetryWindows { limit, services: BTreeMap::new() }
     }
 
+    /// Shares the constant with other hosts.
+    pub(crate) fn share_with(&mut self, hosts: usize) {
+        self.limit.host_share = 1.0 / hosts.max(1) as f64;
+    }
+
     /// Counts the first attempt of a request.
     pub(crate) fn first_attempt(&mut self, service: &ServiceId, now: Instant) {
         self.cell(service, now).first += 1;
--- a/crates/route/src/routes.rs
+++ b/crates/route/src/routes.rs
@@ -10,12 +10,14 @@
 use foxtailhoist_model::ModelId;
 use foxtailhoist_model::ServiceId;
 use foxtailhoist_model::WorkspaceId;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// Name of a route.
 pub type RouteId = String;
 
 /// How often a route's requests may run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Repeatability {
     /// Any number of times.
     Idempotent,
@@ -28,7 +30,7 @@
 }
 
 /// One route.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     pub id: RouteId,
     /// Host name in lower case, without a port.
@@ -55,14 +57,14 @@
 }
 
 /// A service that takes a share of a route's traffic.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Target {
     pub service: ServiceId,
     pub weight: u64,
 }
 
 /// What is configured of a service.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Connections that a server takes from all entry hosts together, if limited.
     pub max_connections: Option<u32>,
@@ -71,7 +73,7 @@
 }
 
 /// What is configured of a service's engines.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct EngineSpec {
     /// Requests that run at once.
     pub slots: u32,
@@ -80,7 +82,7 @@
 }
 
 /// A workspace's standing.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Workspace {
     pub id: WorkspaceId,
     /// Goes before the route's priority; 0 is the most urgent.
@@ -88,7 +90,7 @@
 }
 
 /// Bounds on what a caller may send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     pub header_bytes: usize,
     pub body_bytes: usize,
@@ -99,7 +101,7 @@
 }
 
 /// One configuration of routes.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct RoutingTable {
     /// Grows with each configuration, in steps of any size.
     pub version: u64,
