--- a/crates/core/commands/mod.rs
+++ b/crates/core/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod dev;
+mod explain;
 mod measure;
 mod measure_path;
 mod operate;
@@ -46,6 +47,7 @@
             measure::measure(measurement, flags)?;
         }
         Command::Serve { settings } => block_on(serve::serve(&settings))?,
+        Command::Explain { request, logs } => explain::explain(&request, &logs)?,
         Command::Relay { settings } => relay::relay(&settings)?,
         Command::Check { settings, configuration } => {
             check::check(settings.as_deref(), configuration.as_deref())?
--- a/crates/core/flags/command.rs
+++ b/crates/core/flags/command.rs
@@ -27,6 +27,11 @@
     Relay {
         settings: PathBuf,
     },
+    /// The story of one request from log files.
+    Explain {
+        request: String,
+        logs: Vec<PathBuf>,
+    },
     Dev {
         configuration: Option<PathBuf>,
         hosts: u64,
@@ -132,6 +137,10 @@
             [] => Err(Failure::Usage("no command given".to_owned())),
             ["serve"] => Ok(Command::Serve { settings: required_path(&flags, "settings")? }),
             ["relay"] => Ok(Command::Relay { settings: relay_settings(&flags)? }),
+            ["explain", request, logs @ ..] => Ok(Command::Explain {
+                request: (*request).to_owned(),
+                logs: logs.iter().map(PathBuf::from).collect(),
+            }),
             ["dev"] => dev(&flags),
             ["check"] => check(&flags),
             ["status"] => Ok(Command::Status(operator(&flags)?)),
--- a/crates/core/flags/defs.rs
+++ b/crates/core/flags/defs.rs
@@ -34,7 +34,7 @@
         short: "s",
         long: "settings",
         value: FlagValue::Named("FILE"),
-        help: "Settings of the process, in YAML (serve, check).",
+        help: "Settings of the process, in YAML (serve, relay, check). relay: else $FOXTAILHOIST_CONFIG.",
     },
     FlagDef {
         short: "c",
--- a/crates/core/flags/help.rs
+++ b/crates/core/flags/help.rs
@@ -12,6 +12,7 @@
 
 Run:
   serve                          run an entry host (--settings)
+  relay                          run an entry host on the users' platform (--settings)
   dev                            run entry hosts and stand-ins on loopback
   check                          check settings and a configuration
 
@@ -24,6 +25,9 @@
   usage                          bills by workspace, model and version
   report burn                    service-level burn
 
+Find out afterwards:
+  explain REQUEST [LOG...]       one request's story from log files, or from standard input
+
 Prove and measure:
   scenario FILE                  run one scenario and print its trace
   measure path | policy | choice | journal | control | soak
--- a/crates/measure/src/choice.rs
+++ b/crates/measure/src/choice.rs
@@ -215,7 +215,7 @@
     let price = |number: usize| 0.1 * 1.5_f64.powi(i32::try_from(number).unwrap_or(0));
     let model = |number: usize| Model { price_in: price(number), price_out: 4.0 * price(number) };
     let record = VersionRecord { stage: Stage::Settled, vetoed: false };
-    let tenant = Workspace {
+    let entry = Workspace {
         api_key_digests: BTreeSet::new(),
         weight: 1.0,
         priority: Priority::Normal,
@@ -232,7 +232,7 @@
         revision: 1,
         preset: "ordinary".to_owned(),
         presets: BTreeMap::from([("ordinary".to_owned(), preset)]),
-        workspaces: (0..workspaces).map(|number| (workspace(number), tenant.clone())).collect(),
+        workspaces: (0..workspaces).map(|number| (workspace(number), entry.clone())).collect(),
         models: (0..MODELS).map(|number| (version(number).model, model(number))).collect(),
         versions: (0..MODELS).map(|number| (version(number), record.clone())).collect(),
         services: BTreeMap::new(),
--- a/crates/model/src/configuration.rs
+++ b/crates/model/src/configuration.rs
@@ -33,7 +33,7 @@
     pub services: BTreeMap<ServiceId, Service>,
 }
 
-/// A customer's tenant and what it is entitled to.
+/// A customer and what it is entitled to.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Workspace {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -69,7 +69,7 @@
     ///
     /// Fails when an address cannot be listened on.
     pub fn start(
-        cfg: RelayConfig,
+        mut cfg: RelayConfig,
         dispatch: DispatchConfig,
         wire: Box<dyn Wire>,
     ) -> Result<Relay, StartError> {
@@ -78,6 +78,10 @@
         let readiness = bind(cfg.readiness)?;
         let peers = bind(cfg.peers)?;
         let scrape = cfg.metrics.map(bind).transpose()?;
+        // A port of 0 in the settings stands for a free one.
+        cfg.callers = bound(&callers, cfg.callers);
+        cfg.readiness = bound(&readiness, cfg.readiness);
+        cfg.peers = bound(&peers, cfg.peers);
         let core = Core::new(cfg, wire, Dispatcher::new(dispatch), metrics);
         core.log
             .write(&LogEvent::Started { host: &core.cfg.host, data_centre: &core.cfg.data_centre });
@@ -96,6 +100,12 @@
         Ok(Relay { core })
     }
 
+    /// The settings in force, with the ports that were bound.
+    #[must_use]
+    pub fn config(&self) -> &RelayConfig {
+        &self.core.cfg
+    }
+
     /// Logs what became of a reload of the settings.
     pub fn note_reload(&self, outcome: Result<(), String>) {
         match outcome {
@@ -128,6 +138,10 @@
     listen::bind(address).map_err(|source| StartError::Listen { address, source })
 }
 
+fn bound(listener: &tokio::net::TcpListener, wanted: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(wanted)
+}
+
 fn readiness_page(core: Rc<Core>) -> impl Fn(&str) -> (StatusCode, Vec<u8>) + Clone {
     move |path| {
         if path != core.wire.ready_path() {
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -33,6 +33,7 @@
 mod observation;
 mod report;
 mod series;
+pub mod story;
 mod summary;
 mod svg;
 mod table;
--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -44,6 +44,8 @@
 const WAIT_SHARE: f64 = 0.125;
 /// Longest wait for a server to come free.
 const WAIT_MAX: Duration = Duration::from_millis(300);
+/// Longest wait for a server to resume a stream that has begun: callers bear a gap of two seconds at least.
+const RESUME_WAIT: Duration = Duration::from_millis(1_500);
 /// Pause between two looks for a free server.
 const WAIT_STEP: Duration = Duration::from_millis(40);
 /// Time that a stream is expected to take: a host that stops before admits no new one.
@@ -536,7 +538,8 @@
     fn wait_or_refuse(&self, flight: &mut Flight, reason: NoServer, now: Instant) -> Step {
         let since = *flight.waiting_since.get_or_insert(now);
         let target = flight.route.latency_target.unwrap_or(WAIT_MAX);
-        let longest = target.mul_f64(WAIT_SHARE).min(WAIT_MAX);
+        let longest =
+            if flight.started { RESUME_WAIT } else { target.mul_f64(WAIT_SHARE).min(WAIT_MAX) };
         let until = now + WAIT_STEP;
         if until <= since + longest && until < flight.deadline {
             return Step::WaitUntil(until);
