Bound the spread of news: a tree of small degree, clusters sent once, quick loss of sources

Cause on the grown Foerbundet: a host both of whose sources were cut off needed over three seconds to find another. Tests in peers/tests/feeds.rs.

--- a/crates/peers/src/feeds.rs
+++ b/crates/peers/src/feeds.rs
@@ -1,8 +1,8 @@
 //! Which hosts of a data centre watch the store, and from whom the others take its news.
 //!
 //! Each call to the store has its price, so only the first hosts of a data centre watch it: one in a small data centre,
-//! two in a large one. The rest take the news from two hosts before them, of another data centre where their own has too
-//! few. The order is that of rendezvous hashing, the same on all hosts without talk. Two sources at once, because a host
+//! two in a large one. The rest take the news from two hosts before them, in a tree of bounded degree, and from another data
+//! centre where their own has too few. The order is that of rendezvous hashing, the same on all hosts without talk. Two sources at once, because a host
 //! whose connection to the store has gone silent does not know it for a while; watchers listen to one another for the
 //! same reason. A host without enough sources watches for itself, so the loss of any hosts leaves the rest served.
 
@@ -23,12 +23,16 @@
 const WATCHERS: usize = 2;
 /// Hosts from which on a data centre is large: news from elsewhere would cost more than a second watcher.
 const LARGE: usize = 4;
+/// Hosts that take the news from the same two sources: a link of 10 Mbit/s has to carry them all.
+const FAN_OUT: usize = 4;
 /// Sources of a host that does not watch.
 const SOURCES: usize = 2;
 /// Hosts of a data centre that try the store while the sources' news are old; the others would only add calls.
 const WATCHERS_MAX: usize = 5;
 /// Time for which a source that failed is passed over.
 const PASS_OVER: Duration = Duration::from_secs(5);
+/// Time without any source after which a host watches for itself, while it looks for other sources.
+const DEAF_MAX: Duration = Duration::from_millis(100);
 /// Time without any contact after which a host's entry is taken for left behind.
 const ABANDONED: Duration = Duration::from_secs(60);
 
@@ -64,6 +68,10 @@
     /// Asked while no host is known.
     seeds: BTreeMap<EntryHostId, SocketAddr>,
     faults: BTreeMap<EntryHostId, Fault>,
+    /// Sources that send news now.
+    live: BTreeSet<EntryHostId>,
+    /// Since when there has been no such source.
+    deaf_since: Option<Instant>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -81,7 +89,15 @@
         data_centre: DataCentreId,
         seeds: BTreeMap<EntryHostId, SocketAddr>,
     ) -> Feeds {
-        Feeds { own, data_centre, hosts: BTreeMap::new(), seeds, faults: BTreeMap::new() }
+        Feeds {
+            own,
+            data_centre,
+            hosts: BTreeMap::new(),
+            seeds,
+            faults: BTreeMap::new(),
+            live: BTreeSet::new(),
+            deaf_since: None,
+        }
     }
 
     /// Takes in a host's entry.
@@ -115,12 +131,25 @@
     /// A source failed.
     pub fn failed(&mut self, host: &str, kind: SourceFault, now: Instant) {
         let since = self.faults.get(host).map_or(now, |fault| fault.since);
+        if self.live.remove(host) && self.live.is_empty() {
+            self.deaf_since = Some(now);
+        }
         self.faults.insert(host.to_owned(), Fault { kind, until: now + PASS_OVER, since });
     }
 
-    /// A source sent fresh news.
+    /// A source sent news or a beat.
     pub fn succeeded(&mut self, host: &str) {
         self.faults.remove(host);
+        if !self.live.contains(host) {
+            self.live.insert(host.to_owned());
+        }
+    }
+
+    /// A source is not used any more.
+    pub fn dropped(&mut self, host: &str, now: Instant) {
+        if self.live.remove(host) && self.live.is_empty() {
+            self.deaf_since = Some(now);
+        }
     }
 
     /// Hosts that could not be reached for so long that their entries are to be removed.
@@ -150,14 +179,21 @@
         let is_watcher = rank < watchers;
         let wanted = if is_watcher { 1 } else { SOURCES };
         let before = if is_watcher { watchers.min(near.len()) } else { rank };
-        let candidates = near[..before].iter().chain(&far).filter(|host| ***host != self.own);
+        // Two neighbours in a tree of bounded degree, then whoever else comes before this host.
+        let parent = rank.saturating_sub(watchers) / FAN_OUT;
+        let (first, rest) = near[..before].split_at(parent.min(before));
+        let candidates = rest.iter().chain(first).chain(&far).filter(|host| ***host != self.own);
         let may_watch = rank < WATCHERS_MAX;
         let usable = candidates.filter(|host| !self.is_passed_over(host, may_watch, now));
         let sources: BTreeMap<EntryHostId, SocketAddr> = usable
             .take(wanted)
             .filter_map(|host| Some(((*host).clone(), self.hosts.get(*host)?.address)))
             .collect();
-        let is_short = sources.is_empty() || (may_watch && sources.len() < wanted);
+        let is_deaf = self.live.is_empty()
+            && self
+                .deaf_since
+                .is_some_and(|since| now.saturating_duration_since(since) >= DEAF_MAX);
+        let is_short = sources.is_empty() || is_deaf || (may_watch && sources.len() < wanted);
         FeedPlan { sources, watches: is_watcher || is_short }
     }
 
--- a/crates/peers/tests/feeds.rs
+++ b/crates/peers/tests/feeds.rs
@@ -90,8 +90,13 @@
     let plans = plans(&hosts, &BTreeSet::new());
     assert_eq!(plans.values().filter(|plan| plan.watches).count(), watchers);
     assert_eq!(reached(&plans).len(), hosts.len());
-    let listeners = plans.values().filter(|plan| !plan.watches);
-    assert!(listeners.into_iter().all(|plan| plan.sources.len() == 2));
+    let listeners: Vec<&FeedPlan> = plans.values().filter(|plan| !plan.watches).collect();
+    assert!(listeners.iter().all(|plan| plan.sources.len() == 2));
+    // No host has to send the news to more than a few, whatever the size of the fleet.
+    for host in hosts.keys() {
+        let of_host = listeners.iter().filter(|plan| plan.sources.contains_key(host)).count();
+        assert!(of_host <= 10, "{of_host} listeners of {host}");
+    }
 }
 
 #[rstest]
@@ -156,3 +161,31 @@
     assert!(plan.watches);
     assert_eq!(plan.sources.len(), 1);
 }
+
+#[test]
+fn a_host_whose_sources_fall_silent_watches_at_once_until_one_is_back() {
+    let hosts = fleet(&[25]);
+    let mut now = Instant::now();
+    let own = hosts
+        .keys()
+        .find(|host| {
+            let plan = feeds(host, &hosts).plan(now);
+            !plan.watches && plan.sources.len() == 2
+        })
+        .expect("a host that listens");
+    let mut feeds = feeds(own, &hosts);
+    let sources: Vec<String> = feeds.plan(now).sources.into_keys().collect();
+    for source in &sources {
+        feeds.succeeded(source);
+    }
+    feeds.failed(&sources[0], SourceFault::Unreachable, now);
+    now += Duration::from_millis(300);
+    assert!(!feeds.plan(now).watches, "one source is left");
+    feeds.failed(&sources[1], SourceFault::Unreachable, now);
+    now += Duration::from_millis(300);
+    let plan = feeds.plan(now);
+    assert!(plan.watches);
+    let replacement = plan.sources.keys().next().expect("another source").clone();
+    feeds.succeeded(&replacement);
+    assert!(!feeds.plan(now).watches);
+}
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -42,12 +42,12 @@
 
 const FEED_PATH: &str = "/feed";
 /// Pause between two beats to listeners.
-const BEAT: Duration = Duration::from_millis(500);
-/// Silence after which a source is given up.
-const SOURCE_TIMEOUT: Duration = Duration::from_millis(1_600);
+const BEAT: Duration = Duration::from_millis(250);
+/// Silence after which a source is given up: a lost one has to be replaced within the bound of a configuration.
+const SOURCE_TIMEOUT: Duration = Duration::from_millis(900);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause between two looks at the plan.
-const PLAN_INTERVAL: Duration = Duration::from_millis(250);
+const PLAN_INTERVAL: Duration = Duration::from_millis(125);
 /// Age of a source's news from which on another source is looked for; above the wait of a watch.
 const AGE_MAX: Duration = Duration::from_millis(4_000);
 /// Time for the hosts of a system that starts for the first time to enter themselves.
@@ -201,6 +201,7 @@
         let is_wanted = plan.sources.contains_key(host);
         if !is_wanted {
             task.abort();
+            core.feeds.borrow_mut().dropped(host, Instant::now());
         }
         is_wanted && !task.is_finished()
     });
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -3,6 +3,7 @@
 //! Each kind has a task of its own, which rests while this host takes the news from others. A watch waits for a short time only, since an open connection may go silent for
 //! good. After an outage, entries of servers that are missing may only have lapsed: they stay in use for a while.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -36,6 +37,8 @@
 const WATCH_MARGIN: Duration = Duration::from_millis(700);
 /// Pause after a change before the next watch, well below the time in which servers that leave must be left alone.
 const GATHER: Duration = Duration::from_millis(300);
+/// The same for configurations, of which only the newest counts.
+const GATHER_CONFIGURATIONS: Duration = Duration::from_millis(150);
 /// Longest time for a list.
 const LIST_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// First pause after a failed call and the longest one.
@@ -153,9 +156,9 @@
                 let records = presence.mark_lapsed(page.records, Instant::now());
                 let has_news = !records.is_empty();
                 take_changes(core, kind, records, revision);
-                if has_news && kind != ObjectKind::Configuration {
-                    // Changes come in clusters, and each call has its price.
-                    tokio::time::sleep(GATHER).await;
+                if has_news {
+                    // Changes come in clusters; each call has its price, and each piece of news goes to all hosts.
+                    tokio::time::sleep(gather_time(kind)).await;
                 }
             }
             // The history is gone: list again.
@@ -221,10 +224,15 @@
     }
 }
 
-/// Takes in changes, in order, and passes on what is news.
+/// Takes in changes, in order, and passes on what is news; of several changes of one object the last one counts.
 fn take_changes(core: &Rc<Core>, kind: ObjectKind, records: Vec<Record>, revision: u64) {
-    let news: Vec<Record> =
-        records.into_iter().filter(|record| core.mirror.take(kind, record)).collect();
+    let last: BTreeMap<String, u64> =
+        records.iter().map(|record| (record.name.clone(), record.revision)).collect();
+    let news: Vec<Record> = records
+        .into_iter()
+        .filter(|record| last.get(&record.name) == Some(&record.revision))
+        .filter(|record| core.mirror.take(kind, record))
+        .collect();
     for record in &news {
         apply(core, kind, record.clone());
     }
@@ -335,6 +343,15 @@
     }
 }
 
+fn gather_time(kind: ObjectKind) -> Duration {
+    match kind {
+        ObjectKind::Configuration => GATHER_CONFIGURATIONS,
+        ObjectKind::Servers | ObjectKind::Shifts | ObjectKind::Suspects | ObjectKind::Hosts => {
+            GATHER
+        }
+    }
+}
+
 impl Presence {
     /// Whether the store has been away until now.
     fn was_away(&self, now: Instant) -> bool {
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -139,10 +139,11 @@
     }
 }
 
-/// A frame as it goes over the wire: its length in four bytes, then MessagePack.
+/// A frame as it goes over the wire: its length in four bytes, then MessagePack without field names. A host of another
+/// release cannot read it and watches the store itself until all are of one.
 fn encode(frame: &Frame) -> Bytes {
     let mut buf = vec![0; 4];
-    if let Err(e) = rmp_serde::encode::write_named(&mut buf, frame) {
+    if let Err(e) = rmp_serde::encode::write(&mut buf, frame) {
         // Only a fault of this program gets here; an empty frame is skipped by the listener.
         log::error!("event=frame_not_encoded reason={:?}", e.to_string());
         buf.truncate(4);
