--- a/crates/core/commands/check.rs
+++ b/crates/core/commands/check.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use foxtailhoist_platform::Settings as RelaySettings;
 use foxtailhoist_settings::load_settings;
 
 use crate::commands::operate;
@@ -13,7 +14,16 @@
 /// # Errors
 ///
 /// Returns every fault with its file, line and field.
-pub fn check(settings: Option<&Path>, configuration: Option<&Path>) -> Result<(), Failure> {
+pub fn check(
+    settings: Option<&Path>,
+    relay: Option<&Path>,
+    configuration: Option<&Path>,
+) -> Result<(), Failure> {
+    if let Some(file) = relay {
+        let settings =
+            RelaySettings::load(file).map_err(|fault| Failure::Settings(fault.to_string()))?;
+        println!("{}: settings of {} in {}", file.display(), settings.host, settings.data_centre);
+    }
     let mut from_settings: Option<PathBuf> = None;
     if let Some(file) = settings {
         let settings =
--- a/crates/core/commands/mod.rs
+++ b/crates/core/commands/mod.rs
@@ -49,8 +49,8 @@
         Command::Serve { settings } => block_on(serve::serve(&settings))?,
         Command::Explain { request, logs } => explain::explain(&request, &logs)?,
         Command::Relay { settings } => relay::relay(&settings)?,
-        Command::Check { settings, configuration } => {
-            check::check(settings.as_deref(), configuration.as_deref())?
+        Command::Check { settings, relay, configuration } => {
+            check::check(settings.as_deref(), relay.as_deref(), configuration.as_deref())?
         }
         Command::ReportBurn(flags, format) => block_on(report::burn(flags, format))?,
         Command::Scenario { file } => scenario::scenario(&file)?,
--- a/crates/core/flags/command.rs
+++ b/crates/core/flags/command.rs
@@ -40,6 +40,7 @@
     },
     Check {
         settings: Option<PathBuf>,
+        relay: Option<PathBuf>,
         configuration: Option<PathBuf>,
     },
     Status(OperatorFlags),
@@ -174,10 +175,13 @@
 fn check(flags: &Flags) -> Result<Command, Failure> {
     let settings = flags.value("settings").map(PathBuf::from);
     let configuration = flags.value("configuration").map(PathBuf::from);
-    if settings.is_none() && configuration.is_none() {
-        return Err(Failure::Usage("check needs --settings, --configuration or both".to_owned()));
+    let relay = flags.value("relay").map(PathBuf::from);
+    if settings.is_none() && relay.is_none() && configuration.is_none() {
+        return Err(Failure::Usage(
+            "check needs --settings, --relay or --configuration".to_owned(),
+        ));
     }
-    Ok(Command::Check { settings, configuration })
+    Ok(Command::Check { settings, relay, configuration })
 }
 
 fn operator(flags: &Flags) -> Result<OperatorFlags, Failure> {
--- a/crates/core/flags/defs.rs
+++ b/crates/core/flags/defs.rs
@@ -36,6 +36,12 @@
         value: FlagValue::Named("FILE"),
         help: "Settings of the process, in YAML (serve, relay, check). relay: else $FOXTAILHOIST_CONFIG.",
     },
+    FlagDef {
+        short: "",
+        long: "relay",
+        value: FlagValue::Named("FILE"),
+        help: "Settings of an entry host on the users' platform, in YAML (check).",
+    },
     FlagDef {
         short: "c",
         long: "configuration",
