--- a/crates/route/src/backends/choose.rs
+++ b/crates/route/src/backends/choose.rs
@@ -95,6 +95,7 @@
             !query.avoid.contains(&server.listing.id)
                 && !server.health.is_paused(now)
                 && !server.is_full(now)
+                && !self.is_cut_off(server, now)
         });
         let favourite = favourite(&candidates, query, &self.own);
         let least_failing = candidates
--- a/crates/route/src/backends/health.rs
+++ b/crates/route/src/backends/health.rs
@@ -2,13 +2,18 @@
 //!
 //! Failures and speed are moving averages that fade with time, so that a server which was avoided is tried again.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
+use foxtailhoist_model::BackendServerId;
+
 /// First pause after a refused or broken connection; doubles with each further one.
 const PAUSE_BASE: Duration = Duration::from_millis(300);
 /// Longest pause: well within the time in which a restarted server is listed again.
 const PAUSE_MAX: Duration = Duration::from_millis(2_400);
+/// Servers of a data centre that fail before it counts as cut off.
+const LOST_TOGETHER: usize = 2;
 /// Time after a pause in which a server is still avoided where others can do the work.
 const DOUBT: Duration = Duration::from_secs(4);
 /// Time in which half of what was seen is forgotten.
@@ -100,3 +105,35 @@
         0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
     }
 }
+
+/// Whether a data centre can be reached at all: servers that fail together there fail for a common cause.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CentreHealth {
+    /// Servers that could not be reached since the last sign of life from the data centre.
+    lost: BTreeSet<BackendServerId>,
+    pause: Option<Pause>,
+}
+
+impl CentreHealth {
+    /// A server there answered.
+    pub(crate) fn answered(&mut self) {
+        self.lost.clear();
+        self.pause = None;
+    }
+
+    /// A server there could not be reached or fell silent.
+    pub(crate) fn lost(&mut self, server: &BackendServerId, now: Instant) {
+        self.lost.insert(server.clone());
+        if self.lost.len() < LOST_TOGETHER || self.is_paused(now) {
+            return;
+        }
+        let count = self.pause.map_or(0, |pause| pause.count);
+        let length = PAUSE_BASE.saturating_mul(2 << count.min(4)).min(PAUSE_MAX);
+        self.pause = Some(Pause { until: now + length, count: count + 1 });
+    }
+
+    /// Whether its servers are left alone where others can do the work.
+    pub(crate) fn is_paused(&self, now: Instant) -> bool {
+        self.pause.is_some_and(|pause| now < pause.until)
+    }
+}
--- a/crates/route/src/backends/mod.rs
+++ b/crates/route/src/backends/mod.rs
@@ -25,6 +25,7 @@
 
 use crate::backends::cache::CacheRecord;
 pub(crate) use crate::backends::choose::Query;
+use crate::backends::health::CentreHealth;
 use crate::backends::health::Health;
 use crate::flight::Attempt;
 use crate::flight::AttemptOutcome;
@@ -74,6 +75,8 @@
     servers: BTreeMap<BackendServerId, Server>,
     services: BTreeMap<ServiceId, BTreeSet<BackendServerId>>,
     means: BTreeMap<(ServiceId, Option<ModelId>), MeanTimes>,
+    /// Other data centres.
+    centres: BTreeMap<DataCentreId, CentreHealth>,
     next_generation: Generation,
     /// Entry hosts that send to the same servers, roughly: what this one has under way stands for that many times as
     /// much.
@@ -117,6 +120,7 @@
             servers: BTreeMap::new(),
             services: BTreeMap::new(),
             means: BTreeMap::new(),
+            centres: BTreeMap::new(),
             next_generation: 0,
             hosts_per_server: 1.0,
         }
@@ -278,6 +282,7 @@
         outcome: AttemptOutcome,
         now: Instant,
     ) {
+        self.note_reach(attempt, had_head, outcome, now);
         let Some(server) = self.incarnation_mut(attempt) else {
             return;
         };
@@ -303,6 +308,44 @@
         }
     }
 
+    /// Notes what an attempt says of the way to its server's data centre.
+    fn note_reach(
+        &mut self,
+        attempt: &Attempt,
+        had_head: bool,
+        outcome: AttemptOutcome,
+        now: Instant,
+    ) {
+        let Some(server) = self.incarnation(attempt) else {
+            return;
+        };
+        let centre = server.listing.data_centre.clone();
+        if centre == self.own {
+            return;
+        }
+        let health = self.centres.entry(centre).or_default();
+        match outcome {
+            AttemptOutcome::Unreachable | AttemptOutcome::Silent => {
+                health.lost(&attempt.server, now);
+            }
+            AttemptOutcome::Whole
+            | AttemptOutcome::Failed
+            | AttemptOutcome::Dropped
+            | AttemptOutcome::Misdirected
+            | AttemptOutcome::Full { .. } => health.answered(),
+            AttemptOutcome::Garbled | AttemptOutcome::Broken | AttemptOutcome::Cancelled => {
+                if had_head {
+                    health.answered();
+                }
+            }
+        }
+    }
+
+    fn is_cut_off(&self, server: &Server, now: Instant) -> bool {
+        let health = self.centres.get(&server.listing.data_centre);
+        health.is_some_and(|health| health.is_paused(now))
+    }
+
     /// Mean milliseconds up to the first byte for a unit of work.
     pub(crate) fn mean_first_byte(&self, service: &str, model: Option<&str>) -> Option<f64> {
         let key = (service.to_owned(), model.map(str::to_owned));
--- /dev/null
+++ b/crates/route/tests/choice.rs
@@ -0,0 +1,156 @@
+//! Where work goes, under the loads and faults that the choice answers.
+
+mod fleet;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use foxtailhoist_route::dispatch::Step;
+use foxtailhoist_route::flight::AttemptOutcome;
+use foxtailhoist_route::flight::PromptPart;
+
+use fleet::Bed;
+use fleet::OTHER;
+use fleet::bed;
+use fleet::good;
+use fleet::listing;
+use fleet::millis;
+
+/// A request about a subject, whose prompt shares a part of the given size with others about it.
+fn about(
+    bed: &mut Bed,
+    subject: u64,
+    shared_tokens: u64,
+) -> (foxtailhoist_route::flight::Flight, foxtailhoist_route::flight::Attempt) {
+    let mut arrival = bed.arrival("/chat/1");
+    arrival.parts[0] = PromptPart { id: subject, tokens: shared_tokens };
+    arrival.prompt_tokens = shared_tokens + 500;
+    let mut flight = bed.admit(arrival).expect("admitted");
+    let attempt = bed.send(&mut flight);
+    (flight, attempt)
+}
+
+fn finish(
+    bed: &mut Bed,
+    flight: &mut foxtailhoist_route::flight::Flight,
+    attempt: &foxtailhoist_route::flight::Attempt,
+) {
+    bed.head(flight, attempt, good());
+    bed.end(flight, attempt, AttemptOutcome::Whole);
+}
+
+#[test]
+fn hosts_agree_on_the_server_of_a_subject_without_talking() {
+    let mut hosts = [bed(), bed()];
+    let mut servers = BTreeSet::new();
+    for subject in 0..60 {
+        let chosen: Vec<String> = hosts
+            .iter_mut()
+            .map(|bed| {
+                let (mut flight, attempt) = about(bed, subject, 5_000);
+                finish(bed, &mut flight, &attempt);
+                attempt.server
+            })
+            .collect();
+        assert_eq!(chosen[0], chosen[1], "subject {subject}");
+        servers.insert(chosen[0].clone());
+    }
+    assert_eq!(servers.len(), 3);
+}
+
+#[test]
+fn a_hot_subject_spreads_when_its_server_is_busy() {
+    let mut bed = bed();
+    let mut per_server: BTreeMap<String, u32> = BTreeMap::new();
+    for _ in 0..60 {
+        let (mut flight, attempt) = about(&mut bed, 7, 5_000);
+        bed.head(&mut flight, &attempt, good());
+        *per_server.entry(attempt.server).or_default() += 1;
+    }
+    // All 60 run at once, and each server that was asked holds the part: none has much more than its third.
+    assert_eq!(per_server.len(), 3);
+    assert!(per_server.values().all(|count| *count <= 30), "{per_server:?}");
+}
+
+#[test]
+fn a_large_shared_part_is_worth_the_way_to_another_data_centre_and_a_small_one_is_not() {
+    let mut bed = bed();
+    for id in ["far-1", "far-2", "far-3"] {
+        bed.list(listing(id, "llm", OTHER));
+    }
+    let mut far = BTreeMap::new();
+    for tokens in [200, 5_000] {
+        for subject in 0..60 {
+            let (mut flight, attempt) = about(&mut bed, tokens * 1_000 + subject, tokens);
+            finish(&mut bed, &mut flight, &attempt);
+            *far.entry(tokens).or_insert(0) += u32::from(attempt.server.starts_with("far"));
+        }
+    }
+    assert_eq!(far[&200], 0);
+    assert!((15..=45).contains(&far[&5_000]), "{far:?}");
+}
+
+#[test]
+fn a_data_centre_that_is_cut_off_costs_two_requests_their_wait_and_not_each_server_one() {
+    let mut bed = bed();
+    for number in 0..8 {
+        bed.list(listing(&format!("far-{number}"), "llm", OTHER));
+    }
+    let mut lost = 0;
+    for subject in 0..100 {
+        bed.pass(millis(5));
+        let mut arrival = bed.arrival("/chat/1");
+        arrival.parts[0] = PromptPart { id: subject, tokens: 5_000 };
+        let mut flight = bed.admit(arrival).expect("admitted");
+        loop {
+            let Step::Send(attempt) = bed.next(&mut flight) else { panic!("no server") };
+            if attempt.server.starts_with("far") {
+                lost += 1;
+                bed.end(&mut flight, &attempt, AttemptOutcome::Unreachable);
+                continue;
+            }
+            bed.dispatcher.sent(&mut flight, &attempt);
+            finish(&mut bed, &mut flight, &attempt);
+            break;
+        }
+    }
+    assert!(lost <= 2, "{lost} attempts at a data centre that is cut off");
+    // It is used again once a server there answers.
+    bed.pass(millis(3_000));
+    let mut far = 0;
+    for subject in 0..60 {
+        let (mut flight, attempt) = about(&mut bed, 9_000_000 + subject, 5_000);
+        finish(&mut bed, &mut flight, &attempt);
+        far += u32::from(attempt.server.starts_with("far"));
+    }
+    assert!(far >= 20, "{far} of 60");
+}
+
+#[test]
+fn a_failing_server_gets_little_work_that_cannot_be_repeated() {
+    let mut bed = bed();
+    let mut on_failing = 0;
+    for number in 0..300 {
+        bed.pass(millis(20));
+        let mut flight = bed.flight("/renew/1");
+        let attempt = bed.send(&mut flight);
+        let fails = attempt.server == "desk-1" && number % 2 == 0;
+        on_failing += u32::from(attempt.server == "desk-1");
+        let outcome = if fails { AttemptOutcome::Failed } else { AttemptOutcome::Whole };
+        bed.head(&mut flight, &attempt, good());
+        bed.end(&mut flight, &attempt, outcome);
+    }
+    assert!(on_failing <= 30, "{on_failing} of 300 at a server that fails half");
+}
+
+#[test]
+fn a_refused_connection_pauses_a_server_and_a_success_ends_the_pause() {
+    let mut bed = bed();
+    let mut flight = bed.flight("/renew/1");
+    let Step::Send(first) = bed.next(&mut flight) else { panic!("no attempt") };
+    assert_eq!(first.server, "desk-1", "the server of the own data centre");
+    bed.end(&mut flight, &first, AttemptOutcome::Unreachable);
+    assert_ne!(bed.serve("/look/1"), "desk-1");
+    bed.pass(millis(10_000));
+    assert_eq!(bed.serve("/look/1"), "desk-1");
+}
--- a/crates/route/tests/fleet/mod.rs
+++ b/crates/route/tests/fleet/mod.rs
@@ -197,7 +197,8 @@
         attempt: &Attempt,
         head: AnswerHead,
     ) -> HeadVerdict {
-        self.dispatcher.head(flight, attempt, &head, millis(50), self.now)
+        let elapsed = millis(30 + attempt.unread_tokens / 50);
+        self.dispatcher.head(flight, attempt, &head, elapsed, self.now)
     }
 
     pub fn end(&mut self, flight: &mut Flight, attempt: &Attempt, outcome: AttemptOutcome) {
