Notice sources with old news within the bound of a configuration

The watch for the configuration now waits one second, news older than 1.7 s are old, and a host with only such news probes the store. Tests: feeds.rs.

--- a/crates/peers/src/feeds.rs
+++ b/crates/peers/src/feeds.rs
@@ -27,10 +27,13 @@
 const FAN_OUT: usize = 4;
 /// Sources of a host that does not watch.
 const SOURCES: usize = 2;
-/// Hosts of a data centre that try the store while the sources' news are old; the others would only add calls.
+/// Hosts of a data centre that watch while the sources' news are old; the others probe now and then, so that a store
+/// that is down for all does not get calls from all.
 const WATCHERS_MAX: usize = 5;
 /// Time for which a source that failed is passed over.
 const PASS_OVER: Duration = Duration::from_secs(5);
+/// Time for which a host that reached the store watches it in place of its sources.
+const REACH: Duration = Duration::from_secs(5);
 /// Time without any source after which a host watches for itself, while it looks for other sources.
 const DEAF_MAX: Duration = Duration::from_millis(100);
 /// Time without any contact after which a host's entry is taken for left behind.
@@ -48,15 +51,8 @@
 pub struct FeedPlan {
     pub sources: BTreeMap<EntryHostId, SocketAddr>,
     pub watches: bool,
-}
-
-/// Why a source is not used.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SourceFault {
-    /// It cannot be reached.
-    Unreachable,
-    /// It has had no contact with the store for too long.
-    Stale,
+    /// All sources' news are old: find out now and then whether the store can be reached from here.
+    pub probes: bool,
 }
 
 /// The entry hosts and the sources among them.
@@ -70,13 +66,16 @@
     faults: BTreeMap<EntryHostId, Fault>,
     /// Sources that send news now.
     live: BTreeSet<EntryHostId>,
+    /// Those of them whose own news are old.
+    stale: BTreeSet<EntryHostId>,
     /// Since when there has been no such source.
     deaf_since: Option<Instant>,
+    /// This host reached the store while its sources did not.
+    reaches_until: Option<Instant>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Fault {
-    kind: SourceFault,
     until: Instant,
     /// Begin of the time without contact.
     since: Instant,
@@ -96,7 +95,9 @@
             seeds,
             faults: BTreeMap::new(),
             live: BTreeSet::new(),
+            stale: BTreeSet::new(),
             deaf_since: None,
+            reaches_until: None,
         }
     }
 
@@ -128,37 +129,43 @@
         (self.hosts.len().max(1), near.max(1))
     }
 
-    /// A source failed.
-    pub fn failed(&mut self, host: &str, kind: SourceFault, now: Instant) {
+    /// A source cannot be reached any more.
+    pub fn failed(&mut self, host: &str, now: Instant) {
         let since = self.faults.get(host).map_or(now, |fault| fault.since);
-        if self.live.remove(host) && self.live.is_empty() {
-            self.deaf_since = Some(now);
-        }
-        self.faults.insert(host.to_owned(), Fault { kind, until: now + PASS_OVER, since });
+        self.faults.insert(host.to_owned(), Fault { until: now + PASS_OVER, since });
+        self.dropped(host, now);
     }
 
-    /// A source sent news or a beat.
-    pub fn succeeded(&mut self, host: &str) {
+    /// A source sent news or a beat; `is_fresh` tells whether its own news are the store's newest.
+    pub fn heard(&mut self, host: &str, is_fresh: bool) {
         self.faults.remove(host);
         if !self.live.contains(host) {
             self.live.insert(host.to_owned());
         }
+        if is_fresh {
+            self.stale.remove(host);
+        } else if !self.stale.contains(host) {
+            self.stale.insert(host.to_owned());
+        }
     }
 
     /// A source is not used any more.
     pub fn dropped(&mut self, host: &str, now: Instant) {
+        self.stale.remove(host);
         if self.live.remove(host) && self.live.is_empty() {
             self.deaf_since = Some(now);
         }
     }
 
+    /// The store answered this host although its sources' news are old.
+    pub fn reached_store(&mut self, now: Instant) {
+        self.reaches_until = Some(now + REACH);
+    }
+
     /// Hosts that could not be reached for so long that their entries are to be removed.
     #[must_use]
     pub fn abandoned(&self, now: Instant) -> BTreeSet<EntryHostId> {
-        let is_abandoned = |fault: &Fault| {
-            fault.kind == SourceFault::Unreachable
-                && now.saturating_duration_since(fault.since) >= ABANDONED
-        };
+        let is_abandoned = |fault: &Fault| now.saturating_duration_since(fault.since) >= ABANDONED;
         let hosts = self.faults.iter().filter(|(_, fault)| is_abandoned(fault));
         hosts.map(|(host, _)| host.clone()).filter(|host| self.hosts.contains_key(host)).collect()
     }
@@ -167,10 +174,10 @@
     #[must_use]
     pub fn plan(&self, now: Instant) -> FeedPlan {
         if !self.hosts.contains_key(&self.own) && self.hosts.len() < 2 {
-            let usable =
-                self.seeds.iter().filter(|(seed, _)| !self.is_passed_over(seed, true, now));
+            let usable = self.seeds.iter().filter(|(seed, _)| !self.is_passed_over(seed, now));
             let sources = usable.map(|(seed, address)| (seed.clone(), *address));
-            return FeedPlan { sources: sources.take(SOURCES).collect(), watches: true };
+            let sources = sources.take(SOURCES).collect();
+            return FeedPlan { sources, watches: true, probes: false };
         }
         let near = self.order(&self.data_centre);
         let rank = near.iter().position(|host| **host == self.own).unwrap_or(near.len());
@@ -184,7 +191,7 @@
         let (first, rest) = near[..before].split_at(parent.min(before));
         let candidates = rest.iter().chain(first).chain(&far).filter(|host| ***host != self.own);
         let may_watch = rank < WATCHERS_MAX;
-        let usable = candidates.filter(|host| !self.is_passed_over(host, may_watch, now));
+        let usable = candidates.filter(|host| !self.is_passed_over(host, now));
         let sources: BTreeMap<EntryHostId, SocketAddr> = usable
             .take(wanted)
             .filter_map(|host| Some(((*host).clone(), self.hosts.get(*host)?.address)))
@@ -194,7 +201,11 @@
                 .deaf_since
                 .is_some_and(|since| now.saturating_duration_since(since) >= DEAF_MAX);
         let is_short = sources.is_empty() || is_deaf || (may_watch && sources.len() < wanted);
-        FeedPlan { sources, watches: is_watcher || is_short }
+        let is_stale = !self.live.is_empty() && self.live.is_subset(&self.stale);
+        let reaches = self.reaches_until.is_some_and(|until| now < until);
+        let helps = is_stale && (may_watch || reaches);
+        let watches = is_watcher || is_short || helps;
+        FeedPlan { sources, watches, probes: is_stale && !watches }
     }
 
     /// Hosts of a data centre, those that watch first.
@@ -212,9 +223,7 @@
         homes(self.own.as_bytes(), firsts, usize::MAX)
     }
 
-    fn is_passed_over(&self, host: &str, minds_age: bool, now: Instant) -> bool {
-        self.faults.get(host).is_some_and(|fault| {
-            now < fault.until && (minds_age || fault.kind == SourceFault::Unreachable)
-        })
+    fn is_passed_over(&self, host: &str, now: Instant) -> bool {
+        self.faults.get(host).is_some_and(|fault| now < fault.until)
     }
 }
--- a/crates/peers/tests/feeds.rs
+++ b/crates/peers/tests/feeds.rs
@@ -8,7 +8,6 @@
 use foxtailhoist_peers::feeds::FeedPlan;
 use foxtailhoist_peers::feeds::Feeds;
 use foxtailhoist_peers::feeds::HostEntry;
-use foxtailhoist_peers::feeds::SourceFault;
 use rstest::rstest;
 
 /// A fleet with the given number of hosts in each data centre.
@@ -52,7 +51,7 @@
                 return (host.clone(), plan);
             }
             for source in dead {
-                feeds.failed(source, SourceFault::Unreachable, now);
+                feeds.failed(source, now);
             }
         }
     };
@@ -120,15 +119,45 @@
 fn hosts_with_old_news_do_not_all_turn_to_the_store() {
     let hosts = fleet(&[25]);
     let now = Instant::now();
-    let mut watching = 0;
+    let (mut watching, mut probing) = (0, 0);
     for host in hosts.keys() {
         let mut feeds = feeds(host, &hosts);
-        for source in hosts.keys() {
-            feeds.failed(source, SourceFault::Stale, now);
+        for source in feeds.plan(now).sources.keys() {
+            feeds.heard(source, false);
         }
-        watching += usize::from(feeds.plan(now).watches);
+        let plan = feeds.plan(now);
+        watching += usize::from(plan.watches);
+        probing += usize::from(plan.probes);
     }
-    assert_eq!(watching, 5);
+    assert_eq!((watching, probing), (5, 20));
+}
+
+#[test]
+fn a_host_that_reaches_the_store_watches_in_place_of_its_old_sources() {
+    let hosts = fleet(&[25]);
+    let mut now = Instant::now();
+    let probes = |host: &&String| {
+        let mut feeds = feeds(host, &hosts);
+        for source in feeds.plan(now).sources.keys() {
+            feeds.heard(source, false);
+        }
+        feeds.plan(now).probes
+    };
+    let own = hosts.keys().find(probes).expect("a host that probes");
+    let mut feeds = feeds(own, &hosts);
+    let sources: Vec<String> = feeds.plan(now).sources.into_keys().collect();
+    for source in &sources {
+        feeds.heard(source, false);
+    }
+    feeds.reached_store(now);
+    assert!(feeds.plan(now).watches);
+    // One fresh source suffices.
+    feeds.heard(&sources[0], true);
+    let plan = feeds.plan(now);
+    assert!(!plan.watches && !plan.probes);
+    feeds.heard(&sources[0], false);
+    now += Duration::from_secs(6);
+    assert!(feeds.plan(now).probes);
 }
 
 #[test]
@@ -141,15 +170,15 @@
         .expect("a host that listens");
     let mut feeds = feeds(own, &hosts);
     let source = feeds.plan(now).sources.keys().next().expect("a source").clone();
-    feeds.failed(&source, SourceFault::Unreachable, now);
+    feeds.failed(&source, now);
     assert!(!feeds.plan(now).sources.contains_key(&source));
     now += Duration::from_secs(6);
     assert!(feeds.plan(now).sources.contains_key(&source));
-    feeds.failed(&source, SourceFault::Unreachable, now);
+    feeds.failed(&source, now);
     assert!(feeds.abandoned(now).is_empty());
     now += Duration::from_secs(60);
     assert_eq!(feeds.abandoned(now), BTreeSet::from([source.clone()]));
-    feeds.succeeded(&source);
+    feeds.heard(&source, true);
     assert!(feeds.abandoned(now).is_empty());
 }
 
@@ -176,16 +205,16 @@
     let mut feeds = feeds(own, &hosts);
     let sources: Vec<String> = feeds.plan(now).sources.into_keys().collect();
     for source in &sources {
-        feeds.succeeded(source);
+        feeds.heard(source, true);
     }
-    feeds.failed(&sources[0], SourceFault::Unreachable, now);
+    feeds.failed(&sources[0], now);
     now += Duration::from_millis(300);
     assert!(!feeds.plan(now).watches, "one source is left");
-    feeds.failed(&sources[1], SourceFault::Unreachable, now);
+    feeds.failed(&sources[1], now);
     now += Duration::from_millis(300);
     let plan = feeds.plan(now);
     assert!(plan.watches);
     let replacement = plan.sources.keys().next().expect("another source").clone();
-    feeds.succeeded(&replacement);
+    feeds.heard(&replacement, true);
     assert!(!feeds.plan(now).watches);
 }
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -14,7 +14,6 @@
 use bytes::BytesMut;
 use foxtailhoist_model::EntryHostId;
 use foxtailhoist_peers::feeds::HostEntry;
-use foxtailhoist_peers::feeds::SourceFault;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -27,6 +26,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use rand::RngExt;
 use tokio::net::TcpListener;
 use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
@@ -48,8 +48,12 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause between two looks at the plan.
 const PLAN_INTERVAL: Duration = Duration::from_millis(125);
-/// Age of a source's news from which on another source is looked for; above the wait of a watch.
-const AGE_MAX: Duration = Duration::from_millis(4_000);
+/// Age from which on a source's news are old; above the wait of the watch for the configuration, also when the store
+/// answers slowly, and within the bound of a configuration.
+const AGE_MAX: Duration = Duration::from_millis(1_700);
+/// Longest pause between two probes of the store while all sources' news are old.
+const PROBE_INTERVAL: Duration = Duration::from_millis(2_500);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time for the hosts of a system that starts for the first time to enter themselves.
 const SETTLE: Duration = Duration::from_millis(900);
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -68,9 +72,14 @@
     let mut registered_at = Instant::now();
     let mut sources = Sources::new();
     let mut beat_at = Instant::now();
+    let mut probe_at = Instant::now();
     loop {
-        follow_plan(&core, &mut sources);
+        let probes = follow_plan(&core, &mut sources);
         let now = Instant::now();
+        if probes && now >= probe_at {
+            probe_at = now + PROBE_INTERVAL.mul_f64(rand::rng().random_range(0.5..1.0));
+            spawn_local(probe_store(core.clone()));
+        }
         if now >= beat_at {
             core.mirror.publish(&Frame::Beat { age: core.mirror.age(now) });
             beat_at = now + BEAT;
@@ -185,7 +194,21 @@
     }
 }
 
-fn follow_plan(core: &Rc<Core>, sources: &mut Sources) {
+/// Asks the store once for a configuration, to find out whether it can be reached from here.
+async fn probe_store(core: Rc<Core>) {
+    let mut client = StoreClient::new(core.cfg.store);
+    let revision = core.mirror.revision(ObjectKind::Configuration).unwrap_or(0);
+    let request = core.wire.watch(ObjectKind::Configuration, revision, Duration::from_millis(1));
+    let answer = client.call(request, PROBE_TIMEOUT).await;
+    core.metrics.store_call("probe");
+    // Any answer but a refusal will do: the watch that follows reads what there is.
+    if answer.is_ok_and(|(status, _)| status.is_success() || status == StatusCode::GONE) {
+        core.feeds.borrow_mut().reached_store(Instant::now());
+    }
+}
+
+/// Opens and closes connections as the plan says; whether the store is to be probed.
+fn follow_plan(core: &Rc<Core>, sources: &mut Sources) -> bool {
     let plan = core.feeds.borrow().plan(Instant::now());
     let (fleet, near) = core.feeds.borrow().sizes();
     core.dispatcher.borrow_mut().set_hosts(fleet, near);
@@ -206,31 +229,28 @@
         is_wanted && !task.is_finished()
     });
     for (host, address) in plan.sources {
-        sources
-            .entry(host.clone())
-            .or_insert_with(|| spawn_local(take_from(core.clone(), host, address)).abort_handle());
+        let task = || spawn_local(take_from(core.clone(), host.clone(), address)).abort_handle();
+        sources.entry(host.clone()).or_insert_with(task);
     }
+    plan.probes
 }
 
 /// Takes news from a source until it fails.
 async fn take_from(core: Rc<Core>, host: EntryHostId, address: std::net::SocketAddr) {
-    core.log.write(&LogEvent::Source { host: &host, fault: None });
-    let fault = match read_news(&core, &host, address).await {
-        Ok(fault) => fault,
-        Err(reason) => {
-            log::info!("event=source_lost host={host} reason={reason:?}");
-            SourceFault::Unreachable
-        }
+    core.log.write(&LogEvent::Source { host: &host });
+    let reason = match read_news(&core, &host, address).await {
+        Ok(never) => match never {},
+        Err(reason) => reason,
     };
-    core.feeds.borrow_mut().failed(&host, fault, Instant::now());
-    core.log.write(&LogEvent::Source { host: &host, fault: Some(fault) });
+    core.feeds.borrow_mut().failed(&host, Instant::now());
+    core.log.write(&LogEvent::SourceLost { host: &host, reason: &reason });
 }
 
 async fn read_news(
     core: &Rc<Core>,
     host: &str,
     address: std::net::SocketAddr,
-) -> Result<SourceFault, String> {
+) -> Result<Infallible, String> {
     let mut conn = Conn::open(address, CONNECT_TIMEOUT).await.map_err(|e| e.to_string())?;
     let request = Request::get(FEED_PATH)
         .header(header::HOST, address.to_string())
@@ -254,13 +274,11 @@
             };
             // A source that has just started has no news yet.
             let now = Instant::now();
-            if age.unwrap_or(now - begun) > AGE_MAX {
-                return Ok(SourceFault::Stale);
-            }
+            let is_fresh = age.unwrap_or(now - begun) <= AGE_MAX;
             if let Some(fresh_at) = age.and_then(|age| now.checked_sub(age)) {
                 core.mirror.set_fresh(fresh_at);
             }
-            core.feeds.borrow_mut().succeeded(host);
+            core.feeds.borrow_mut().heard(host, is_fresh);
         }
     }
 }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -28,13 +28,13 @@
 use crate::wire::Record;
 
 /// Wait of one watch for the configuration: a silent connection is noticed after this time, on all kinds.
-const CONFIGURATION_WATCH: Duration = Duration::from_millis(2_500);
+const CONFIGURATION_WATCH: Duration = Duration::from_millis(1_000);
 /// Wait of one watch for the servers, whose news come often anyway.
 const SERVERS_WATCH: Duration = Duration::from_millis(5_000);
 /// Wait of one watch for the other kinds.
 const LONG_WATCH: Duration = Duration::from_millis(20_000);
 /// Time beyond its wait after which a watch counts as lost.
-const WATCH_MARGIN: Duration = Duration::from_millis(700);
+const WATCH_MARGIN: Duration = Duration::from_millis(600);
 /// Pause after a change before the next watch, well below the time in which servers that leave must be left alone.
 const GATHER: Duration = Duration::from_millis(300);
 /// The same for configurations, of which only the newest counts.
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -10,7 +10,6 @@
 
 use foxtailhoist_model::ErrorKind;
 use foxtailhoist_model::stable_hash;
-use foxtailhoist_peers::feeds::SourceFault;
 use foxtailhoist_rollout::shift::ShiftPhase;
 use foxtailhoist_route::backends::ListingChange;
 use foxtailhoist_route::flight::Attempt;
@@ -93,10 +92,13 @@
     },
     /// This host watches the store itself, or no longer.
     Watching(bool),
-    /// Another entry host became a source of the store's news, or failed as one.
+    /// Another entry host became a source of the store's news, or is lost as one.
     Source {
         host: &'a str,
-        fault: Option<SourceFault>,
+    },
+    SourceLost {
+        host: &'a str,
+        reason: &'a str,
     },
     /// An attempt ended other than with a whole answer.
     AttemptEnded {
@@ -234,9 +236,9 @@
                 write!(f, "event=suspect content={content:016x} deaths={deaths}")
             }
             LogEvent::Watching(watching) => write!(f, "event=watching value={watching}"),
-            LogEvent::Source { host, fault: None } => write!(f, "event=source host={host}"),
-            LogEvent::Source { host, fault: Some(fault) } => {
-                write!(f, "event=source_failed host={host} fault={fault:?}")
+            LogEvent::Source { host } => write!(f, "event=source host={host}"),
+            LogEvent::SourceLost { host, reason } => {
+                write!(f, "event=source_lost host={host} reason={reason:?}")
             }
             LogEvent::AttemptEnded { flight, attempt, outcome, elapsed, reason } => write!(
                 f,
