--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod feed;
 mod follow;
 mod listen;
+pub mod log_buffer;
 pub mod log_event;
 mod metrics;
 mod mirror;
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -163,7 +163,9 @@
         log::info!("{event}");
     }
 
-    fn has_room(&self, now: Instant) -> bool {
+    /// Whether a line may be written now; one that may not is counted as dropped.
+    #[must_use]
+    pub fn has_room(&self, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.filled.get()).as_secs_f64();
         let tokens = (self.tokens.get() + age * LINES_PER_SECOND).min(BURST);
         self.filled.set(now);
@@ -242,12 +244,13 @@
             }
             LogEvent::AttemptEnded { flight, attempt, outcome, elapsed, reason } => write!(
                 f,
-                "event=attempt_ended request={} attempt={} server={} model={} outcome={outcome:?} \
+                "event=attempt_ended request={} attempt={} server={} model={} outcome={} \
                  ms={} cost_ms={:.0} last_event={} reason={reason:?}",
                 flight.id,
                 attempt.number,
                 attempt.server,
                 attempt.model.as_deref().unwrap_or("-"),
+                outcome.name(),
                 elapsed.as_millis(),
                 attempt.cost_ms,
                 flight.last_event().map_or_else(|| "-".to_owned(), |id| id.to_string()),
--- a/crates/relay/src/running.rs
+++ b/crates/relay/src/running.rs
@@ -92,7 +92,7 @@
         let UnderWay { attempt, begun, had_head } = under_way;
         let core = &self.core;
         core.dispatcher.borrow_mut().ended(&mut self.flight, &attempt, had_head, outcome, now);
-        core.metrics.attempt(outcome_name(outcome));
+        core.metrics.attempt(outcome.name());
         if outcome != AttemptOutcome::Whole {
             let elapsed = now - begun;
             let flight = &self.flight;
@@ -149,18 +149,3 @@
         self.core.log.write(&LogEvent::CallerLeft { flight: &self.flight, elapsed });
     }
 }
-
-fn outcome_name(outcome: AttemptOutcome) -> &'static str {
-    match outcome {
-        AttemptOutcome::Whole => "whole",
-        AttemptOutcome::Failed => "failed",
-        AttemptOutcome::Garbled => "garbled",
-        AttemptOutcome::Broken => "broken",
-        AttemptOutcome::Silent => "silent",
-        AttemptOutcome::Unreachable => "unreachable",
-        AttemptOutcome::Misdirected => "misdirected",
-        AttemptOutcome::Full { .. } => "full",
-        AttemptOutcome::Dropped => "dropped",
-        AttemptOutcome::Cancelled => "cancelled",
-    }
-}
--- /dev/null
+++ b/crates/relay/tests/logs.rs
@@ -0,0 +1,140 @@
+//! Log lines: bounded, never blocking, and with the fields that an operator searches for.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::io::Write;
+use std::sync::mpsc;
+use std::time::Duration;
+use std::time::Instant;
+
+use foxtailhoist_model::ErrorKind;
+use foxtailhoist_relay::log_buffer::BUFFER_BYTES;
+use foxtailhoist_relay::log_buffer::LogBuffer;
+use foxtailhoist_relay::log_event::EventLog;
+use foxtailhoist_relay::log_event::LogEvent;
+use foxtailhoist_relay::wire::ObjectKind;
+use foxtailhoist_rollout::shift::ShiftPhase;
+use foxtailhoist_route::backends::ListingChange;
+
+/// A reader that takes nothing until it is told to.
+struct Stuck {
+    release: mpsc::Receiver<()>,
+    out: mpsc::Sender<Vec<u8>>,
+}
+
+impl Write for Stuck {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.release.recv().map_err(io::Error::other)?;
+        self.out.send(buf.to_vec()).map_err(io::Error::other)?;
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_stuck_reader_neither_blocks_nor_fills_the_memory() {
+    let (release, stuck) = mpsc::channel();
+    let (out, taken) = mpsc::channel();
+    let buffer = LogBuffer::start(Box::new(Stuck { release: stuck, out }));
+    let line = [b'x'; 200];
+    for _ in 0..20_000 {
+        buffer.push(&line);
+        assert!(buffer.waiting().0 <= BUFFER_BYTES);
+    }
+    // More was pushed than two buffers hold: one may be with the thread, one waits, the rest is counted.
+    assert!(buffer.waiting().1 >= 20_000 - 2 * (BUFFER_BYTES as u64 / 200));
+    for _ in 0..8 {
+        release.send(()).expect("the thread lives");
+    }
+    let mut text = Vec::new();
+    while !String::from_utf8_lossy(&text).contains("event=log_dropped lines=") {
+        text.extend(taken.recv().expect("the thread lives"));
+    }
+}
+
+#[test]
+fn lines_beyond_the_rate_are_counted_until_there_is_room() {
+    let start = Instant::now();
+    let log = EventLog::new(start);
+    let burst = (0..10_000).filter(|_| log.has_room(start)).count();
+    assert_eq!(burst, 400);
+    let later = start + Duration::from_secs(1);
+    let next = (0..10_000).filter(|_| log.has_room(later)).count();
+    assert_eq!(next, 120);
+}
+
+#[test]
+fn every_line_names_its_event_first_and_quotes_free_text() {
+    let kind = ObjectKind::Servers;
+    let lines = [
+        (LogEvent::Started { host: "h", data_centre: "a" }, "started", "host"),
+        (LogEvent::Stopping, "stopping", "event"),
+        (LogEvent::Stopped { open: 2 }, "stopped", "open_connections"),
+        (LogEvent::Reloaded, "reloaded", "event"),
+        (LogEvent::ReloadRefused { reason: "a = b" }, "reload_refused", "reason"),
+        (LogEvent::Ready(true), "ready", "value"),
+        (LogEvent::Woke { gap: Duration::from_secs(3) }, "woke", "gap_ms"),
+        (LogEvent::StoreLost { kind, reason: "no answer: x" }, "store_lost", "reason"),
+        (LogEvent::StoreRegained { kind, away: Duration::ZERO }, "store_regained", "away_ms"),
+        (LogEvent::Unreadable { kind, name: "n 1", reason: "r" }, "object_unreadable", "name"),
+        (LogEvent::Configured { version: 3, routes: 4 }, "configured", "version"),
+        (
+            LogEvent::ConfigurationIgnored { version: 3, in_force: 4 },
+            "configuration_ignored",
+            "in_force",
+        ),
+        (LogEvent::Server { id: "i", change: ListingChange::Leaving }, "server", "change"),
+        (LogEvent::Shift { service: "s", target: "v", phase: None }, "shift", "target"),
+        (
+            LogEvent::ShiftReported { service: "s", phase: ShiftPhase::Completed, status: 200 },
+            "shift_reported",
+            "status",
+        ),
+        (
+            LogEvent::ShiftWithdrawn { service: "s", target: "v", bad: 3, answers: 9 },
+            "shift_withdrawn",
+            "bad",
+        ),
+        (LogEvent::Suspect { content: 7, deaths: 1 }, "suspect", "deaths"),
+        (LogEvent::Watching(false), "watching", "value"),
+        (LogEvent::Source { host: "h" }, "source", "host"),
+        (LogEvent::SourceLost { host: "h", reason: "ended" }, "source_lost", "reason"),
+        (
+            LogEvent::Refused {
+                id: "r",
+                flight: None,
+                kind: ErrorKind::NotFound,
+                elapsed: Duration::ZERO,
+            },
+            "refused",
+            "request",
+        ),
+        (LogEvent::Dropped { lines: 5 }, "log_dropped", "lines"),
+    ];
+    for (event, name, field) in lines {
+        assert!(event.is_sampled());
+        let line = event.to_string();
+        let fields = pairs(&line);
+        assert!(line.starts_with(&format!("event={name}")), "{line}");
+        assert!(fields.contains_key(field), "{line} has no {field}");
+    }
+}
+
+/// Splits a line into its pairs; quotes hold a value with spaces together.
+fn pairs(line: &str) -> BTreeMap<String, String> {
+    let mut pairs = BTreeMap::new();
+    let mut rest = line;
+    while let Some((key, tail)) = rest.split_once('=') {
+        let (value, tail) = match tail.strip_prefix('"') {
+            Some(quoted) => quoted.split_once('"').expect("closed"),
+            None => tail.split_once(' ').unwrap_or((tail, "")),
+        };
+        assert!(!key.trim().contains(' '), "{line}");
+        pairs.insert(key.trim().to_owned(), value.to_owned());
+        rest = tail;
+    }
+    pairs
+}
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -155,6 +155,25 @@
     }
 }
 
+impl AttemptOutcome {
+    /// Name in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            AttemptOutcome::Whole => "whole",
+            AttemptOutcome::Failed => "failed",
+            AttemptOutcome::Garbled => "garbled",
+            AttemptOutcome::Broken => "broken",
+            AttemptOutcome::Silent => "silent",
+            AttemptOutcome::Unreachable => "unreachable",
+            AttemptOutcome::Misdirected => "misdirected",
+            AttemptOutcome::Full { .. } => "full",
+            AttemptOutcome::Dropped => "dropped",
+            AttemptOutcome::Cancelled => "cancelled",
+        }
+    }
+}
+
 impl Flight {
     /// Whether the request may be sent to a server, given what is known of its runs.
     #[must_use]
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,139 @@
+//! Entry hosts as real processes before stand-ins of the platform, under random faults from outside.
+//!
+//! A seed draws the faults: hosts that are killed, stopped, paused and reloaded by signals; connections to servers and
+//! to the store that are delayed, reset, cut one way or silenced by a proxy; servers that fail; a store that is down or
+//! forgets. Callers check what they see and the servers what they run, all the while and after everything is mended.
+//!
+//! `SOAK_SEEDS=7,8,9 SOAK_SECONDS=30 cargo test --test soak` plays seeds of one's own; `SOAK_SEEDS=fresh:20` draws 20.
+
+#[path = "../platform/tests/standin/mod.rs"]
+mod standin;
+
+#[path = "soak/callers.rs"]
+mod callers;
+#[path = "soak/faults.rs"]
+mod faults;
+#[path = "soak/hosts.rs"]
+mod hosts;
+#[path = "soak/proxy.rs"]
+mod proxy;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::time::Instant;
+
+use callers::Callers;
+use faults::Fault;
+use hosts::Hosts;
+use proxy::Proxy;
+use standin::configuration;
+use standin::engine::Engine;
+use standin::entry_at;
+use standin::eventually;
+use standin::on_one_thread;
+use standin::store::Store;
+
+/// Seeds that CI plays; every seed that ever failed is kept here with a line on its cause.
+const SEEDS: [u64; 2] = [1, 2];
+const SECONDS: u64 = 6;
+/// Entry hosts, and servers of each of the two services.
+const HOSTS: usize = 3;
+const SERVERS: usize = 3;
+/// Callers that send one request after the other.
+const CALLERS: usize = 6;
+/// Longest pause between two faults.
+const FAULT_PAUSE_MS: u64 = 700;
+
+/// Everything that a run consists of.
+pub struct World {
+    pub store: Store,
+    pub store_proxy: Proxy,
+    pub engines: Vec<(Engine, Proxy)>,
+    pub hosts: Hosts,
+}
+
+#[tokio::test]
+async fn promises_hold_under_random_faults() {
+    for seed in seeds() {
+        on_one_thread(async || soak(seed).await).await;
+    }
+}
+
+async fn soak(seed: u64) {
+    println!("soak seed={seed} seconds={}", seconds());
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut world = World::start(seed).await;
+    let callers = Rc::new(Callers::new(world.hosts.addresses(), seed));
+    let tasks: Vec<_> = (0..CALLERS)
+        .map(|number| tokio::task::spawn_local(callers.clone().run(number as u64)))
+        .collect();
+    let end = Instant::now() + Duration::from_secs(seconds());
+    let mut version = 1;
+    while Instant::now() < end {
+        let fault = Fault::draw(&mut rng);
+        println!("soak seed={seed} fault={fault:?}");
+        fault.strike(&mut world, &mut version, &mut rng).await;
+        let pause = Duration::from_millis(rng.random_range(50..FAULT_PAUSE_MS));
+        tokio::time::sleep(pause).await;
+    }
+    faults::mend(&mut world);
+    for address in world.hosts.addresses() {
+        eventually(async || callers.is_served(address).await).await;
+    }
+    callers.stop();
+    for task in tasks {
+        task.await.expect("a caller ran to its end");
+    }
+    eventually(async || world.engines.iter().all(|(engine, _)| engine.active() == 0)).await;
+    callers.check_runs(&world.engines);
+    println!("soak seed={seed} {}", callers.summary());
+    world.hosts.close();
+}
+
+impl World {
+    async fn start(seed: u64) -> World {
+        let store = Store::start().await;
+        store.put("config", "main", configuration(1));
+        let store_proxy = Proxy::start(store.address).await;
+        let mut engines = Vec::new();
+        for number in 0..2 * SERVERS {
+            let service = if number < SERVERS { "llm" } else { "desk" };
+            let id = format!("i-{number}");
+            let engine = Engine::start(&id).await;
+            let proxy = Proxy::start(engine.address).await;
+            store.put("servers", &id, entry_at(&engine, proxy.address, service, "ready"));
+            engines.push((engine, proxy));
+        }
+        let hosts = Hosts::start(HOSTS, store_proxy.address, seed);
+        let world = World { store, store_proxy, engines, hosts };
+        let client = reqwest::Client::new();
+        for address in world.hosts.readiness() {
+            eventually(async || {
+                let answer = client.get(format!("http://{address}/api/readyz")).send().await;
+                answer.is_ok_and(|answer| answer.status().is_success())
+            })
+            .await;
+        }
+        world
+    }
+}
+
+fn seeds() -> Vec<u64> {
+    let Ok(text) = std::env::var("SOAK_SEEDS") else {
+        return SEEDS.to_vec();
+    };
+    if let Some(count) = text.strip_prefix("fresh:") {
+        let count = count.parse().expect("a number of seeds");
+        return (0..count).map(|_| u64::from(rand::random::<u32>())).collect();
+    }
+    text.split(',').map(|seed| seed.parse().expect("a seed")).collect()
+}
+
+fn seconds() -> u64 {
+    let seconds = std::env::var("SOAK_SECONDS").ok();
+    seconds.map_or(SECONDS, |text| text.parse().expect("a number of seconds"))
+}
--- /dev/null
+++ b/tests/soak/hosts.rs
@@ -0,0 +1,136 @@
+//! Entry hosts as processes: started with settings of their own, signalled, started again.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+
+/// The processes of one run.
+pub struct Hosts {
+    hosts: Vec<Host>,
+}
+
+struct Host {
+    callers: SocketAddr,
+    readiness: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Hosts {
+    /// Starts processes that reach the store at an address.
+    pub fn start(count: usize, store: SocketAddr, seed: u64) -> Hosts {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+        std::fs::create_dir_all(&folder).expect("a folder for settings and logs");
+        let ports: Vec<[SocketAddr; 3]> = (0..count).map(|_| free_addresses()).collect();
+        let seeds: Vec<String> = ports.iter().map(|[_, _, peers]| format!("\"{peers}\"")).collect();
+        let seeds = seeds.join(",");
+        let mut hosts = Hosts { hosts: Vec::new() };
+        for (number, [callers, readiness, peers]) in ports.iter().enumerate() {
+            let settings = folder.join(format!("host-{number}.yaml"));
+            let text = format!(
+                "host: host-{number}\ndata_centre: a\nlisten:\n  callers: \"{callers}\"\n  readiness: \"{readiness}\"\n  \
+                 peers: \"{peers}\"\nseeds: [{seeds}]\nfirst_start: false\nstore: \"{store}\"\ngrace_s: 8\nretries:\n  \
+                 ratio: 0.9\n  slack: 52\n  window_s: 10\nconfidence_floors: [50]\n"
+            );
+            std::fs::write(&settings, text).expect("the settings are written");
+            let log = folder.join(format!("host-{number}.log"));
+            // Each run has logs of its own.
+            drop(File::create(&log).expect("a log"));
+            hosts.hosts.push(Host {
+                callers: *callers,
+                readiness: *readiness,
+                settings,
+                log,
+                child: None,
+            });
+            hosts.start_again(number);
+        }
+        hosts
+    }
+
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.hosts.iter().map(|host| host.callers).collect()
+    }
+
+    pub fn readiness(&self) -> Vec<SocketAddr> {
+        self.hosts.iter().map(|host| host.readiness).collect()
+    }
+
+    pub fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Sends a signal to a process that runs.
+    pub fn signal(&self, number: usize, signal: Signal) {
+        if let Some(child) = &self.hosts[number].child {
+            let pid = Pid::from_child(child);
+            // One that has just ended by itself needs no signal.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Waits for a process that was told to end.
+    pub async fn wait(&mut self, number: usize) {
+        let Some(mut child) = self.hosts[number].child.take() else {
+            return;
+        };
+        while child.try_wait().expect("a child of this process").is_none() {
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Starts a process that does not run.
+    pub fn start_again(&mut self, number: usize) {
+        let host = &mut self.hosts[number];
+        if host.child.is_some() {
+            return;
+        }
+        let log = File::options().append(true).open(&host.log).expect("a log");
+        let child = Command::new(env!("CARGO_BIN_EXE_foxtailhoist"))
+            .arg("relay")
+            .arg("--settings")
+            .arg(&host.settings)
+            .stdout(Stdio::from(log))
+            .stdin(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        host.child = Some(child);
+    }
+
+    /// Ends all processes.
+    pub fn close(mut self) {
+        self.kill_all();
+    }
+
+    fn kill_all(&mut self) {
+        for host in &mut self.hosts {
+            if let Some(mut child) = host.child.take() {
+                // Both fail only where the process has ended already.
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+    }
+}
+
+impl Drop for Hosts {
+    /// A failed check must not leave processes behind.
+    fn drop(&mut self) {
+        self.kill_all();
+    }
+}
+
+/// Three addresses that were free a moment ago.
+fn free_addresses() -> [SocketAddr; 3] {
+    let listeners = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
+    listeners.map(|listener| listener.local_addr().expect("bound"))
+}
