--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -18,6 +18,7 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use tokio::time::error::Elapsed;
 use tokio::time::timeout_at;
 
 use crate::conn::Conn;
@@ -26,6 +27,8 @@
 
 /// Longest wait for a connection to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Pause between two looks whether an engine that has a queue still shows life.
+const HEAD_CHECK: Duration = Duration::from_millis(250);
 /// Largest body of an answer that is not a stream.
 const ANSWER_MAX: usize = 16 * 1024 * 1024;
 
@@ -125,10 +128,9 @@
     };
     running.sent();
     let begun = Instant::now();
-    let head_due = attempt.deadline.min(begun + attempt.head_timeout);
     loop {
         let request = encode(running, caller, attempt);
-        match timeout_at(head_due.into(), conn.send(request)).await {
+        match wait_for_head(running, &mut conn, request, attempt, begun).await {
             Ok(Ok(response)) => {
                 return Sent::Head(Box::new((response, conn)), begun.elapsed());
             }
@@ -158,6 +160,30 @@
     }
 }
 
+/// Waits for the head until the deadline, or until the dispatcher gives the attempt up.
+async fn wait_for_head(
+    running: &Running,
+    conn: &mut Conn,
+    request: Request<Full<Bytes>>,
+    attempt: &Attempt,
+    begun: Instant,
+) -> Result<Result<Response<Incoming>, SendError>, Elapsed> {
+    let mut answer = std::pin::pin!(conn.send(request));
+    let mut due = begun + attempt.head_timeout;
+    loop {
+        match timeout_at(due.min(attempt.deadline).into(), answer.as_mut()).await {
+            Ok(answer) => return Ok(answer),
+            Err(late) => {
+                let now = Instant::now();
+                if now >= attempt.deadline || running.is_head_overdue(begun) {
+                    return Err(late);
+                }
+                due = now + HEAD_CHECK;
+            }
+        }
+    }
+}
+
 async fn open(attempt: &Attempt) -> Result<Conn, String> {
     let left = attempt.deadline.saturating_duration_since(Instant::now());
     let timeout = CONNECT_TIMEOUT.min(left);
--- a/crates/relay/src/running.rs
+++ b/crates/relay/src/running.rs
@@ -75,6 +75,14 @@
         }
     }
 
+    /// Whether the attempt without a head should be given up.
+    pub(crate) fn is_head_overdue(&self, begun: Instant) -> bool {
+        let dispatcher = self.core.dispatcher.borrow();
+        self.under_way.as_ref().is_none_or(|under_way| {
+            dispatcher.is_head_overdue(&under_way.attempt, begun, Instant::now())
+        })
+    }
+
     /// Whether a stream without an event since then should be given up.
     pub(crate) fn is_stalled(&self, since: Instant) -> bool {
         let dispatcher = self.core.dispatcher.borrow();
--- a/crates/route/src/backends/choose.rs
+++ b/crates/route/src/backends/choose.rs
@@ -91,12 +91,14 @@
         if candidates.is_empty() {
             return Err(NoServer::Unserved);
         }
-        candidates.retain(|server| {
-            !query.avoid.contains(&server.listing.id)
-                && !server.health.is_paused(now)
-                && !server.is_full(now)
-                && !self.is_cut_off(server, now)
-        });
+        candidates
+            .retain(|server| !query.avoid.contains(&server.listing.id) && !server.is_full(now));
+        // A pause is a preference: with nothing better left, a server that was slow to answer still may.
+        let is_preferred =
+            |server: &&Server| !server.health.is_paused(now) && !self.is_cut_off(server, now);
+        if candidates.iter().any(is_preferred) {
+            candidates.retain(is_preferred);
+        }
         let favourite = favourite(&candidates, query, &self.own);
         let least_failing = candidates
             .iter()
--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -59,6 +59,8 @@
     (Duration::from_millis(90), Duration::from_millis(400));
 const ENGINE_HEAD_TIMEOUT: (Duration, Duration) =
     (Duration::from_millis(1_200), Duration::from_millis(6_000));
+/// Longest wait for the head of an answer from an engine that shows life.
+const ENGINE_QUEUE_MAX: Duration = Duration::from_millis(8_000);
 /// Silence of one stream after which it is given up although its server shows life.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Time after a broken connection in which the server's death still counts against what ran there.
@@ -365,6 +367,19 @@
         self.backends.progressed(attempt, gap, now);
     }
 
+    /// Whether an attempt without a head should be given up for another one. An engine that shows life in other answers
+    /// has a queue: to give up there would only move the request to the end of another queue.
+    #[must_use]
+    pub fn is_head_overdue(&self, attempt: &Attempt, begun: Instant, now: Instant) -> bool {
+        let waited = now.saturating_duration_since(begun);
+        let is_alive = self
+            .backends
+            .last_sign(attempt)
+            .is_some_and(|at| now.saturating_duration_since(at) < attempt.event_timeout);
+        let is_queued = attempt.model.is_some() && is_alive && waited < ENGINE_QUEUE_MAX;
+        waited >= attempt.head_timeout && !is_queued
+    }
+
     /// Whether a stream without an event since `since` should be given up for another attempt; the last attempt never
     /// is, since a silent server may still go on.
     #[must_use]
--- a/crates/route/tests/choice.rs
+++ b/crates/route/tests/choice.rs
@@ -154,3 +154,15 @@
     bed.pass(millis(10_000));
     assert_eq!(bed.serve("/look/1"), "desk-1");
 }
+
+#[test]
+fn slow_servers_are_still_asked_when_there_are_no_others() {
+    let mut bed = bed();
+    for _ in 0..3 {
+        let mut flight = bed.flight("/chat/1");
+        let attempt = bed.send(&mut flight);
+        bed.end(&mut flight, &attempt, AttemptOutcome::Silent);
+    }
+    // All three engines are paused now; the next request is sent to one rather than refused.
+    bed.serve("/chat/2");
+}
--- a/crates/route/tests/dispatch_attempts.rs
+++ b/crates/route/tests/dispatch_attempts.rs
@@ -193,3 +193,27 @@
         bed.pass(millis(500));
     }
 }
+
+#[test]
+fn a_queue_at_an_engine_that_shows_life_is_waited_for() {
+    // Pattern: retries on time-out under overload keep engines busy with work that nobody waits for any more.
+    let mut bed = bed();
+    let mut other = bed.flight("/chat/0");
+    let running = bed.send(&mut other);
+    bed.head(&mut other, &running, good());
+    let mut flight = bed.flight("/chat/1");
+    let mut attempt = bed.send(&mut flight);
+    attempt.server.clone_from(&running.server);
+    attempt.generation = running.generation;
+    let begun = bed.now;
+    for _ in 0..20 {
+        bed.pass(millis(300));
+        bed.dispatcher.progressed(&running, None, bed.now);
+        let waited = bed.now - begun;
+        let is_overdue = bed.dispatcher.is_head_overdue(&attempt, begun, bed.now);
+        assert!(!is_overdue, "given up after {waited:?} at an engine that works");
+    }
+    // The same engine falls silent altogether.
+    bed.pass(millis(1_200));
+    assert!(bed.dispatcher.is_head_overdue(&attempt, begun, bed.now));
+}
