--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -255,17 +255,25 @@
                 attempt.cost_ms,
                 flight.last_event().map_or_else(|| "-".to_owned(), |id| id.to_string()),
             ),
-            LogEvent::Answered { flight, status, elapsed, model, server } => write!(
-                f,
-                "event=answered request={} route={} configuration={} status={status} attempts={} \
+            LogEvent::Answered { flight, status, elapsed, model, server } => {
+                write!(
+                    f,
+                    "event=answered request={} route={} configuration={} status={status} attempts={} \
                  model={} server={server} ms={}",
-                flight.id,
-                flight.route.id,
-                flight.table_version,
-                flight.attempts,
-                model.unwrap_or("-"),
-                elapsed.as_millis(),
-            ),
+                    flight.id,
+                    flight.route.id,
+                    flight.table_version,
+                    flight.attempts,
+                    model.unwrap_or("-"),
+                    elapsed.as_millis(),
+                )?;
+                if let Some(weak) = flight.kept_weak() {
+                    let (confidence, floor) = (weak.confidence, weak.floor);
+                    let part = weak.floor_part;
+                    write!(f, " kept_confidence={confidence} floor={floor} floor_part={part:.2}")?;
+                }
+                Ok(())
+            }
             LogEvent::Refused { id, flight, kind, elapsed } => {
                 write!(f, "event=refused request={id} kind={}", kind.name())?;
                 if let Some(flight) = flight {
--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -28,6 +28,7 @@
 use crate::flight::Attempt;
 use crate::flight::AttemptOutcome;
 use crate::flight::Flight;
+use crate::flight::KeptWeak;
 use crate::flight::Knowledge;
 use crate::poison::Poison;
 use crate::poison::Standing;
@@ -36,6 +37,7 @@
 use crate::routes::Identity;
 use crate::routes::Repeatability;
 use crate::routes::RoutingTable;
+use crate::strain::Strain;
 use crate::version_rule::VersionRule;
 
 /// Time that a caller without a deadline on a route without a time-out is given.
@@ -91,6 +93,7 @@
     backends: Backends,
     retries: RetryWindows,
     rules: BTreeMap<ServiceId, VersionRule>,
+    strains: BTreeMap<ServiceId, Strain>,
     poison: Poison,
     /// Contents whose connections to a server broke, until its death is seen.
     suspects: BTreeMap<String, Vec<(Fingerprint, Instant)>>,
@@ -162,6 +165,7 @@
             cfg,
             table: None,
             rules: BTreeMap::new(),
+            strains: BTreeMap::new(),
             poison: Poison::default(),
             suspects: BTreeMap::new(),
             notes: Vec::new(),
@@ -292,6 +296,7 @@
             last_event: arrival.last_event,
             started: false,
             waiting_since: None,
+            kept_weak: None,
             service,
         })
     }
@@ -352,6 +357,9 @@
             return HeadVerdict::Drop(AttemptOutcome::Garbled);
         }
         self.backends.answered(attempt, &flight.parts, elapsed, now);
+        if !flight.started {
+            self.note_wait(flight, attempt, elapsed, now);
+        }
         if !(200..300).contains(&head.status) {
             return self.failed_head(flight, attempt, head, now);
         }
@@ -411,6 +419,11 @@
         now: Instant,
     ) {
         self.backends.end(attempt, had_head, outcome, now);
+        let never_began = matches!(outcome, AttemptOutcome::Silent | AttemptOutcome::Full { .. });
+        if never_began && !had_head {
+            let target = flight.route.latency_target.unwrap_or(DEFAULT_PATIENCE);
+            self.note_wait(flight, attempt, target, now);
+        }
         match outcome {
             AttemptOutcome::Whole => {
                 flight.learn(Knowledge::Ran);
@@ -475,17 +488,36 @@
         HeadVerdict::Deliver
     }
 
-    fn should_escalate(&mut self, flight: &Flight, head: &AnswerHead, now: Instant) -> bool {
+    /// Takes in how long an engine's first event took.
+    fn note_wait(&mut self, flight: &Flight, attempt: &Attempt, wait: Duration, now: Instant) {
+        let Some(target) = flight.route.latency_target.filter(|_| attempt.model.is_some()) else {
+            return;
+        };
+        let share = wait.as_secs_f64() / target.as_secs_f64().max(0.001);
+        let strain = self.strains.entry(attempt.service.clone()).or_insert(Strain::new(now));
+        strain.sample(share, now);
+    }
+
+    /// Whether a weak answer is dropped for a larger model's.
+    fn should_escalate(&mut self, flight: &mut Flight, head: &AnswerHead, now: Instant) -> bool {
         let largest = flight.route.models.len().saturating_sub(1);
         let floors = &self.cfg.confidence_floors;
         let floor = floors.get(usize::from(flight.route.priority)).or(floors.last());
-        let is_weak = floor.is_some_and(|floor| head.confidence.is_some_and(|own| own < *floor));
-        if flight.started || flight.model_step >= largest || !is_weak {
+        let (Some(floor), Some(confidence)) = (floor, head.confidence) else {
+            return false;
+        };
+        if flight.started || flight.model_step >= largest || confidence >= *floor {
             return false;
         }
-        flight.attempts < flight.route.max_attempts
+        let part = self.strains.get(&flight.service).map_or(1.0, |strain| strain.floor_part(now));
+        let is_affordable = f64::from(confidence) < f64::from(*floor) * part
+            && flight.attempts < flight.route.max_attempts
             && flight.route.repeatability.may_run_again()
-            && self.retries.has_room(&flight.service, KEEP_FOR_RETRIES, now)
+            && self.retries.has_room(&flight.service, KEEP_FOR_RETRIES, now);
+        if !is_affordable {
+            flight.kept_weak = Some(KeptWeak { confidence, floor: *floor, floor_part: part });
+        }
+        is_affordable
     }
 
     fn choose(&self, flight: &mut Flight, now: Instant) -> Result<Choice, NoServer> {
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -144,6 +144,17 @@
     /// The answer's head went to the caller.
     pub(crate) started: bool,
     pub(crate) waiting_since: Option<Instant>,
+    pub(crate) kept_weak: Option<KeptWeak>,
+}
+
+/// A weak answer of a small model that was kept: the engines were strained, or no further attempt was left.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct KeptWeak {
+    pub confidence: u8,
+    /// The ordinary floor.
+    pub floor: u8,
+    /// Part of the floor that held, from 0 to 1; less than 1 under strain.
+    pub floor_part: f64,
 }
 
 impl Attempt {
@@ -193,6 +204,12 @@
         self.last_event
     }
 
+    /// The weak answer that was kept, if one was.
+    #[must_use]
+    pub fn kept_weak(&self) -> Option<KeptWeak> {
+        self.kept_weak
+    }
+
     /// Records an event that goes to the caller.
     pub fn forwarded(&mut self, event: u64) {
         self.last_event = Some(event);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod session;
 pub mod shared;
 mod stats;
+mod strain;
 pub mod version_rule;
 
 pub use config::Mechanisms;
--- a/crates/route/tests/choice.rs
+++ b/crates/route/tests/choice.rs
@@ -5,6 +5,8 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use foxtailhoist_route::dispatch::AnswerHead;
+use foxtailhoist_route::dispatch::HeadVerdict;
 use foxtailhoist_route::dispatch::Step;
 use foxtailhoist_route::flight::AttemptOutcome;
 use foxtailhoist_route::flight::PromptPart;
@@ -166,3 +168,30 @@
     // All three engines are paused now; the next request is sent to one rather than refused.
     bed.serve("/chat/2");
 }
+
+#[test]
+fn weak_answers_are_kept_while_engines_are_strained() {
+    let mut bed = bed();
+    let weak = AnswerHead { confidence: Some(30), ..good() };
+    let is_replaced = |bed: &mut Bed, wait: u64| {
+        bed.pass(millis(20));
+        let mut flight = bed.flight("/chat/1");
+        let attempt = bed.send(&mut flight);
+        let verdict = bed.dispatcher.head(&mut flight, &attempt, &weak, millis(wait), bed.now);
+        let is_replaced = verdict == HeadVerdict::Drop(AttemptOutcome::Dropped);
+        assert_ne!(is_replaced, flight.kept_weak().is_some());
+        let outcome = if is_replaced { AttemptOutcome::Dropped } else { AttemptOutcome::Whole };
+        bed.end(&mut flight, &attempt, outcome);
+        is_replaced
+    };
+    assert!(is_replaced(&mut bed, 100));
+    // First events take almost as long as the target of three seconds.
+    for _ in 0..40 {
+        is_replaced(&mut bed, 2_800);
+    }
+    assert!(!is_replaced(&mut bed, 2_800));
+    for _ in 0..40 {
+        is_replaced(&mut bed, 100);
+    }
+    assert!(is_replaced(&mut bed, 100), "the strain is over");
+}
