Bear longer pauses of streams whose engine shows life

Cause: with half of the engines lost the others put requests back for seconds; streams were given up after two and began again elsewhere.

--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -63,8 +63,11 @@
     (Duration::from_millis(1_200), Duration::from_millis(6_000));
 /// Longest wait for the head of an answer from an engine that shows life.
 const ENGINE_QUEUE_MAX: Duration = Duration::from_millis(8_000);
-/// Silence of one stream after which it is given up although its server shows life.
-const EVENT_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Silence of one stream after which it is given up although its server shows life: engines put requests back when
+/// their memory runs out, and callers bear a gap of several seconds.
+const EVENT_TIMEOUT: Duration = Duration::from_millis(6_000);
+/// Silence of a server in all answers after which its streams are given up.
+const SERVER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time after a broken connection in which the server's death still counts against what ran there.
 const SUSPICION: Duration = Duration::from_millis(1_500);
 /// Part of the retry allowance that a change of model leaves for retries after failures.
@@ -560,7 +563,7 @@
             address: listing.address,
             deadline: flight.deadline,
             head_timeout: left,
-            event_timeout: EVENT_TIMEOUT / 2,
+            event_timeout: SERVER_TIMEOUT,
             priority: is_engine.then(|| priority(flight)),
             resume_after: flight.last_event,
             fresh_connection: !may_run_again,
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -104,7 +104,7 @@
     pub deadline: Instant,
     /// Longest wait for the answer's head.
     pub head_timeout: Duration,
-    /// Longest wait for the next event of a stream.
+    /// Silence of the server in all answers after which it counts as dead.
     pub event_timeout: Duration,
     pub priority: Option<u8>,
     /// Event after which the stream goes on.
