--- a/crates/relay/src/running.rs
+++ b/crates/relay/src/running.rs
@@ -51,7 +51,9 @@
     /// The attempt's bytes are about to be sent.
     pub(crate) fn sent(&mut self) {
         if let Some(under_way) = &self.under_way {
-            self.core.dispatcher.borrow_mut().sent(&mut self.flight, &under_way.attempt);
+            let now = Instant::now();
+            let mut dispatcher = self.core.dispatcher.borrow_mut();
+            dispatcher.sent(&mut self.flight, &under_way.attempt, now);
         }
     }
 
--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch.rs
@@ -295,7 +295,6 @@
             versions,
             fingerprint: arrival.fingerprint,
             tried: Vec::new(),
-            counted: false,
             last_event: arrival.last_event,
             started: false,
             waiting_since: None,
@@ -320,10 +319,7 @@
             Ok(choice) => choice,
             Err(reason) => return self.wait_or_refuse(flight, reason, now),
         };
-        if !flight.counted {
-            flight.counted = true;
-            self.retries.first_attempt(&flight.service, now);
-        } else if !self.retries.spend(&flight.service, 0.0, now) {
+        if flight.attempts > 0 && !self.retries.has_room(&flight.service, 0.0, now) {
             return Step::Refuse(self.give_up(flight, now));
         }
         flight.waiting_since = None;
@@ -334,8 +330,14 @@
         Step::Send(Box::new(attempt))
     }
 
-    /// The request's bytes are about to reach the server: it counts as an attempt from now on.
-    pub fn sent(&mut self, flight: &mut Flight, attempt: &Attempt) {
+    /// The request's bytes are about to reach the server: it counts as an attempt from now on. One whose server could
+    /// not be reached counts nowhere.
+    pub fn sent(&mut self, flight: &mut Flight, attempt: &Attempt, now: Instant) {
+        if flight.attempts == 0 {
+            self.retries.first_attempt(&flight.service, now);
+        } else {
+            self.retries.repeat(&flight.service, now);
+        }
         flight.attempts += 1;
         flight.tried.push(attempt.server.clone());
     }
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -139,7 +139,6 @@
     pub(crate) versions: VersionFilter,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) tried: Vec<BackendServerId>,
-    pub(crate) counted: bool,
     pub(crate) last_event: Option<u64>,
     /// The answer's head went to the caller.
     pub(crate) started: bool,
--- a/crates/route/src/retry_window.rs
+++ b/crates/route/src/retry_window.rs
@@ -54,18 +54,13 @@
         self.cell(service, now).first += 1;
     }
 
-    /// Counts a repeat if the bound allows it. `keep` is the part of the allowance that stays for more important
-    /// repeats, from 0 to 1.
-    #[must_use]
-    pub(crate) fn spend(&mut self, service: &ServiceId, keep: f64, now: Instant) -> bool {
-        let has_room = self.has_room(service, keep, now);
-        if has_room {
-            self.cell(service, now).repeats += 1;
-        }
-        has_room
+    /// Counts a repeat.
+    pub(crate) fn repeat(&mut self, service: &ServiceId, now: Instant) {
+        self.cell(service, now).repeats += 1;
     }
 
-    /// Whether a repeat is allowed now.
+    /// Whether a repeat is allowed now. `keep` is the part of the allowance that stays for more important repeats, from
+    /// 0 to 1.
     pub(crate) fn has_room(&mut self, service: &ServiceId, keep: f64, now: Instant) -> bool {
         let limit = self.limit;
         let cells = self.cells(service, now);
--- a/crates/route/tests/choice.rs
+++ b/crates/route/tests/choice.rs
@@ -111,7 +111,7 @@
                 bed.end(&mut flight, &attempt, AttemptOutcome::Unreachable);
                 continue;
             }
-            bed.dispatcher.sent(&mut flight, &attempt);
+            bed.dispatcher.sent(&mut flight, &attempt, bed.now);
             finish(&mut bed, &mut flight, &attempt);
             break;
         }
--- a/crates/route/tests/dispatch_attempts.rs
+++ b/crates/route/tests/dispatch_attempts.rs
@@ -168,7 +168,7 @@
         let attempt = bed.send(&mut flight);
         bed.end(&mut flight, &attempt, AttemptOutcome::Failed);
         if let Step::Send(attempt) = bed.next(&mut flight) {
-            bed.dispatcher.sent(&mut flight, &attempt);
+            bed.dispatcher.sent(&mut flight, &attempt, bed.now);
             retries += 1;
             bed.end(&mut flight, &attempt, AttemptOutcome::Whole);
         }
@@ -217,3 +217,24 @@
     bed.pass(millis(1_200));
     assert!(bed.dispatcher.is_head_overdue(&attempt, begun, bed.now));
 }
+
+#[test]
+fn servers_that_cannot_be_reached_use_up_no_retries() {
+    let mut bed = bed();
+    for _ in 0..60 {
+        let mut flight = bed.flight("/look/1");
+        for _ in 0..2 {
+            let Step::Send(attempt) = bed.next(&mut flight) else { panic!("no attempt") };
+            bed.end(&mut flight, &attempt, AttemptOutcome::Unreachable);
+        }
+        let attempt = bed.send(&mut flight);
+        bed.end(&mut flight, &attempt, AttemptOutcome::Whole);
+        bed.pass(millis(3_000));
+    }
+    // The allowance is whole: a request that failed gets its retry.
+    let mut flight = bed.flight("/look/1");
+    for _ in 0..3 {
+        let attempt = bed.send(&mut flight);
+        bed.end(&mut flight, &attempt, AttemptOutcome::Failed);
+    }
+}
--- a/crates/route/tests/fleet/mod.rs
+++ b/crates/route/tests/fleet/mod.rs
@@ -176,7 +176,7 @@
     pub fn send(&mut self, flight: &mut Flight) -> Attempt {
         match self.next(flight) {
             Step::Send(attempt) => {
-                self.dispatcher.sent(flight, &attempt);
+                self.dispatcher.sent(flight, &attempt, self.now);
                 *attempt
             }
             other => panic!("expected an attempt, got {other:?}"),
