--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,6 +29,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use foxtailhoist_report::scrape::ScrapeError;
 use foxtailhoist_route::dispatch::DispatchConfig;
 use foxtailhoist_route::dispatch::Dispatcher;
 use http::StatusCode;
@@ -39,7 +40,6 @@
 pub use crate::core::RelayConfig;
 use crate::log_event::LogEvent;
 use crate::metrics::Metrics;
-use crate::metrics::MetricsError;
 use crate::wire::ObjectKind;
 use crate::wire::Wire;
 
@@ -55,7 +55,7 @@
     #[error("cannot listen on {address}: {source}")]
     Listen { address: SocketAddr, source: std::io::Error },
     #[error(transparent)]
-    Metrics(#[from] MetricsError),
+    Metrics(#[from] ScrapeError),
 }
 
 /// A running relay. It has to run inside a `LocalSet`.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -2,53 +2,36 @@
 
 use std::time::Duration;
 
+use foxtailhoist_report::scrape::Scrape;
+use foxtailhoist_report::scrape::ScrapeError;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Histogram;
-use opentelemetry::metrics::MeterProvider;
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::Encoder;
-use prometheus::Registry;
-use prometheus::TextEncoder;
-use thiserror::Error;
 
 /// Instruments of one process; label sets are bounded by closed lists and by the routes in force.
 pub struct Metrics {
-    registry: Registry,
-    // Held so that the instruments stay connected.
-    _provider: SdkMeterProvider,
+    scrape: Scrape,
     requests: Counter<u64>,
     attempts: Counter<u64>,
     first_byte: Histogram<f64>,
     store_calls: Counter<u64>,
 }
 
-/// The instruments could not be set up or shown.
-#[derive(Debug, Error)]
-#[error("metrics: {0}")]
-pub struct MetricsError(String);
-
 impl Metrics {
     /// Sets the instruments up.
     ///
     /// # Errors
     ///
     /// Fails when the exporter cannot be registered.
-    pub fn new() -> Result<Metrics, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|e| MetricsError(e.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("foxtailhoist");
+    pub fn new() -> Result<Metrics, ScrapeError> {
+        let scrape = Scrape::new()?;
+        let meter = scrape.meter();
         Ok(Metrics {
             requests: meter.u64_counter("relay_requests").build(),
             attempts: meter.u64_counter("relay_attempts").build(),
             first_byte: meter.f64_histogram("relay_first_byte_seconds").build(),
             store_calls: meter.u64_counter("relay_store_calls").build(),
-            registry,
-            _provider: provider,
+            scrape,
         })
     }
 
@@ -76,11 +59,7 @@
     /// # Errors
     ///
     /// Fails when a family cannot be encoded.
-    pub fn page(&self) -> Result<Vec<u8>, MetricsError> {
-        let mut buf = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut buf)
-            .map_err(|e| MetricsError(e.to_string()))?;
-        Ok(buf)
+    pub fn page(&self) -> Result<Vec<u8>, ScrapeError> {
+        self.scrape.page()
     }
 }
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -32,6 +32,7 @@
 mod objective;
 mod observation;
 mod report;
+pub mod scrape;
 mod series;
 pub mod story;
 mod summary;
--- a/crates/route/src/dispatch.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -4,6 +4,9 @@
 //! [`Flight`], carries the step out and reports how it ended; a step is a send to a server, a short wait for one, or
 //! the refusal that is the final answer.
 
+mod cascade;
+mod refusal;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,12 +16,15 @@
 use foxtailhoist_model::DataCentreId;
 use foxtailhoist_model::ErrorKind;
 use foxtailhoist_model::Fingerprint;
-use foxtailhoist_model::Ran;
 use foxtailhoist_model::Refusal;
 use foxtailhoist_model::ServiceId;
 use foxtailhoist_model::VersionId;
 use foxtailhoist_model::stable_hash;
 
+use self::refusal::RETURN_MAX;
+use self::refusal::RETURN_MIN;
+use self::refusal::refusal;
+use self::refusal::refusal_after;
 use crate::backends::Backends;
 use crate::backends::Query;
 use crate::backends::choose::Choice;
@@ -28,14 +34,12 @@
 use crate::flight::Attempt;
 use crate::flight::AttemptOutcome;
 use crate::flight::Flight;
-use crate::flight::KeptWeak;
 use crate::flight::Knowledge;
 use crate::poison::Poison;
 use crate::poison::Standing;
 use crate::retry_window::RetryLimit;
 use crate::retry_window::RetryWindows;
 use crate::routes::Identity;
-use crate::routes::Repeatability;
 use crate::routes::RoutingTable;
 use crate::strain::Strain;
 use crate::version_rule::VersionRule;
@@ -70,12 +74,6 @@
 const SERVER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time after a broken connection in which the server's death still counts against what ran there.
 const SUSPICION: Duration = Duration::from_millis(1_500);
-/// Part of the retry allowance that a change of model leaves for retries after failures.
-const KEEP_FOR_RETRIES: f64 = 0.3;
-/// Return times told to refused callers: a share of the time that they have left, within bounds.
-const RETURN_SHARE: f64 = 0.1;
-const RETURN_MIN: Duration = Duration::from_millis(60);
-const RETURN_MAX: Duration = Duration::from_millis(1_500);
 const CHOICE_SEED: u64 = 0x6469_7370;
 
 /// Settings of a dispatcher.
@@ -493,38 +491,6 @@
         HeadVerdict::Deliver
     }
 
-    /// Takes in how long an engine's first event took.
-    fn note_wait(&mut self, flight: &Flight, attempt: &Attempt, wait: Duration, now: Instant) {
-        let Some(target) = flight.route.latency_target.filter(|_| attempt.model.is_some()) else {
-            return;
-        };
-        let share = wait.as_secs_f64() / target.as_secs_f64().max(0.001);
-        let strain = self.strains.entry(attempt.service.clone()).or_insert(Strain::new(now));
-        strain.sample(share, now);
-    }
-
-    /// Whether a weak answer is dropped for a larger model's.
-    fn should_escalate(&mut self, flight: &mut Flight, head: &AnswerHead, now: Instant) -> bool {
-        let largest = flight.route.models.len().saturating_sub(1);
-        let floors = &self.cfg.confidence_floors;
-        let floor = floors.get(usize::from(flight.route.priority)).or(floors.last());
-        let (Some(floor), Some(confidence)) = (floor, head.confidence) else {
-            return false;
-        };
-        if flight.started || flight.model_step >= largest || confidence >= *floor {
-            return false;
-        }
-        let part = self.strains.get(&flight.service).map_or(1.0, |strain| strain.floor_part(now));
-        let is_affordable = f64::from(confidence) < f64::from(*floor) * part
-            && flight.attempts < flight.route.max_attempts
-            && flight.route.repeatability.may_run_again()
-            && self.retries.has_room(&flight.service, KEEP_FOR_RETRIES, now);
-        if !is_affordable {
-            flight.kept_weak = Some(KeptWeak { confidence, floor: *floor, floor_part: part });
-        }
-        is_affordable
-    }
-
     fn choose(&self, flight: &mut Flight, now: Instant) -> Result<Choice, NoServer> {
         let model = flight.model().cloned();
         let query = Query {
@@ -603,39 +569,6 @@
         Step::Refuse(self.refuse(flight, kind, now))
     }
 
-    fn out_of_time(&self, flight: &Flight) -> Refusal {
-        match flight.knowledge {
-            Knowledge::NotRun => refusal_after(ErrorKind::DeadlineTooShort, flight),
-            _ => refusal_after(ErrorKind::DeadlineExceeded, flight),
-        }
-    }
-
-    /// No further attempt is allowed.
-    fn give_up(&self, flight: &Flight, now: Instant) -> Refusal {
-        let kind = match flight.knowledge {
-            Knowledge::NotRun => ErrorKind::Overloaded,
-            Knowledge::MayHaveRun => ErrorKind::OutcomeUnknown,
-            Knowledge::Ran => ErrorKind::BackendFailed,
-        };
-        self.refuse(flight, kind, now)
-    }
-
-    /// A refusal that is true for what is known of the request's runs.
-    fn refuse(&self, flight: &Flight, kind: ErrorKind, now: Instant) -> Refusal {
-        let left = flight.deadline.saturating_duration_since(now);
-        let may_promise =
-            flight.knowledge == Knowledge::NotRun || flight.route.repeatability.may_run_again();
-        let kind = match (may_promise, flight.knowledge) {
-            (true, _) => kind,
-            (false, Knowledge::Ran) => ErrorKind::BackendFailed,
-            (false, _) => ErrorKind::OutcomeUnknown,
-        };
-        let wait = left.mul_f64(RETURN_SHARE).clamp(RETURN_MIN, RETURN_MAX);
-        let mut refusal = refusal_after(kind, flight);
-        refusal.retry_after = (refusal.ran == Ran::NotRun).then_some(wait);
-        refusal
-    }
-
     fn evidence(&mut self, attempt: &Attempt, is_bad: bool) {
         let service = attempt.service.clone();
         let version = attempt.version.clone();
@@ -648,21 +581,3 @@
     let workspace = flight.workspace.as_ref().and_then(|workspace| workspace.priority);
     workspace.unwrap_or(flight.route.priority).min(9)
 }
-
-fn refusal(kind: ErrorKind, retry_after: Option<Duration>) -> Refusal {
-    Refusal { kind, ran: kind.answer().ran, message: String::new(), retry_after }
-}
-
-/// A refusal that says of the run what is known of the flight.
-fn refusal_after(kind: ErrorKind, flight: &Flight) -> Refusal {
-    let ran = match flight.knowledge {
-        Knowledge::NotRun => Ran::NotRun,
-        Knowledge::MayHaveRun => Ran::Unknown,
-        Knowledge::Ran => Ran::Ran,
-    };
-    let message = match flight.route.repeatability {
-        Repeatability::AtMostOnce if ran != Ran::NotRun => "do not repeat it blindly".to_owned(),
-        _ => String::new(),
-    };
-    Refusal { kind, ran, message, retry_after: None }
-}
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -1,22 +1,16 @@
 //! Counters for the scrape page.
 
 use foxtailhoist_model::ErrorKind;
+use foxtailhoist_report::scrape::Scrape;
+use foxtailhoist_report::scrape::ScrapeError;
 use foxtailhoist_route::event::Completion;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Histogram;
-use opentelemetry::metrics::MeterProvider;
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::Encoder;
-use prometheus::Registry;
-use prometheus::TextEncoder;
-use thiserror::Error;
 
 /// The counters of one process.
 pub struct Metrics {
-    registry: Registry,
-    // Held so that the instruments stay connected.
-    _provider: SdkMeterProvider,
+    scrape: Scrape,
     completed: Counter<u64>,
     refused: Counter<u64>,
     first_byte: Histogram<f64>,
@@ -25,25 +19,15 @@
     peer_bytes: Counter<u64>,
 }
 
-/// The metrics could not be set up or written.
-#[derive(Debug, Error)]
-#[error("metrics: {0}")]
-pub struct MetricsError(String);
-
 impl Metrics {
     /// Sets the instruments up.
     ///
     /// # Errors
     ///
     /// Fails when the exporter cannot be registered.
-    pub fn new() -> Result<Metrics, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|e| MetricsError(e.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("foxtailhoist");
+    pub fn new() -> Result<Metrics, ScrapeError> {
+        let scrape = Scrape::new()?;
+        let meter = scrape.meter();
         Ok(Metrics {
             completed: meter.u64_counter("requests_completed").build(),
             refused: meter.u64_counter("requests_refused").build(),
@@ -51,8 +35,7 @@
             total: meter.f64_histogram("answer_seconds").build(),
             store_calls: meter.u64_counter("store_calls").build(),
             peer_bytes: meter.u64_counter("peer_bytes_sent").build(),
-            registry,
-            _provider: provider,
+            scrape,
         })
     }
 
@@ -86,11 +69,7 @@
     /// # Errors
     ///
     /// Fails when a family cannot be encoded.
-    pub fn page(&self) -> Result<Vec<u8>, MetricsError> {
-        let mut buf = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut buf)
-            .map_err(|e| MetricsError(e.to_string()))?;
-        Ok(buf)
+    pub fn page(&self) -> Result<Vec<u8>, ScrapeError> {
+        self.scrape.page()
     }
 }
--- a/crates/server/src/server.rs
+++ b/crates/server/src/server.rs
@@ -12,6 +12,7 @@
 use foxtailhoist_host::operator::OperatorCommand;
 use foxtailhoist_host::operator::OperatorReply;
 use foxtailhoist_model::Refusal;
+use foxtailhoist_report::scrape::ScrapeError;
 use thiserror::Error;
 use tokio::task::JoinHandle;
 
@@ -21,7 +22,6 @@
 use crate::listener::Bound;
 use crate::listener::Listening;
 use crate::metrics::Metrics;
-use crate::metrics::MetricsError;
 use crate::poll;
 use crate::shell::Shell;
 
@@ -51,7 +51,7 @@
     )]
     TlsFile { file: PathBuf, reason: String },
     #[error(transparent)]
-    Metrics(#[from] MetricsError),
+    Metrics(#[from] ScrapeError),
 }
 
 impl Server {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -34,6 +34,7 @@
 use standin::engine::Engine;
 use standin::entry_at;
 use standin::eventually;
+use standin::is_ready;
 use standin::on_one_thread;
 use standin::store::Store;
 
@@ -112,11 +113,7 @@
         let world = World { store, store_proxy, engines, hosts };
         let client = reqwest::Client::new();
         for address in world.hosts.readiness() {
-            eventually(async || {
-                let answer = client.get(format!("http://{address}/api/readyz")).send().await;
-                answer.is_ok_and(|answer| answer.status().is_success())
-            })
-            .await;
+            eventually(async || is_ready(&client, address).await).await;
         }
         world
     }
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -12,9 +12,11 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::proxy::Proxy;
-use crate::standin::KEY;
 use crate::standin::engine::EVENTS;
 use crate::standin::engine::Engine;
+use crate::standin::is_signed;
+use crate::standin::request_to;
+use crate::standin::streamed;
 
 /// Time that a caller gives a host, above every deadline.
 const TIMEOUT: Duration = Duration::from_secs(12);
@@ -126,25 +128,16 @@
         if matches!(kind, Kind::Once) {
             self.once.borrow_mut().insert(id.clone(), None);
         }
-        let mut request = self
-            .client
-            .request(method, format!("http://{address}{path}"))
-            .header("host", "site.example")
-            .header("x-attempt-id", &id)
-            .header("x-deadline-ms", "3000")
-            .header("authorization", KEY);
+        let mut request = request_to(&self.client, address, method, &path, &id);
         if matches!(kind, Kind::Stream) {
-            request = request
-                .header("x-model", "*")
-                .header("x-token-usage", "1460,80")
-                .header("x-prefix-hash", "5c1e07a2:800,e4402b7d:250");
+            request = streamed(request);
         }
         let Ok(answer) = request.body("content").send().await else {
             self.count("broken");
             return None;
         };
         let status = answer.status().as_u16();
-        let is_signed = answer.headers().contains_key("x-response-signature");
+        let is_signed = is_signed(&answer);
         let Ok(text) = answer.text().await else {
             self.count(&format!("{kind:?}_cut"));
             return None;
