A request follows the shift that began after its arrival

The versions are now looked up again at each attempt as long as no shift has fixed them, and a request whose versions are gone follows the rule of the moment. A watch that starts from a neighbour's revision no longer counts as the store's return.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -106,14 +106,16 @@
         let from = match revision.take() {
             Some(revision) => revision,
             None => match list(core, client, kind, presence.keep_for(Instant::now())).await {
-                Ok(revision) => revision,
+                Ok(revision) => {
+                    presence.succeeded(core, kind);
+                    revision
+                }
                 Err(e) => {
                     presence.failed(core, kind, &e).await;
                     continue;
                 }
             },
         };
-        presence.succeeded(core, kind);
         watch(core, client, kind, presence, from).await;
     }
 }
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -291,6 +291,8 @@
             requested_model: arrival.model,
             model_step: 0,
             versions,
+            session: arrival.session,
+            point,
             fingerprint: arrival.fingerprint,
             tried: Vec::new(),
             last_event: arrival.last_event,
@@ -492,6 +494,30 @@
     }
 
     fn choose(&self, flight: &mut Flight, now: Instant) -> Result<Choice, NoServer> {
+        if flight.versions == VersionFilter::Any {
+            // A shift may have begun since the request was admitted.
+            flight.versions = self.versions(flight);
+        }
+        match self.choose_within(flight, now) {
+            Err(NoServer::Unserved) => {
+                // The versions that it was admitted to are gone; the rule of the moment says which ones there are.
+                let present = self.versions(flight);
+                let is_target_gone =
+                    present == flight.versions && matches!(present, VersionFilter::Only(_));
+                flight.versions = if is_target_gone { VersionFilter::Any } else { present };
+                self.choose_within(flight, now)
+            }
+            other => other,
+        }
+    }
+
+    /// The versions that a request may run on by the rule of the moment.
+    fn versions(&self, flight: &Flight) -> VersionFilter {
+        let rule = self.rules.get(&flight.service).unwrap_or(&VersionRule::Any);
+        rule.filter(flight.session, flight.point)
+    }
+
+    fn choose_within(&self, flight: &Flight, now: Instant) -> Result<Choice, NoServer> {
         let model = flight.model().cloned();
         let query = Query {
             service: &flight.service,
@@ -506,12 +532,6 @@
             Err(NoServer::AllBusy) if !flight.tried.is_empty() && query.repeatable => {
                 self.backends.choose(&Query { avoid: &[], ..query }, now)
             }
-            Err(NoServer::Unserved) if matches!(query.versions, VersionFilter::Only(_)) => {
-                let choice =
-                    self.backends.choose(&Query { versions: &VersionFilter::Any, ..query }, now);
-                flight.versions = VersionFilter::Any;
-                choice
-            }
             other => other,
         }
     }
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -136,7 +136,11 @@
     pub(crate) requested_model: Option<ModelId>,
     /// Index into the route's models.
     pub(crate) model_step: usize,
+    /// Versions that it may run on, once a shift has said so.
     pub(crate) versions: VersionFilter,
+    pub(crate) session: Option<u64>,
+    /// Stands for the request where it has no session; spread evenly.
+    pub(crate) point: u64,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) tried: Vec<BackendServerId>,
     pub(crate) last_event: Option<u64>,
--- a/crates/route/tests/dispatch_admission.rs
+++ b/crates/route/tests/dispatch_admission.rs
@@ -6,7 +6,9 @@
 
 use foxtailhoist_model::ErrorKind;
 use foxtailhoist_route::dispatch::Dispatcher;
+use foxtailhoist_route::dispatch::Step;
 use foxtailhoist_route::flight::Arrival;
+use foxtailhoist_route::flight::AttemptOutcome;
 use foxtailhoist_route::routes::Repeatability;
 use foxtailhoist_route::routes::Target;
 use foxtailhoist_route::version_rule::VersionRule;
@@ -111,6 +113,45 @@
     assert!((60..=140).contains(&on_new), "{on_new} of 1000 for a tenth");
 }
 
+#[test]
+fn a_stream_from_before_a_shift_goes_on_at_its_own_version() {
+    let mut bed = bed();
+    let mut flight = bed.flight("/chat/1");
+    let first = bed.send(&mut flight);
+    bed.head(&mut flight, &first, fleet::good());
+    flight.forwarded(4);
+    // The new version's idle servers appear while the stream runs, and its server breaks.
+    for id in ["new-1", "new-2"] {
+        let mut new = listing(id, "llm", OWN);
+        new.version = "v2".to_owned();
+        bed.list(new);
+    }
+    let trial = VersionRule::Shift { target: "v2".to_owned(), share: 0.06, is_trial: false };
+    bed.dispatcher.set_rule("llm".to_owned(), VersionRule::Except("v2".to_owned()));
+    bed.end(&mut flight, &first, AttemptOutcome::Broken);
+    let second = bed.send(&mut flight);
+    assert_eq!(second.version, "v1");
+    bed.dispatcher.set_rule("llm".to_owned(), trial);
+    bed.end(&mut flight, &second, AttemptOutcome::Broken);
+    // Once the shift is done the old servers are gone, and the stream goes on at the new version.
+    for id in ["engine-1", "engine-2", "engine-3"] {
+        bed.dispatcher.backends_mut().unlist(id);
+    }
+    bed.dispatcher.set_rule("llm".to_owned(), VersionRule::Only("v2".to_owned()));
+    assert_eq!(bed.send(&mut flight).version, "v2");
+}
+
+#[test]
+fn a_withdrawn_version_gets_nothing_even_where_it_is_all_there_is() {
+    let mut bed = shifting_bed();
+    for id in ["engine-1", "engine-2", "engine-3"] {
+        bed.dispatcher.backends_mut().unlist(id);
+    }
+    bed.dispatcher.set_rule("llm".to_owned(), VersionRule::Except("v2".to_owned()));
+    let mut flight = bed.flight("/chat/1");
+    assert!(!matches!(bed.next(&mut flight), Step::Send(_)));
+}
+
 fn shifting_bed() -> fleet::Bed {
     let mut bed = bed();
     for id in ["new-1", "new-2"] {
@@ -144,6 +185,6 @@
     let mut flight = bed.admit(arrival).expect("admitted");
     let attempt = bed.send(&mut flight);
     bed.head(&mut flight, &attempt, fleet::good());
-    bed.end(&mut flight, &attempt, foxtailhoist_route::flight::AttemptOutcome::Whole);
+    bed.end(&mut flight, &attempt, AttemptOutcome::Whole);
     attempt.version
 }
