--- a/crates/peers/src/feeds.rs
+++ b/crates/peers/src/feeds.rs
@@ -1,10 +1,11 @@
 //! Which hosts of a data centre watch the store, and from whom the others take its news.
 //!
 //! Each call to the store has its price, so only the first hosts of a data centre watch it: one in a small data centre,
-//! two in a large one. The rest take the news from two hosts before them, in a tree of bounded degree, and from another data
-//! centre where their own has too few. The order is that of rendezvous hashing, the same on all hosts without talk. Two sources at once, because a host
-//! whose connection to the store has gone silent does not know it for a while; watchers listen to one another for the
-//! same reason. A host without enough sources watches for itself, so the loss of any hosts leaves the rest served.
+//! two in a large one. The rest take the news from two hosts before them, in a tree of bounded degree, and from another
+//! data centre where their own has too few. The order is that of rendezvous hashing, the same on all hosts without
+//! talk. Two sources at once, because a host whose connection to the store has gone silent does not know it for a
+//! while; watchers listen to one another for the same reason. A host without enough sources watches for itself, so the
+//! loss of any hosts leaves the rest served.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -117,10 +118,6 @@
         self.hosts.get(host)
     }
 
-    pub fn ids(&self) -> impl Iterator<Item = &EntryHostId> {
-        self.hosts.keys()
-    }
-
     /// Hosts of the fleet and of the own data centre, this one included.
     #[must_use]
     pub fn sizes(&self) -> (usize, usize) {
--- a/crates/relay/src/conn.rs
+++ b/crates/relay/src/conn.rs
@@ -133,7 +133,7 @@
         let mut kept = self.kept.borrow_mut();
         let conns = kept.get_mut(&address)?;
         while let Some(Kept { conn, since }) = conns.pop() {
-            if conn.sender.is_ready() && since.elapsed() < conn.idle_max {
+            if is_usable(&conn, since) {
                 return Some(conn);
             }
         }
@@ -168,14 +168,17 @@
     pub fn sweep(&self) {
         let mut kept = self.kept.borrow_mut();
         for conns in kept.values_mut() {
-            conns.retain(|kept| {
-                kept.conn.sender.is_ready() && kept.since.elapsed() < kept.conn.idle_max
-            });
+            conns.retain(|kept| is_usable(&kept.conn, kept.since));
         }
         kept.retain(|_, conns| !conns.is_empty());
     }
 }
 
+/// Whether a connection that has been unused since then can take a request, as far as this end can tell.
+fn is_usable(conn: &Conn, since: Instant) -> bool {
+    conn.is_ready() && since.elapsed() < conn.idle_max
+}
+
 /// Sets the options that detect a dead peer and send small pieces at once.
 ///
 /// # Errors
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use foxtailhoist_rollout::shift::ShiftRule;
 use foxtailhoist_route::dispatch::Dispatcher;
 use foxtailhoist_route::dispatch::Note;
+use foxtailhoist_route::routes::CallerLimits;
 use foxtailhoist_route::version_rule::VersionRule;
 use tokio::sync::Notify;
 use tokio::sync::watch;
@@ -66,7 +68,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) stopping: Cell<bool>,
     /// Kinds that were listed whole once.
-    listed: RefCell<Vec<ObjectKind>>,
+    listed: RefCell<BTreeSet<ObjectKind>>,
     was_ready: Cell<bool>,
     /// Suspected contents that are to be reported, with the number of deaths seen.
     pub(crate) suspects: RefCell<Vec<(u64, u32)>>,
@@ -134,10 +136,13 @@
     }
 
     pub(crate) fn set_listed(&self, kind: ObjectKind) {
-        let mut listed = self.listed.borrow_mut();
-        if !listed.contains(&kind) {
-            listed.push(kind);
-        }
+        self.listed.borrow_mut().insert(kind);
+    }
+
+    /// Bounds on what callers may send, by the configuration in force.
+    pub(crate) fn limits(&self) -> CallerLimits {
+        let dispatcher = self.dispatcher.borrow();
+        dispatcher.table().map_or_else(CallerLimits::default, |table| table.limits)
     }
 
     /// Handles what the dispatcher wants others to know.
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -1,7 +1,8 @@
 //! Follows the store's objects: a list, then watches from its revision, and what to believe when the store is away.
 //!
-//! Each kind has a task of its own, which rests while this host takes the news from others. A watch waits for a short time only, since an open connection may go silent for
-//! good. After an outage, entries of servers that are missing may only have lapsed: they stay in use for a while.
+//! Each kind has a task of its own, which rests while this host takes the news from others. A watch waits for a short
+//! time only, since an open connection may go silent for good. After an outage, entries of servers that are missing may
+//! only have lapsed: they stay in use for a while.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -218,11 +219,10 @@
         revision,
         content: Content::Deleted { keep_for },
     });
-    let all = records.iter().cloned().chain(deleted).collect();
-    take_changes(core, kind, all, revision);
+    take_changes(core, kind, records.into_iter().chain(deleted).collect(), revision);
     if !core.is_listed(kind) {
         core.set_listed(kind);
-        core.mirror.publish(&Frame::Whole { kind, records, revision, keep_for });
+        core.mirror.publish(&core.mirror.whole(kind, keep_for));
     }
 }
 
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -148,8 +148,7 @@
                 conn.as_mut().graceful_shutdown();
             }
             () = tokio::time::sleep(TIMEOUT_CHECK) => {
-                let limits = limits(&core);
-                if activity.is_overdue(&limits) {
+                if activity.is_overdue(&core.limits()) {
                     if activity.head_begun.get() {
                         return;
                     }
@@ -161,10 +160,6 @@
     }
 }
 
-fn limits(core: &Core) -> CallerLimits {
-    core.dispatcher.borrow().table().map_or_else(CallerLimits::default, |table| table.limits)
-}
-
 /// Counts a connection while it is open.
 struct OpenConnection {
     core: Rc<Core>,
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -1,7 +1,7 @@
 //! What this host knows of the store's objects, and who takes the news from it.
 //!
-//! News of one object may come from the store and from several hosts, late and crossed. The revision of an object's last
-//! change orders them: only what is newer than what is known counts, and only that is passed on.
+//! News of one object may come from the store and from several hosts, late and crossed. The revision of an object's
+//! last change orders them: only what is newer than what is known counts, and only that is passed on.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -105,17 +105,16 @@
         let (tx, rx) = mpsc::channel(FRAMES_MAX);
         self.listeners.borrow_mut().push(tx);
         let revisions = self.revisions.borrow();
-        let whole = revisions.iter().map(|(kind, revision)| {
-            encode(&Frame::Whole {
-                kind: *kind,
-                records: self.living(*kind),
-                revision: *revision,
-                keep_for: None,
-            })
-        });
+        let whole = revisions.keys().map(|kind| encode(&self.whole(*kind, None)));
         (whole.collect(), rx)
     }
 
+    /// All that is known of a kind.
+    pub(crate) fn whole(&self, kind: ObjectKind, keep_for: Option<Duration>) -> Frame {
+        let revision = self.revision(kind).unwrap_or(0);
+        Frame::Whole { kind, records: self.living(kind), revision, keep_for }
+    }
+
     /// Sends a frame to all listeners.
     pub(crate) fn publish(&self, frame: &Frame) {
         let mut listeners = self.listeners.borrow_mut();
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -9,7 +9,6 @@
 use foxtailhoist_model::Refusal;
 use foxtailhoist_model::stable_hash;
 use foxtailhoist_route::flight::AttemptOutcome;
-use foxtailhoist_route::routes::CallerLimits;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
@@ -80,9 +79,7 @@
             return refuse(core, "-", ErrorKind::BadRequest, &malformed.0, arrived);
         }
     };
-    let limits =
-        core.dispatcher.borrow().table().map_or_else(CallerLimits::default, |table| table.limits);
-    let body = match read_body(body, limits.body_bytes).await {
+    let body = match read_body(body, core.limits().body_bytes).await {
         Ok(body) => body,
         Err(kind) => return refuse(core, &arrival.id, kind, "", arrived),
     };
@@ -91,13 +88,7 @@
     let admitted = core.dispatcher.borrow_mut().admit(arrival, arrived);
     let flight = match admitted {
         Ok(flight) => flight,
-        Err(refusal) => {
-            core.metrics.request(refusal.kind.name());
-            let elapsed = arrived.elapsed();
-            let kind = refusal.kind;
-            core.log.write(&LogEvent::Refused { id: &id, flight: None, kind, elapsed });
-            return refusal_response(core, &refusal);
-        }
+        Err(refusal) => return not_admitted(core, &id, &refusal, arrived),
     };
     let caller = CallerRequest {
         target: head.uri.path_and_query().map_or(head.uri.clone(), |path| path.clone().into()),
@@ -175,6 +166,20 @@
     response
 }
 
+/// Answers a request that never became a flight.
+fn not_admitted(
+    core: &Core,
+    id: &str,
+    refusal: &Refusal,
+    arrived: Instant,
+) -> Response<AnswerBody> {
+    let kind = refusal.kind;
+    core.metrics.request(kind.name());
+    core.log.write(&LogEvent::Refused { id, flight: None, kind, elapsed: arrived.elapsed() });
+    refusal_response(core, refusal)
+}
+
+/// Refuses a request that was not read whole, and closes its connection.
 fn refuse(
     core: &Core,
     id: &str,
@@ -184,9 +189,7 @@
 ) -> Response<AnswerBody> {
     let refusal =
         Refusal { kind, ran: kind.answer().ran, message: message.to_owned(), retry_after: None };
-    core.metrics.request(kind.name());
-    core.log.write(&LogEvent::Refused { id, flight: None, kind, elapsed: arrived.elapsed() });
-    let mut response = refusal_response(core, &refusal);
+    let mut response = not_admitted(core, id, &refusal, arrived);
     // The rest of what the caller sent may not have been read.
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     response
--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -1,7 +1,7 @@
 //! Shift of a service's traffic to a new version, against a deadline and without talk between hosts.
 //!
-//! The operators order a shift; every host follows the same timetable from the order's start: a trial without
-//! sessions, growing shares, everything, and the report that it is done. Each host judges the version on its own answers; the
+//! The operators order a shift; every host follows the same timetable from the order's start: a trial without sessions,
+//! growing shares, everything, and the report that it is done. Each host judges the version on its own answers; the
 //! first that finds it bad withdraws it for all. The order and its outcome are in the store, so a host that starts in
 //! the middle goes on from there.
 
--- a/crates/route/src/backends/choose.rs
+++ b/crates/route/src/backends/choose.rs
@@ -71,6 +71,13 @@
     pub(crate) cost_ms: f64,
 }
 
+/// What a request is expected to find at a server.
+#[derive(Clone, Copy, Debug)]
+struct Estimate {
+    unread_tokens: u64,
+    cost_ms: f64,
+}
+
 /// Why no server was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NoServer {
@@ -104,13 +111,18 @@
             .iter()
             .map(|server| server.health.failure_share(now))
             .fold(f64::INFINITY, f64::min);
-        let costs = candidates.into_iter().map(|server| {
+        let estimates = candidates.into_iter().map(|server| {
             let is_favourite = favourite == Some(server.listing.id.as_str());
-            let choice = self.estimate(server, query, is_favourite, least_failing, now);
-            (choice.cost_ms, choice)
+            (server, self.estimate(server, query, is_favourite, least_failing, now))
         });
-        let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
-        best.map(|(_, choice)| choice).ok_or(NoServer::AllBusy)
+        let best = estimates.min_by(|(_, a), (_, b)| a.cost_ms.total_cmp(&b.cost_ms));
+        let (server, Estimate { unread_tokens, cost_ms }) = best.ok_or(NoServer::AllBusy)?;
+        Ok(Choice {
+            server: server.listing.id.clone(),
+            generation: server.generation,
+            unread_tokens,
+            cost_ms,
+        })
     }
 
     fn estimate(
@@ -120,7 +132,7 @@
         is_favourite: bool,
         least_failing: f64,
         now: Instant,
-    ) -> Choice {
+    ) -> Estimate {
         let is_near = server.listing.data_centre == self.own;
         let held = match query.model {
             Some(_) if is_favourite => shared_tokens(query.parts),
@@ -149,12 +161,7 @@
         if now < server.warm_at {
             cost_ms += WARM_UP_MS;
         }
-        Choice {
-            server: server.listing.id.clone(),
-            generation: server.generation,
-            unread_tokens,
-            cost_ms,
-        }
+        Estimate { unread_tokens, cost_ms }
     }
 }
 
--- a/crates/route/src/backends/mod.rs
+++ b/crates/route/src/backends/mod.rs
@@ -184,11 +184,6 @@
         self.servers.get(id).map(|server| &server.listing)
     }
 
-    /// Ids of all known servers.
-    pub fn ids(&self) -> impl Iterator<Item = &BackendServerId> {
-        self.servers.keys()
-    }
-
     /// Whether any server of the service takes new work.
     #[must_use]
     pub fn is_served(&self, service: &str) -> bool {
@@ -202,33 +197,12 @@
             .any(|server| server.takes_new_work() && server.listing.version == version)
     }
 
-    /// Versions of a service's servers.
-    #[must_use]
-    pub fn versions(&self, service: &str) -> BTreeSet<VersionId> {
-        self.members(service).map(|server| server.listing.version.clone()).collect()
-    }
-
-    /// Whether the attempt's server still is the incarnation it was sent to and takes work.
-    #[must_use]
-    pub fn is_current(&self, attempt: &Attempt) -> bool {
-        self.incarnation(attempt).is_some_and(Server::takes_new_work)
-    }
-
     /// Last sign of life of the attempt's server in any answer.
     #[must_use]
     pub fn last_sign(&self, attempt: &Attempt) -> Option<Instant> {
         self.incarnation(attempt).and_then(|server| server.last_sign)
     }
 
-    /// Requests under way at a service, and the slots of its servers in use.
-    #[must_use]
-    pub fn occupancy(&self, service: &str) -> (u32, u32) {
-        let live = self.members(service).filter(|server| server.takes_new_work());
-        live.fold((0, 0), |(busy, slots), server| {
-            (busy + server.in_flight, slots + server.listing.slots)
-        })
-    }
-
     /// Counts an attempt that is about to be sent.
     pub(crate) fn begin(&mut self, attempt: &Attempt) {
         if let Some(server) = self.incarnation_mut(attempt) {
@@ -247,7 +221,7 @@
     ) {
         let work = attempt.work();
         let sample = elapsed.as_secs_f64() * 1_000.0 / work;
-        let ratio = self.mean(attempt).sample_first_byte(sample);
+        let ratio = sample_mean(&mut self.mean(attempt).first_byte, sample);
         let Some(server) = self.incarnation_mut(attempt) else {
             return;
         };
@@ -263,7 +237,7 @@
     pub(crate) fn progressed(&mut self, attempt: &Attempt, gap: Option<Duration>, now: Instant) {
         let ratio = gap.map(|gap| {
             let sample = gap.as_secs_f64() * 1_000.0;
-            self.mean(attempt).sample_event_gap(sample)
+            sample_mean(&mut self.mean(attempt).event_gap, sample)
         });
         let Some(server) = self.incarnation_mut(attempt) else {
             return;
@@ -292,8 +266,9 @@
         }
         match outcome {
             AttemptOutcome::Whole => server.health.succeed(now),
-            AttemptOutcome::Failed | AttemptOutcome::Garbled => server.health.fail(now),
-            AttemptOutcome::Broken => server.health.fail(now),
+            AttemptOutcome::Failed | AttemptOutcome::Garbled | AttemptOutcome::Broken => {
+                server.health.fail(now);
+            }
             AttemptOutcome::Silent => {
                 server.health.fail(now);
                 server.health.pause(now);
@@ -418,17 +393,9 @@
     }
 }
 
-impl MeanTimes {
-    /// Adds a sample; returns it beside the mean before.
-    fn sample_first_byte(&mut self, sample: f64) -> f64 {
-        let mean = self.first_byte.unwrap_or(sample);
-        self.first_byte = Some(mean + MEAN_WEIGHT * (sample.min(mean * 4.0) - mean));
-        sample / mean.max(0.001)
-    }
-
-    fn sample_event_gap(&mut self, sample: f64) -> f64 {
-        let mean = self.event_gap.unwrap_or(sample);
-        self.event_gap = Some(mean + MEAN_WEIGHT * (sample.min(mean * 4.0) - mean));
-        sample / mean.max(0.001)
-    }
+/// Adds a sample to a mean; returns it beside the mean before.
+fn sample_mean(mean: &mut Option<f64>, sample: f64) -> f64 {
+    let before = mean.unwrap_or(sample);
+    *mean = Some(before + MEAN_WEIGHT * (sample.min(before * 4.0) - before));
+    sample / before.max(0.001)
 }
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -47,7 +47,7 @@
     pub session: Option<u64>,
     /// Last event that the caller has, where it resumes a stream.
     pub last_event: Option<u64>,
-    /// Stable hash of workspace, path and body.
+    /// Stable hash of path and body.
     pub fingerprint: Fingerprint,
 }
 
