Wait for the signal to stop across reloads

Cause: each reload of the settings ended the wait for SIGTERM and began a new one; a SIGTERM that arrived while the file was read reached neither, and the host would have served on until it was killed. Seen by reading; not seen in a run. One wait now spans all reloads. The soak sends both signals; the window is too short for a test of its own.

--- a/crates/core/commands/relay.rs
+++ b/crates/core/commands/relay.rs
@@ -35,9 +35,11 @@
         .map_err(|e| Failure::Unreachable(e.to_string()))?;
     let mut reload = signal(SignalKind::hangup())
         .map_err(|e| Failure::Failed(format!("no handler for SIGHUP: {e}")))?;
+    // One wait for all reloads: a signal that came between two waits would be missed.
+    let mut stop = std::pin::pin!(stop_requested());
     loop {
         tokio::select! {
-            () = stop_requested() => break,
+            () = stop.as_mut() => break,
             _ = reload.recv() => {
                 let outcome = Settings::load(file).map(|_| ()).map_err(|e| e.to_string());
                 relay.note_reload(outcome);
