Requests that arrive while a host starts wait for its first news

Change: route::start_up bounds a wait for the first news, a quarter of the caller's patience, a second at most and not beyond two seconds after the start; the relay waits before it admits.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -18,6 +18,7 @@
 use foxtailhoist_route::dispatch::Dispatcher;
 use foxtailhoist_route::dispatch::Note;
 use foxtailhoist_route::routes::CallerLimits;
+use foxtailhoist_route::start_up::StartUp;
 use foxtailhoist_route::version_rule::VersionRule;
 use tokio::sync::Notify;
 use tokio::sync::watch;
@@ -69,6 +70,8 @@
     pub(crate) stopping: Cell<bool>,
     /// Kinds that were listed whole once.
     listed: RefCell<BTreeSet<ObjectKind>>,
+    listed_one: Notify,
+    start_up: StartUp,
     was_ready: Cell<bool>,
     /// Suspected contents that are to be reported, with the number of deaths seen.
     pub(crate) suspects: RefCell<Vec<(u64, u32)>>,
@@ -106,6 +109,8 @@
             metrics,
             stopping: Cell::new(false),
             listed: RefCell::default(),
+            listed_one: Notify::new(),
+            start_up: StartUp::new(Instant::now()),
             was_ready: Cell::new(false),
             suspects: RefCell::default(),
             suspects_changed: Notify::new(),
@@ -119,17 +124,31 @@
 
     /// Whether the host takes new connections: it knows routes, servers and shifts, and does not stop.
     pub(crate) fn is_ready(&self) -> bool {
-        let needed = [ObjectKind::Configuration, ObjectKind::Servers, ObjectKind::Shifts];
-        let listed = self.listed.borrow();
-        let ready = needed.iter().all(|kind| listed.contains(kind))
-            && self.dispatcher.borrow().table().is_some()
-            && !self.stopping.get();
+        let ready = self.knows_routes() && !self.stopping.get();
         if self.was_ready.replace(ready) != ready {
             self.log.write(&LogEvent::Ready(ready));
         }
         ready
     }
 
+    /// Whether routes, servers and shifts are known.
+    fn knows_routes(&self) -> bool {
+        let needed = [ObjectKind::Configuration, ObjectKind::Servers, ObjectKind::Shifts];
+        let listed = self.listed.borrow();
+        needed.iter().all(|kind| listed.contains(kind))
+            && self.dispatcher.borrow().table().is_some()
+    }
+
+    /// Waits until routes, servers and shifts are known, as long as a request that arrived then should.
+    pub(crate) async fn wait_for_routes(&self, arrived: Instant, patience: Option<Duration>) {
+        let until = self.start_up.wait_until(arrived, patience).into();
+        while !self.knows_routes() {
+            if tokio::time::timeout_at(until, self.listed_one.notified()).await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Whether a kind was listed whole.
     pub(crate) fn is_listed(&self, kind: ObjectKind) -> bool {
         self.listed.borrow().contains(&kind)
@@ -137,6 +156,7 @@
 
     pub(crate) fn set_listed(&self, kind: ObjectKind) {
         self.listed.borrow_mut().insert(kind);
+        self.listed_one.notify_waiters();
     }
 
     /// Bounds on what callers may send, by the configuration in force.
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -85,6 +85,7 @@
     };
     arrival.fingerprint = stable_hash(FINGERPRINT_SEED, &[arrival.path.as_bytes(), &body]);
     let id = arrival.id.clone();
+    core.wait_for_routes(arrived, arrival.patience).await;
     let admitted = core.dispatcher.borrow_mut().admit(arrival, arrived);
     let flight = match admitted {
         Ok(flight) => flight,
