Probe silent servers, so that their streams go on in time

Cause: streams at a server that went dark were given up after 1.0 to 1.25 s of its silence; with the time to read the prompt again elsewhere the pause passed the 1.2 s that callers bear. A shorter bound is no way out: engines that read long prompts are silent for up to 0.9 s.

Change: backends::probe. A server silent for 450 ms is asked for a new connection, once for all its streams; if none comes about in 150 ms, its streams go on elsewhere at once and new requests avoid it; a refusal or a sign of life refutes it. The connection is kept for use.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -18,7 +18,7 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
-use tokio::time::error::Elapsed;
+use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
 use crate::conn::Conn;
@@ -28,7 +28,9 @@
 /// Longest wait for a connection to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause between two looks whether an engine that has a queue still shows life.
-const HEAD_CHECK: Duration = Duration::from_millis(250);
+const HEAD_CHECK: Duration = Duration::from_millis(230);
+/// Reason of an attempt that was given up after a probe.
+pub(crate) const SERVER_LOST: &str = "server cannot be reached any more";
 /// Largest body of an answer that is not a stream.
 const ANSWER_MAX: usize = 16 * 1024 * 1024;
 
@@ -51,6 +53,9 @@
     Refused(Refusal),
 }
 
+/// The head did not come in time.
+struct GivenUp;
+
 enum Sent {
     Head(Box<(Response<Incoming>, Conn)>, Duration),
     Failed(AttemptOutcome, String),
@@ -144,10 +149,13 @@
             Ok(Err(SendError::Broken(reason))) => {
                 return Sent::Failed(AttemptOutcome::Broken, reason);
             }
-            Err(_) if Instant::now() >= attempt.deadline => {
+            Err(GivenUp) if Instant::now() >= attempt.deadline => {
                 return Sent::Failed(AttemptOutcome::Cancelled, "deadline".to_owned());
             }
-            Err(_) if is_kept => {
+            Err(GivenUp) if running.is_server_lost() => {
+                return Sent::Failed(AttemptOutcome::Silent, SERVER_LOST.to_owned());
+            }
+            Err(GivenUp) if is_kept => {
                 // Kept connections may have gone silent; the server is not to blame then.
                 core.pool.retire(attempt.address);
                 return Sent::Failed(
@@ -155,7 +163,9 @@
                     "kept connection is silent".to_owned(),
                 );
             }
-            Err(_) => return Sent::Failed(AttemptOutcome::Silent, "no head in time".to_owned()),
+            Err(GivenUp) => {
+                return Sent::Failed(AttemptOutcome::Silent, "no head in time".to_owned());
+            }
         }
     }
 }
@@ -167,19 +177,25 @@
     request: Request<Full<Bytes>>,
     attempt: &Attempt,
     begun: Instant,
-) -> Result<Result<Response<Incoming>, SendError>, Elapsed> {
+) -> Result<Result<Response<Incoming>, SendError>, GivenUp> {
     let mut answer = std::pin::pin!(conn.send(request));
-    let mut due = begun + attempt.head_timeout;
+    // Attempts that may be given up are looked at now and then; the others only wait.
+    let expected = begun + attempt.head_timeout;
+    let mut due = if attempt.has_spare_try { expected.min(begun + HEAD_CHECK) } else { expected };
     loop {
-        match timeout_at(due.min(attempt.deadline).into(), answer.as_mut()).await {
-            Ok(answer) => return Ok(answer),
-            Err(late) => {
-                let now = Instant::now();
-                if now >= attempt.deadline || running.is_head_overdue(begun) {
-                    return Err(late);
+        tokio::select! {
+            answer = answer.as_mut() => return Ok(answer),
+            () = sleep_until(due.min(attempt.deadline).into()) => {
+                let next = due + HEAD_CHECK;
+                due = if due < expected { next.min(expected) } else { next };
+                if attempt.has_spare_try {
+                    running.probe_silent_server(begun);
                 }
-                due = now + HEAD_CHECK;
             }
+            () = running.core.server_lost.notified() => {}
+        }
+        if Instant::now() >= attempt.deadline || running.is_head_overdue(begun) {
+            return Err(GivenUp);
         }
     }
 }
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -78,6 +78,8 @@
     pub(crate) suspects_changed: Notify,
     /// A watch of the store got no answer in time.
     pub(crate) store_silent: Notify,
+    /// A probe found that a backend server cannot be reached.
+    pub(crate) server_lost: Notify,
     /// The process stood still: what was believed has to be asked again.
     pub(crate) woke: Notify,
     /// Open connections of callers.
@@ -115,6 +117,7 @@
             suspects: RefCell::default(),
             suspects_changed: Notify::new(),
             store_silent: Notify::new(),
+            server_lost: Notify::new(),
             woke: Notify::new(),
             connections: Cell::new(0),
             all_closed: Notify::new(),
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -70,6 +70,10 @@
         id: &'a str,
         change: ListingChange,
     },
+    /// A silent server does not accept a connection.
+    ServerLost {
+        id: &'a str,
+    },
     Shift {
         service: &'a str,
         target: &'a str,
@@ -224,6 +228,7 @@
                 write!(f, "event=configuration_ignored version={version} in_force={in_force}")
             }
             LogEvent::Server { id, change } => write!(f, "event=server id={id} change={change:?}"),
+            LogEvent::ServerLost { id } => write!(f, "event=server_lost id={id}"),
             LogEvent::Shift { service, target, phase } => {
                 write!(f, "event=shift service={service} target={target} phase={phase:?}")
             }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -15,6 +15,7 @@
     attempts: Counter<u64>,
     first_byte: Histogram<f64>,
     store_calls: Counter<u64>,
+    servers_lost: Counter<u64>,
 }
 
 impl Metrics {
@@ -31,6 +32,7 @@
             attempts: meter.u64_counter("relay_attempts").build(),
             first_byte: meter.f64_histogram("relay_first_byte_seconds").build(),
             store_calls: meter.u64_counter("relay_store_calls").build(),
+            servers_lost: meter.u64_counter("relay_servers_lost").build(),
             scrape,
         })
     }
@@ -54,6 +56,11 @@
         self.store_calls.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// A probe found that a backend server cannot be reached.
+    pub fn server_lost(&self) {
+        self.servers_lost.add(1, &[]);
+    }
+
     /// The page for scraping.
     ///
     /// # Errors
--- a/crates/relay/src/running.rs
+++ b/crates/relay/src/running.rs
@@ -3,21 +3,28 @@
 //! A caller that leaves drops the task that serves it, at any point. The drop of a [`Running`] then ends the attempt in
 //! the dispatcher's accounts and logs that the caller left.
 
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use foxtailhoist_model::Refusal;
+use foxtailhoist_route::backends::probe::Probe;
 use foxtailhoist_route::dispatch::AnswerHead;
 use foxtailhoist_route::dispatch::HeadVerdict;
 use foxtailhoist_route::dispatch::Step;
 use foxtailhoist_route::flight::Attempt;
 use foxtailhoist_route::flight::AttemptOutcome;
 use foxtailhoist_route::flight::Flight;
+use tokio::task::spawn_local;
 
+use crate::conn::Conn;
 use crate::core::Core;
 use crate::log_event::LogEvent;
 
+/// Longest wait for the connection that a probe opens: many times the delay between data centres.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// A request of a caller while it is served.
 pub(crate) struct Running {
     pub(crate) core: Rc<Core>,
@@ -93,6 +100,26 @@
         })
     }
 
+    /// Whether a probe found that the attempt's server cannot be reached.
+    pub(crate) fn is_server_lost(&self) -> bool {
+        let dispatcher = self.core.dispatcher.borrow();
+        self.under_way
+            .as_ref()
+            .is_some_and(|under_way| dispatcher.backends().is_lost(&under_way.attempt))
+    }
+
+    /// Probes the attempt's server if it has been silent since then for too long.
+    pub(crate) fn probe_silent_server(&self, since: Instant) {
+        let Some(under_way) = &self.under_way else {
+            return;
+        };
+        let now = Instant::now();
+        let probe = self.core.dispatcher.borrow_mut().take_probe(&under_way.attempt, since, now);
+        if let Some(probe) = probe {
+            spawn_local(probe_server(self.core.clone(), probe));
+        }
+    }
+
     /// Ends the attempt under way.
     pub(crate) fn ended(&mut self, outcome: AttemptOutcome, reason: &str) {
         let Some(under_way) = self.under_way.take() else {
@@ -148,6 +175,22 @@
     }
 }
 
+/// Opens a connection to a server that has fallen silent, and keeps it for later requests.
+async fn probe_server(core: Rc<Core>, probe: Probe) {
+    let opened = Conn::open(probe.address, PROBE_TIMEOUT).await;
+    // A refusal comes from the server's machine, so the way there is sound; its open connections will be reset.
+    let reached = opened.as_ref().err().is_none_or(|e| e.kind() != ErrorKind::TimedOut);
+    core.dispatcher.borrow_mut().probe_ended(&probe, reached, Instant::now());
+    if let Ok(conn) = opened {
+        core.pool.keep(conn);
+    }
+    if !reached {
+        core.metrics.server_lost();
+        core.log.write(&LogEvent::ServerLost { id: &probe.server });
+        core.server_lost.notify_waiters();
+    }
+}
+
 impl Drop for Running {
     fn drop(&mut self) {
         if self.is_finished {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -17,6 +17,7 @@
 
 use crate::attempt::CallerRequest;
 use crate::attempt::Found;
+use crate::attempt::SERVER_LOST;
 use crate::attempt::find_answer;
 use crate::conn::Conn;
 use crate::running::Running;
@@ -25,7 +26,7 @@
 /// Pieces that wait for a slow caller before the server is held back.
 const PIECES: usize = 16;
 /// Pause between two looks whether a stream has stalled.
-const STALL_CHECK: Duration = Duration::from_millis(250);
+const STALL_CHECK: Duration = Duration::from_millis(230);
 
 /// Body of a streamed answer.
 pub(crate) struct EventBody {
@@ -94,6 +95,12 @@
     loop {
         let frame = tokio::select! {
             frame = tokio::time::timeout(STALL_CHECK, body.frame()) => frame,
+            () = running.core.server_lost.notified() => {
+                if running.is_stalled(last_event) {
+                    return Pumped::Failed(AttemptOutcome::Silent, SERVER_LOST.to_owned());
+                }
+                continue;
+            }
             () = tx.closed() => return Pumped::CallerGone,
         };
         let frame = match frame {
@@ -109,7 +116,10 @@
             Err(_) if running.is_stalled(last_event) => {
                 return Pumped::Failed(AttemptOutcome::Silent, "no event in time".to_owned());
             }
-            Err(_) => continue,
+            Err(_) => {
+                running.probe_silent_server(last_event);
+                continue;
+            }
         };
         let Ok(data) = frame.into_data() else {
             continue;
--- a/crates/route/src/backends/mod.rs
+++ b/crates/route/src/backends/mod.rs
@@ -7,6 +7,7 @@
 mod cache;
 pub(crate) mod choose;
 mod health;
+pub mod probe;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -27,6 +28,7 @@
 pub(crate) use crate::backends::choose::Query;
 use crate::backends::health::CentreHealth;
 use crate::backends::health::Health;
+use crate::backends::probe::Reach;
 use crate::flight::Attempt;
 use crate::flight::AttemptOutcome;
 use crate::flight::PromptPart;
@@ -99,6 +101,7 @@
     /// Said that it was full.
     full_until: Option<Instant>,
     health: Health,
+    reach: Reach,
     cache: CacheRecord,
 }
 
@@ -370,6 +373,7 @@
             last_sign: None,
             full_until: None,
             health: Health::new(now),
+            reach: Reach::default(),
             cache: CacheRecord::default(),
         }
     }
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -30,6 +30,8 @@
 use crate::backends::choose::Choice;
 use crate::backends::choose::NoServer;
 use crate::backends::choose::VersionFilter;
+use crate::backends::probe::PROBE_AFTER;
+use crate::backends::probe::Probe;
 use crate::flight::Arrival;
 use crate::flight::Attempt;
 use crate::flight::AttemptOutcome;
@@ -390,7 +392,8 @@
             .last_sign(attempt)
             .is_some_and(|at| now.saturating_duration_since(at) < attempt.event_timeout);
         let is_queued = attempt.model.is_some() && is_alive && waited < ENGINE_QUEUE_MAX;
-        waited >= attempt.head_timeout && !is_queued
+        let is_lost = attempt.has_spare_try && self.backends.is_lost(attempt);
+        is_lost || (waited >= attempt.head_timeout && !is_queued)
     }
 
     /// Whether a stream without an event since `since` should be given up for another attempt; the last attempt never
@@ -411,7 +414,18 @@
             .backends
             .last_sign(attempt)
             .map_or(silence, |at| now.saturating_duration_since(at));
-        silence >= EVENT_TIMEOUT || server_silence >= attempt.event_timeout
+        let is_lost = silence >= PROBE_AFTER && self.backends.is_lost(attempt);
+        is_lost || silence >= EVENT_TIMEOUT || server_silence >= attempt.event_timeout
+    }
+
+    /// The probe that an attempt's silence since then calls for.
+    pub fn take_probe(&mut self, attempt: &Attempt, since: Instant, now: Instant) -> Option<Probe> {
+        self.backends.take_probe(attempt, since, now)
+    }
+
+    /// A probe ended; `reached` tells whether the server accepted a connection.
+    pub fn probe_ended(&mut self, probe: &Probe, reached: bool, now: Instant) {
+        self.backends.probe_ended(probe, reached, now);
     }
 
     /// An attempt ended.
@@ -552,6 +566,7 @@
             deadline: flight.deadline,
             head_timeout: left,
             event_timeout: SERVER_TIMEOUT,
+            has_spare_try: may_run_again && flight.attempts + 1 < flight.route.max_attempts,
             priority: is_engine.then(|| priority(flight)),
             resume_after: flight.last_event,
             fresh_connection: !may_run_again,
@@ -559,8 +574,7 @@
             cost_ms: choice.cost_ms,
             model,
         };
-        let has_spare_try = flight.attempts + 1 < flight.route.max_attempts;
-        if may_run_again && has_spare_try {
+        if attempt.has_spare_try {
             attempt.head_timeout = self.head_timeout(&attempt, is_engine).min(left);
         }
         Some(attempt)
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -106,6 +106,8 @@
     pub head_timeout: Duration,
     /// Silence of the server in all answers after which it counts as dead.
     pub event_timeout: Duration,
+    /// The request may be sent to another server if this attempt fails.
+    pub has_spare_try: bool,
     pub priority: Option<u8>,
     /// Event after which the stream goes on.
     pub resume_after: Option<u64>,
