Servers that cannot be reached are not asked again at once

Cause: a request that may be repeated asked the same unreachable servers every 10 ms until its deadline, 100 connections a second for each request, and then ended as out of time.

Change: after all servers were asked, one is asked every 40 ms, and the wait counts from the first that could not be reached, so that the request is refused as not run after an eighth of its target; a stream that has begun waits 1.5 s as before.

--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -300,6 +300,7 @@
             last_event: arrival.last_event,
             started: false,
             waiting_since: None,
+            unreached: None,
             kept_weak: None,
             service,
         })
@@ -324,7 +325,6 @@
         if flight.attempts > 0 && !self.retries.has_room(&flight.service, 0.0, now) {
             return Step::Refuse(self.give_up(flight, now));
         }
-        flight.waiting_since = None;
         let Some(attempt) = self.attempt(flight, &choice, now) else {
             return Step::Refuse(self.give_up(flight, now));
         };
@@ -340,6 +340,8 @@
         } else {
             self.retries.repeat(&flight.service, now);
         }
+        flight.waiting_since = None;
+        flight.unreached = None;
         flight.attempts += 1;
         flight.tried.push(attempt.server.clone());
     }
@@ -468,6 +470,8 @@
             }
             AttemptOutcome::Unreachable => {
                 flight.tried.push(attempt.server.clone());
+                flight.waiting_since.get_or_insert(now);
+                flight.unreached = Some(now);
                 self.server_died(&attempt.server, now);
             }
             AttemptOutcome::Misdirected | AttemptOutcome::Full { .. } => {}
@@ -542,8 +546,11 @@
             repeatable: flight.route.repeatability.may_run_again(),
             avoid: &flight.tried,
         };
+        let may_ask_again = flight.unreached.is_none_or(|at| now >= at + WAIT_STEP);
         match self.backends.choose(&query, now) {
-            Err(NoServer::AllBusy) if !flight.tried.is_empty() && query.repeatable => {
+            Err(NoServer::AllBusy)
+                if !flight.tried.is_empty() && query.repeatable && may_ask_again =>
+            {
                 self.backends.choose(&Query { avoid: &[], ..query }, now)
             }
             other => other,
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -148,7 +148,10 @@
     pub(crate) last_event: Option<u64>,
     /// The answer's head went to the caller.
     pub(crate) started: bool,
+    /// Since when it has waited for a server, from the first that could not be reached.
     pub(crate) waiting_since: Option<Instant>,
+    /// When a server could not be reached, if nothing was sent since.
+    pub(crate) unreached: Option<Instant>,
     pub(crate) kept_weak: Option<KeptWeak>,
 }
 
