A stopping host admits streams by the time that they are expected to take

Cause: a host that was asked to stop refused every stream in the last five seconds before its end.

Change: route::stream_time learns the time for each token of output, mean and mean deviation, and bounds the time of a new stream; without samples or a stated length five seconds as before. Streams that take longer under load are refused earlier.

--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -44,6 +44,7 @@
 use crate::routes::Identity;
 use crate::routes::RoutingTable;
 use crate::strain::Strain;
+use crate::stream_time::StreamTime;
 use crate::version_rule::VersionRule;
 
 /// Time that a caller without a deadline on a route without a time-out is given.
@@ -56,8 +57,6 @@
 const RESUME_WAIT: Duration = Duration::from_millis(1_500);
 /// Pause between two looks for a free server.
 const WAIT_STEP: Duration = Duration::from_millis(40);
-/// Time that a stream is expected to take: a host that stops before admits no new one.
-const STREAM_TIME: Duration = Duration::from_secs(5);
 /// Shortest time left in which another attempt is still made.
 const LEAST_TIME_LEFT: Duration = Duration::from_millis(20);
 /// Wait for the head of an idempotent answer, as a multiple of the mean time.
@@ -97,6 +96,7 @@
     retries: RetryWindows,
     rules: BTreeMap<ServiceId, VersionRule>,
     strains: BTreeMap<ServiceId, Strain>,
+    stream_times: BTreeMap<ServiceId, StreamTime>,
     poison: Poison,
     /// Contents whose connections to a server broke, until its death is seen.
     suspects: BTreeMap<String, Vec<(Fingerprint, Instant)>>,
@@ -169,6 +169,7 @@
             table: None,
             rules: BTreeMap::new(),
             strains: BTreeMap::new(),
+            stream_times: BTreeMap::new(),
             poison: Poison::default(),
             suspects: BTreeMap::new(),
             notes: Vec::new(),
@@ -272,8 +273,12 @@
         };
         let patience = [arrival.patience, route.timeout].into_iter().flatten().min();
         let deadline = now + patience.unwrap_or(DEFAULT_PATIENCE);
-        let expected_end =
-            if route.repeatability.is_stream() { now + STREAM_TIME } else { deadline };
+        let expected_end = if route.repeatability.is_stream() {
+            let time = self.stream_times.get(&service).copied().unwrap_or_default();
+            now + time.bound(arrival.max_output_tokens)
+        } else {
+            deadline
+        };
         if self.ends_at.is_some_and(|ends_at| ends_at < expected_end) {
             return Err(refusal(ErrorKind::Stopping, Some(RETURN_MIN)));
         }
@@ -288,6 +293,7 @@
             deadline,
             parts: arrival.parts,
             prompt_tokens: arrival.prompt_tokens,
+            max_output_tokens: arrival.max_output_tokens,
             knowledge: Knowledge::NotRun,
             attempts: 0,
             requested_model: arrival.model,
@@ -448,6 +454,11 @@
         match outcome {
             AttemptOutcome::Whole => {
                 flight.learn(Knowledge::Ran);
+                if flight.route.repeatability.is_stream() {
+                    let elapsed = now.saturating_duration_since(flight.arrived);
+                    let time = self.stream_times.entry(flight.service.clone()).or_default();
+                    time.sample(flight.max_output_tokens, elapsed);
+                }
                 self.evidence(attempt, false);
             }
             AttemptOutcome::Failed => {
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -133,6 +133,8 @@
     pub deadline: Instant,
     pub parts: Vec<PromptPart>,
     pub prompt_tokens: u64,
+    /// Output that the caller allows; 0 where it did not say.
+    pub max_output_tokens: u64,
     pub knowledge: Knowledge,
     pub attempts: u32,
     pub(crate) requested_model: Option<ModelId>,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod start_up;
 mod stats;
 mod strain;
+mod stream_time;
 pub mod version_rule;
 
 pub use config::Mechanisms;
