Refuse streams that would miss their deadline in the engines' queues

Change: route::sojourn predicts the wait of each service and priority, from the ages of those that wait and from their number beside the rate at which they begin (the lesser of both); dispatch::overload refuses a new stream whose first event is expected after its deadline, as not run and with a time to come back.

--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 //! the refusal that is the final answer.
 
 mod cascade;
+mod overload;
 mod refusal;
 
 use std::collections::BTreeMap;
@@ -21,6 +22,7 @@
 use foxtailhoist_model::VersionId;
 use foxtailhoist_model::stable_hash;
 
+use self::overload::SojournKey;
 use self::refusal::RETURN_MAX;
 use self::refusal::RETURN_MIN;
 use self::refusal::refusal;
@@ -43,6 +45,7 @@
 use crate::retry_window::RetryWindows;
 use crate::routes::Identity;
 use crate::routes::RoutingTable;
+use crate::sojourn::Sojourn;
 use crate::strain::Strain;
 use crate::stream_time::StreamTime;
 use crate::version_rule::VersionRule;
@@ -97,6 +100,7 @@
     rules: BTreeMap<ServiceId, VersionRule>,
     strains: BTreeMap<ServiceId, Strain>,
     stream_times: BTreeMap<ServiceId, StreamTime>,
+    sojourns: BTreeMap<SojournKey, Sojourn>,
     poison: Poison,
     /// Contents whose connections to a server broke, until its death is seen.
     suspects: BTreeMap<String, Vec<(Fingerprint, Instant)>>,
@@ -170,6 +174,7 @@
             rules: BTreeMap::new(),
             strains: BTreeMap::new(),
             stream_times: BTreeMap::new(),
+            sojourns: BTreeMap::new(),
             poison: Poison::default(),
             suspects: BTreeMap::new(),
             notes: Vec::new(),
@@ -284,7 +289,7 @@
         }
         let rule = self.rules.get(&service).unwrap_or(&VersionRule::Any);
         let versions = rule.filter(arrival.session, point);
-        Ok(Flight {
+        let flight = Flight {
             id: arrival.id,
             route: route.clone(),
             workspace,
@@ -307,9 +312,12 @@
             started: false,
             waiting_since: None,
             unreached: None,
+            waits_for_event: None,
             kept_weak: None,
             service,
-        })
+        };
+        self.refuse_late(&flight, now)?;
+        Ok(flight)
     }
 
     /// What to do next for a request that has no attempt under way.
@@ -348,6 +356,7 @@
         }
         flight.waiting_since = None;
         flight.unreached = None;
+        self.wait_began(flight, attempt, now);
         flight.attempts += 1;
         flight.tried.push(attempt.server.clone());
     }
@@ -372,6 +381,7 @@
             return HeadVerdict::Drop(AttemptOutcome::Garbled);
         }
         self.backends.answered(attempt, &flight.parts, elapsed, now);
+        self.wait_ended(flight, true, now);
         if !flight.started {
             self.note_wait(flight, attempt, elapsed, now);
         }
@@ -446,6 +456,7 @@
         now: Instant,
     ) {
         self.backends.end(attempt, had_head, outcome, now);
+        self.wait_ended(flight, false, now);
         let never_began = matches!(outcome, AttemptOutcome::Silent | AttemptOutcome::Full { .. });
         if never_began && !had_head {
             let target = flight.route.latency_target.unwrap_or(DEFAULT_PATIENCE);
--- a/crates/route/src/flight.rs
+++ b/crates/route/src/flight.rs
@@ -154,6 +154,8 @@
     pub(crate) waiting_since: Option<Instant>,
     /// When a server could not be reached, if nothing was sent since.
     pub(crate) unreached: Option<Instant>,
+    /// When the attempt under way was sent, while it waits for its first event.
+    pub(crate) waits_for_event: Option<Instant>,
     pub(crate) kept_weak: Option<KeptWeak>,
 }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -27,6 +27,7 @@
 mod servers;
 pub mod session;
 pub mod shared;
+mod sojourn;
 pub mod start_up;
 mod stats;
 mod strain;
