Shorter wait for connections to servers; refusals say why and when to come back

Change: 150 ms for connections to servers and probes alike, one constant. Lines of refusals carry the reason and the time to come back, those of lost servers the silence that they were probed for. The soak kills all hosts at once and slows the store.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -21,12 +21,11 @@
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
+use crate::conn::CONNECT_TIMEOUT;
 use crate::conn::Conn;
 use crate::conn::SendError;
 use crate::running::Running;
 
-/// Longest wait for a connection to a backend server.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause between two looks whether an engine that has a queue still shows life.
 const HEAD_CHECK: Duration = Duration::from_millis(230);
 /// Reason of an attempt that was given up after a probe.
--- a/crates/relay/src/conn.rs
+++ b/crates/relay/src/conn.rs
@@ -25,6 +25,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+/// Longest wait for a connection to a backend server: many times the delay between data centres. A lost first packet is
+/// sent again after a second only, so a longer wait would gain nothing.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// First probe of a silent connection and the pause between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Probes without an answer after which a connection is dead.
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use foxtailhoist_model::ErrorKind;
+use foxtailhoist_model::Refusal;
 use foxtailhoist_model::stable_hash;
 use foxtailhoist_rollout::shift::ShiftPhase;
 use foxtailhoist_route::backends::ListingChange;
@@ -73,6 +73,8 @@
     /// A silent server does not accept a connection.
     ServerLost {
         id: &'a str,
+        /// Time without a sign of life when it was probed.
+        silence: Duration,
     },
     Shift {
         service: &'a str,
@@ -124,7 +126,7 @@
     Refused {
         id: &'a str,
         flight: Option<&'a Flight>,
-        kind: ErrorKind,
+        refusal: &'a Refusal,
         elapsed: Duration,
     },
     /// A stream that had begun could not be finished.
@@ -228,7 +230,9 @@
                 write!(f, "event=configuration_ignored version={version} in_force={in_force}")
             }
             LogEvent::Server { id, change } => write!(f, "event=server id={id} change={change:?}"),
-            LogEvent::ServerLost { id } => write!(f, "event=server_lost id={id}"),
+            LogEvent::ServerLost { id, silence } => {
+                write!(f, "event=server_lost id={id} silent_ms={}", silence.as_millis())
+            }
             LogEvent::Shift { service, target, phase } => {
                 write!(f, "event=shift service={service} target={target} phase={phase:?}")
             }
@@ -279,8 +283,8 @@
                 }
                 Ok(())
             }
-            LogEvent::Refused { id, flight, kind, elapsed } => {
-                write!(f, "event=refused request={id} kind={}", kind.name())?;
+            LogEvent::Refused { id, flight, refusal, elapsed } => {
+                write!(f, "event=refused request={id} kind={}", refusal.kind.name())?;
                 if let Some(flight) = flight {
                     write!(
                         f,
@@ -288,6 +292,12 @@
                         flight.route.id, flight.table_version, flight.knowledge, flight.attempts
                     )?;
                 }
+                if let Some(retry_after) = refusal.retry_after {
+                    write!(f, " retry_after_ms={}", retry_after.as_millis())?;
+                }
+                if !refusal.message.is_empty() {
+                    write!(f, " reason={:?}", refusal.message)?;
+                }
                 write!(f, " ms={}", elapsed.as_millis())
             }
             LogEvent::StreamBroken { flight, elapsed } => write!(
--- a/crates/relay/src/running.rs
+++ b/crates/relay/src/running.rs
@@ -18,13 +18,11 @@
 use foxtailhoist_route::flight::Flight;
 use tokio::task::spawn_local;
 
+use crate::conn::CONNECT_TIMEOUT;
 use crate::conn::Conn;
 use crate::core::Core;
 use crate::log_event::LogEvent;
 
-/// Longest wait for the connection that a probe opens: many times the delay between data centres.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// A request of a caller while it is served.
 pub(crate) struct Running {
     pub(crate) core: Rc<Core>,
@@ -161,7 +159,7 @@
         self.core.log.write(&LogEvent::Refused {
             id: &self.flight.id,
             flight: Some(&self.flight),
-            kind: refusal.kind,
+            refusal,
             elapsed: self.flight.arrived.elapsed(),
         });
     }
@@ -177,7 +175,7 @@
 
 /// Opens a connection to a server that has fallen silent, and keeps it for later requests.
 async fn probe_server(core: Rc<Core>, probe: Probe) {
-    let opened = Conn::open(probe.address, PROBE_TIMEOUT).await;
+    let opened = Conn::open(probe.address, CONNECT_TIMEOUT).await;
     // A refusal comes from the server's machine, so the way there is sound; its open connections will be reset.
     let reached = opened.as_ref().err().is_none_or(|e| e.kind() != ErrorKind::TimedOut);
     core.dispatcher.borrow_mut().probe_ended(&probe, reached, Instant::now());
@@ -186,7 +184,7 @@
     }
     if !reached {
         core.metrics.server_lost();
-        core.log.write(&LogEvent::ServerLost { id: &probe.server });
+        core.log.write(&LogEvent::ServerLost { id: &probe.server, silence: probe.silence });
         core.server_lost.notify_waiters();
     }
 }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -174,9 +174,8 @@
     refusal: &Refusal,
     arrived: Instant,
 ) -> Response<AnswerBody> {
-    let kind = refusal.kind;
-    core.metrics.request(kind.name());
-    core.log.write(&LogEvent::Refused { id, flight: None, kind, elapsed: arrived.elapsed() });
+    core.metrics.request(refusal.kind.name());
+    core.log.write(&LogEvent::Refused { id, flight: None, refusal, elapsed: arrived.elapsed() });
     refusal_response(core, refusal)
 }
 
--- a/crates/relay/tests/logs.rs
+++ b/crates/relay/tests/logs.rs
@@ -8,6 +8,8 @@
 use std::time::Instant;
 
 use foxtailhoist_model::ErrorKind;
+use foxtailhoist_model::Ran;
+use foxtailhoist_model::Refusal;
 use foxtailhoist_relay::log_buffer::BUFFER_BYTES;
 use foxtailhoist_relay::log_buffer::LogBuffer;
 use foxtailhoist_relay::log_event::EventLog;
@@ -69,6 +71,12 @@
 #[test]
 fn every_line_names_its_event_first_and_quotes_free_text() {
     let kind = ObjectKind::Servers;
+    let refusal = &Refusal {
+        kind: ErrorKind::Overloaded,
+        ran: Ran::NotRun,
+        message: "first event expected in 6000 ms".to_owned(),
+        retry_after: Some(Duration::from_millis(500)),
+    };
     let lines = [
         (LogEvent::Started { host: "h", data_centre: "a" }, "started", "host"),
         (LogEvent::Stopping, "stopping", "event"),
@@ -103,15 +111,25 @@
         (LogEvent::Source { host: "h" }, "source", "host"),
         (LogEvent::SourceLost { host: "h", reason: "ended" }, "source_lost", "reason"),
         (
-            LogEvent::Refused {
-                id: "r",
-                flight: None,
-                kind: ErrorKind::NotFound,
-                elapsed: Duration::ZERO,
-            },
+            LogEvent::Refused { id: "r", flight: None, refusal, elapsed: Duration::ZERO },
             "refused",
             "request",
         ),
+        (
+            LogEvent::Refused { id: "r", flight: None, refusal, elapsed: Duration::ZERO },
+            "refused",
+            "reason",
+        ),
+        (
+            LogEvent::Refused { id: "r", flight: None, refusal, elapsed: Duration::ZERO },
+            "refused",
+            "retry_after_ms",
+        ),
+        (
+            LogEvent::ServerLost { id: "i", silence: Duration::from_millis(450) },
+            "server_lost",
+            "silent_ms",
+        ),
         (LogEvent::Dropped { lines: 5 }, "log_dropped", "lines"),
     ];
     for (event, name, field) in lines {
--- a/crates/route/src/backends/probe.rs
+++ b/crates/route/src/backends/probe.rs
@@ -24,6 +24,8 @@
 pub struct Probe {
     pub server: BackendServerId,
     pub address: SocketAddr,
+    /// Time without a sign of life.
+    pub silence: Duration,
     pub(crate) generation: Generation,
 }
 
@@ -60,6 +62,7 @@
         Some(Probe {
             server: server.listing.id.clone(),
             address: server.listing.address,
+            silence: now.saturating_duration_since(quiet_since),
             generation: server.generation,
         })
     }
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -19,6 +19,8 @@
 #[derive(Clone, Copy, Debug)]
 pub enum Fault {
     KillHost,
+    /// All hosts at the same moment, as after a loss of power.
+    KillAllHosts,
     StopHost,
     PauseHost,
     ReloadHost,
@@ -28,6 +30,7 @@
     StoreHarm(Harm),
     StoreReset,
     StoreDown(bool),
+    StoreSlow(Duration),
     Compact,
     Configure,
     /// Everything but what runs is mended.
@@ -36,7 +39,7 @@
 
 impl Fault {
     pub fn draw(rng: &mut ChaCha8Rng) -> Fault {
-        match rng.random_range(0..20) {
+        match rng.random_range(0..22) {
             0 => Fault::KillHost,
             1 => Fault::StopHost,
             2 => Fault::PauseHost,
@@ -49,6 +52,8 @@
             14 => Fault::StoreDown(rng.random_bool(0.6)),
             15 => Fault::Compact,
             16 => Fault::Configure,
+            17 => Fault::KillAllHosts,
+            18 => Fault::StoreSlow(Duration::from_millis(rng.random_range(20..400))),
             _ => Fault::Mend,
         }
     }
@@ -62,6 +67,14 @@
                 world.hosts.wait(host).await;
                 world.hosts.start_again(host);
             }
+            Fault::KillAllHosts => {
+                let all = 0..world.hosts.len();
+                all.clone().for_each(|host| world.hosts.signal(host, Signal::KILL));
+                for host in all {
+                    world.hosts.wait(host).await;
+                    world.hosts.start_again(host);
+                }
+            }
             Fault::StopHost => {
                 world.hosts.signal(host, Signal::TERM);
                 world.hosts.wait(host).await;
@@ -78,7 +91,12 @@
             Fault::ServerReset => world.engines[server].1.reset(),
             Fault::StoreHarm(harm) => world.store_proxy.set(harm),
             Fault::StoreReset => world.store_proxy.reset(),
-            Fault::StoreDown(down) => world.store.set_faults(StoreFaults { down }),
+            Fault::StoreDown(down) => {
+                world.store.set_faults(StoreFaults { down, ..StoreFaults::default() });
+            }
+            Fault::StoreSlow(slow) => {
+                world.store.set_faults(StoreFaults { slow, ..StoreFaults::default() });
+            }
             Fault::Compact => world.store.compact(),
             Fault::Configure => {
                 *version += 1;
