SIGHUP takes settings into force

Cause: a reload read the settings, logged that they can be used, and went on with the old ones.

Change: bounds on repeats, confidence floors and grace take effect at once; the log names the settings that need a restart; faulty settings change nothing, as before.

Tests: tests/signals.rs: reloads, and a host that stood still takes in a configuration that it missed.

--- a/crates/core/commands/relay.rs
+++ b/crates/core/commands/relay.rs
@@ -41,8 +41,10 @@
         tokio::select! {
             () = stop.as_mut() => break,
             _ = reload.recv() => {
-                let outcome = Settings::load(file).map(|_| ()).map_err(|e| e.to_string());
-                relay.note_reload(outcome);
+                match Settings::load(file) {
+                    Ok(settings) => relay.reload(&settings.relay(), settings.dispatch()),
+                    Err(e) => relay.refuse_reload(&e.to_string()),
+                }
             }
         }
     }
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -54,6 +54,25 @@
     pub grace: Duration,
 }
 
+impl RelayConfig {
+    /// Names of the settings in which `wanted` differs and that only a restart takes in.
+    pub(crate) fn fixed_changes(&self, wanted: &RelayConfig) -> Vec<&'static str> {
+        // A port of 0 stands for the one that was bound.
+        let moved = |bound: SocketAddr, wanted: SocketAddr| wanted.port() != 0 && bound != wanted;
+        let changes = [
+            ("host", self.host != wanted.host),
+            ("data_centre", self.data_centre != wanted.data_centre),
+            ("listen.callers", moved(self.callers, wanted.callers)),
+            ("listen.readiness", moved(self.readiness, wanted.readiness)),
+            ("listen.peers", moved(self.peers, wanted.peers)),
+            ("listen.metrics", self.metrics != wanted.metrics),
+            ("seeds", self.seeds != wanted.seeds),
+            ("store", self.store != wanted.store),
+        ];
+        changes.into_iter().filter(|(_, changed)| *changed).map(|(name, _)| name).collect()
+    }
+}
+
 /// Shared state.
 pub(crate) struct Core {
     pub(crate) cfg: RelayConfig,
@@ -68,6 +87,8 @@
     pub(crate) log: EventLog,
     pub(crate) metrics: Metrics,
     pub(crate) stopping: Cell<bool>,
+    /// Time between the signal to stop and the kill, by the settings in force.
+    pub(crate) grace: Cell<Duration>,
     /// Kinds that were listed whole once.
     listed: RefCell<BTreeSet<ObjectKind>>,
     listed_one: Notify,
@@ -102,6 +123,7 @@
             mirror: Mirror::default(),
             feeds: RefCell::new(feeds),
             watching: watch::Sender::new(false),
+            grace: Cell::new(cfg.grace),
             cfg,
             wire,
             dispatcher: RefCell::new(dispatcher),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -107,12 +107,18 @@
         &self.core.cfg
     }
 
-    /// Logs what became of a reload of the settings.
-    pub fn note_reload(&self, outcome: Result<(), String>) {
-        match outcome {
-            Ok(()) => self.core.log.write(&LogEvent::Reloaded),
-            Err(reason) => self.core.log.write(&LogEvent::ReloadRefused { reason: &reason }),
-        }
+    /// Takes other settings into force: bounds, floors and grace at once; those that only a restart takes in are named in
+    /// the log.
+    pub fn reload(&self, cfg: &RelayConfig, dispatch: DispatchConfig) {
+        self.core.grace.set(cfg.grace);
+        self.core.dispatcher.borrow_mut().reload(dispatch);
+        let needs_restart = self.core.cfg.fixed_changes(cfg);
+        self.core.log.write(&LogEvent::Reloaded { needs_restart: &needs_restart });
+    }
+
+    /// Logs that settings cannot be used; the old ones stay in force.
+    pub fn refuse_reload(&self, reason: &str) {
+        self.core.log.write(&LogEvent::ReloadRefused { reason });
     }
 
     /// Stops: takes no new connections, finishes what runs, and returns before the process would be killed.
@@ -120,7 +126,7 @@
         let core = self.core;
         core.stopping.set(true);
         core.log.write(&LogEvent::Stopping);
-        let grace = core.cfg.grace.saturating_sub(STOP_MARGIN);
+        let grace = core.grace.get().saturating_sub(STOP_MARGIN);
         core.dispatcher.borrow_mut().stop(Instant::now() + grace);
         let finish = async {
             tokio::time::sleep(STOP_LINGER.min(grace)).await;
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -37,7 +37,10 @@
     Stopped {
         open: usize,
     },
-    Reloaded,
+    /// Settings were read again; those named take effect at the next start only.
+    Reloaded {
+        needs_restart: &'a [&'static str],
+    },
     ReloadRefused {
         reason: &'a str,
     },
@@ -208,7 +211,9 @@
             }
             LogEvent::Stopping => write!(f, "event=stopping"),
             LogEvent::Stopped { open } => write!(f, "event=stopped open_connections={open}"),
-            LogEvent::Reloaded => write!(f, "event=reloaded"),
+            LogEvent::Reloaded { needs_restart } => {
+                write!(f, "event=reloaded needs_restart={:?}", needs_restart.join(","))
+            }
             LogEvent::ReloadRefused { reason } => {
                 write!(f, "event=reload_refused reason={reason:?}")
             }
--- a/crates/relay/tests/logs.rs
+++ b/crates/relay/tests/logs.rs
@@ -81,7 +81,7 @@
         (LogEvent::Started { host: "h", data_centre: "a" }, "started", "host"),
         (LogEvent::Stopping, "stopping", "event"),
         (LogEvent::Stopped { open: 2 }, "stopped", "open_connections"),
-        (LogEvent::Reloaded, "reloaded", "event"),
+        (LogEvent::Reloaded { needs_restart: &["store"] }, "reloaded", "event"),
         (LogEvent::ReloadRefused { reason: "a = b" }, "reload_refused", "reason"),
         (LogEvent::Ready(true), "ready", "value"),
         (LogEvent::Woke { gap: Duration::from_secs(3) }, "woke", "gap_ms"),
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -182,6 +182,12 @@
         }
     }
 
+    /// Takes other settings into force; the data centre stays, since what is believed of servers rests on it.
+    pub fn reload(&mut self, cfg: DispatchConfig) {
+        self.retries.set_limit(cfg.retries);
+        self.cfg = DispatchConfig { data_centre: self.cfg.data_centre.clone(), ..cfg };
+    }
+
     /// The process was asked to stop and ends then.
     pub fn stop(&mut self, ends_at: Instant) {
         self.ends_at = Some(ends_at);
--- a/crates/route/src/retry_window.rs
+++ b/crates/route/src/retry_window.rs
@@ -44,6 +44,11 @@
         RetryWindows { limit, services: BTreeMap::new() }
     }
 
+    /// Takes another bound into force; the share of the constant stays.
+    pub(crate) fn set_limit(&mut self, limit: RetryLimit) {
+        self.limit = RetryLimit { host_share: self.limit.host_share, ..limit };
+    }
+
     /// Shares the constant with other hosts.
     pub(crate) fn share_with(&mut self, hosts: usize) {
         self.limit.host_share = 1.0 / hosts.max(1) as f64;
--- /dev/null
+++ b/tests/signals.rs
@@ -0,0 +1,131 @@
+//! Signals to entry hosts as real processes: a reload takes effect, a host that stood still catches up.
+
+#[path = "../platform/tests/standin/mod.rs"]
+mod standin;
+
+#[path = "soak/hosts.rs"]
+mod hosts;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use reqwest::Client;
+use rustix::process::Signal;
+
+use hosts::Hosts;
+use standin::configuration;
+use standin::engine::Engine;
+use standin::entry;
+use standin::eventually;
+use standin::fresh_id;
+use standin::is_ready;
+use standin::on_one_thread;
+use standin::request_to;
+use standin::store::Store;
+use standin::streamed;
+
+/// Long enough for a host to notice that it stood still.
+const STANDSTILL: Duration = Duration::from_secs(3);
+
+struct Bed {
+    store: Store,
+    engine: Engine,
+    hosts: Hosts,
+    client: Client,
+}
+
+impl Bed {
+    /// One host and one engine; `name` keeps the files of tests apart.
+    async fn start(name: &str, service: &str) -> Bed {
+        let store = Store::start().await;
+        store.put("config", "main", configuration(1));
+        let engine = Engine::start("i-1").await;
+        store.put("servers", "i-1", entry(&engine, service, "ready"));
+        let hosts = Hosts::start(1, store.address, name);
+        let client = Client::builder().no_proxy().build().expect("a client");
+        let bed = Bed { store, engine, hosts, client };
+        let readiness = bed.hosts.readiness()[0];
+        eventually(async || is_ready(&bed.client, readiness).await).await;
+        bed
+    }
+
+    fn callers(&self) -> SocketAddr {
+        self.hosts.addresses()[0]
+    }
+
+    /// Status of a GET, 0 without an answer.
+    async fn get(&self, path: &str) -> u16 {
+        let method = reqwest::Method::GET;
+        let request = request_to(&self.client, self.callers(), method, path, &fresh_id());
+        request.send().await.map_or(0, |answer| answer.status().as_u16())
+    }
+
+    /// Model of the last attempt of a new stream.
+    async fn last_model(&self) -> Option<String> {
+        let method = reqwest::Method::POST;
+        let request = request_to(&self.client, self.callers(), method, "/chat/1", &fresh_id());
+        let answer = streamed(request).body("prompt").send().await.ok()?;
+        answer.text().await.ok()?;
+        let seen = self.engine.seen().pop()?;
+        Some(seen.headers.get("x-model")?.to_str().ok()?.to_owned())
+    }
+}
+
+#[tokio::test]
+async fn a_reload_takes_effect_without_a_restart() {
+    on_one_thread(async || {
+        let bed = Bed::start("reload", "llm").await;
+        eventually(async || bed.last_model().await.as_deref() == Some("small")).await;
+        bed.hosts.edit_settings(0, "confidence_floors: [50]", "confidence_floors: [100]");
+        bed.hosts.signal(0, Signal::HUP);
+        eventually(async || bed.last_model().await.as_deref() == Some("large")).await;
+        eventually(async || bed.hosts.log(0).contains("event=reloaded")).await;
+        bed.hosts.close();
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_reload_of_faulty_settings_leaves_the_old_ones_in_force() {
+    on_one_thread(async || {
+        let bed = Bed::start("faulty-reload", "llm").await;
+        eventually(async || bed.last_model().await.as_deref() == Some("small")).await;
+        bed.hosts.edit_settings(0, "confidence_floors: [50]", "confidence_floors: [500]");
+        bed.hosts.signal(0, Signal::HUP);
+        eventually(async || bed.hosts.log(0).contains("event=reload_refused")).await;
+        assert_eq!(bed.last_model().await.as_deref(), Some("small"));
+        bed.hosts.close();
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_reload_tells_which_settings_need_a_restart() {
+    on_one_thread(async || {
+        let bed = Bed::start("reload-address", "llm").await;
+        bed.hosts.edit_settings(0, "data_centre: a", "data_centre: b");
+        bed.hosts.signal(0, Signal::HUP);
+        eventually(async || bed.hosts.log(0).contains("needs_restart=\"data_centre\"")).await;
+        bed.hosts.close();
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_host_that_stood_still_takes_in_what_it_missed() {
+    on_one_thread(async || {
+        let bed = Bed::start("standstill", "desk").await;
+        eventually(async || bed.get("/look/1").await == 200).await;
+        bed.hosts.signal(0, Signal::STOP);
+        let mut changed = configuration(2);
+        changed["Routes"][2]["PathPrefix"] = "/find/".into();
+        bed.store.put("config", "main", changed);
+        tokio::time::sleep(STANDSTILL).await;
+        bed.hosts.signal(0, Signal::CONT);
+        eventually(async || bed.get("/find/1").await == 200 && bed.get("/look/1").await == 404)
+            .await;
+        eventually(async || bed.hosts.log(0).contains("event=woke")).await;
+        bed.hosts.close();
+    })
+    .await;
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -39,7 +39,12 @@
 use standin::store::Store;
 
 /// Seeds that CI plays; every seed that ever failed is kept here with a line on its cause.
-const SEEDS: [u64; 2] = [1, 2];
+const SEEDS: [u64; 3] = [
+    1,
+    2,
+    // A port of a host was taken by an outgoing connection before the host started.
+    4_256_256_058,
+];
 const SECONDS: u64 = 6;
 /// Entry hosts, and servers of each of the two services.
 const HOSTS: usize = 3;
@@ -109,7 +114,7 @@
             store.put("servers", &id, entry_at(&engine, proxy.address, service, "ready"));
             engines.push((engine, proxy));
         }
-        let hosts = Hosts::start(HOSTS, store_proxy.address, seed);
+        let hosts = Hosts::start(HOSTS, store_proxy.address, &format!("soak-{seed}"));
         let world = World { store, store_proxy, engines, hosts };
         let client = reqwest::Client::new();
         for address in world.hosts.readiness() {
--- a/tests/soak/hosts.rs
+++ b/tests/soak/hosts.rs
@@ -1,5 +1,7 @@
 //! Entry hosts as processes: started with settings of their own, signalled, started again.
 
+#![allow(dead_code)]
+
 use std::fs::File;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -7,6 +9,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 
 use rustix::process::Pid;
 use rustix::process::Signal;
@@ -26,9 +30,9 @@
 }
 
 impl Hosts {
-    /// Starts processes that reach the store at an address.
-    pub fn start(count: usize, store: SocketAddr, seed: u64) -> Hosts {
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+    /// Starts processes that reach the store at an address; `name` keeps their files apart from those of other runs.
+    pub fn start(count: usize, store: SocketAddr, name: &str) -> Hosts {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&folder).expect("a folder for settings and logs");
         let ports: Vec<[SocketAddr; 3]> = (0..count).map(|_| free_addresses()).collect();
         let seeds: Vec<String> = ports.iter().map(|[_, _, peers]| format!("\"{peers}\"")).collect();
@@ -65,6 +69,19 @@
         self.hosts.iter().map(|host| host.readiness).collect()
     }
 
+    /// What a host has logged so far.
+    pub fn log(&self, number: usize) -> String {
+        std::fs::read_to_string(&self.hosts[number].log).expect("a log")
+    }
+
+    /// Replaces a text in the settings of a host.
+    pub fn edit_settings(&self, number: usize, present: &str, wanted: &str) {
+        let file = &self.hosts[number].settings;
+        let text = std::fs::read_to_string(file).expect("the settings are read");
+        assert!(text.contains(present), "no {present} in the settings");
+        std::fs::write(file, text.replace(present, wanted)).expect("the settings are written");
+    }
+
     pub fn len(&self) -> usize {
         self.hosts.len()
     }
@@ -129,8 +146,24 @@
     }
 }
 
-/// Three addresses that were free a moment ago.
+/// Three addresses that are free, with ports from below the range that the system gives to outgoing connections, so that
+/// nobody takes them while their process is down.
 fn free_addresses() -> [SocketAddr; 3] {
-    let listeners = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
-    listeners.map(|listener| listener.local_addr().expect("bound"))
+    [(); 3].map(|()| free_address())
+}
+
+fn free_address() -> SocketAddr {
+    const FIRST_PORT: u32 = 12_000;
+    const PORTS: u32 = 20_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    // Runs of several processes begin at places of their own.
+    let offset = std::process::id().wrapping_mul(97);
+    loop {
+        let number = offset.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
+        let port = u16::try_from(FIRST_PORT + number).expect("below 32,000");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
