--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -14,6 +14,7 @@
 
 use hosts::Hosts;
 use standin::configuration;
+use standin::configuration_with_lookups_at;
 use standin::engine::Engine;
 use standin::entry;
 use standin::eventually;
@@ -117,9 +118,7 @@
         let bed = Bed::start("standstill", "desk").await;
         eventually(async || bed.get("/look/1").await == 200).await;
         bed.hosts.signal(0, Signal::STOP);
-        let mut changed = configuration(2);
-        changed["Routes"][2]["PathPrefix"] = "/find/".into();
-        bed.store.put("config", "main", changed);
+        bed.store.put("config", "main", configuration_with_lookups_at(2, "/find/"));
         tokio::time::sleep(STANDSTILL).await;
         bed.hosts.signal(0, Signal::CONT);
         eventually(async || bed.get("/find/1").await == 200 && bed.get("/look/1").await == 404)
