A refused claim that another host may still write is not forgotten

Change: undecided is no lasting fact for a claim that a home may hold; its owner keeps it and asks again every five seconds, for five minutes. A home that cannot write for longer than that would still leave the key undecided (nothing runs twice).

--- a/crates/journal/src/delivery.rs
+++ b/crates/journal/src/delivery.rs
@@ -28,6 +28,9 @@
 
 /// Longest wait of an entry that waits only for others before it is looked at again.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(5);
+/// Time for which a refused claim is kept while another's claim stands undecided; a home that cannot write for longer
+/// leaves its key undecided until claims are forgotten.
+const ABANDONED_KEPT: Duration = Duration::from_secs(300);
 /// Time between two questions for a shard's head.
 const HEAD_QUERY_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -58,6 +61,9 @@
     /// Carries out what the log decided about an entry of this host.
     pub(crate) fn settle(&mut self, id: EntryId, verdict: Verdict, now: Instant) {
         self.parked.remove(id);
+        if self.keeps_abandoned(id, &verdict, now) {
+            return;
+        }
         let Some(own) = self.own.remove(id) else { return };
         for holder in own.asked.keys() {
             self.outbox.to(holder).release.push(id);
@@ -91,6 +97,21 @@
         }
     }
 
+    /// Keeps a refused claim that a home may hold while another's claim stands undecided: once that one is released, the
+    /// home's copy may be written, and only this host can free its key then. The log is asked again at the next review.
+    fn keeps_abandoned(&mut self, id: EntryId, verdict: &Verdict, now: Instant) -> bool {
+        let Some(own) = self.own.find_mut(id) else { return false };
+        let is_kept = matches!(own.origin, Origin::AbandonedClaim { .. })
+            && own.is_exposed()
+            && now < own.at + ABANDONED_KEPT;
+        if !is_kept || claim_result(verdict) != ClaimResult::Undecided {
+            return false;
+        }
+        own.route = Route::Undetermined;
+        self.own.review_at(id, now + REVIEW_INTERVAL);
+        true
+    }
+
     /// A claim became durable after its request was refused: nothing ran, so the key is freed.
     fn release_abandoned(&mut self, own: OwnEntry, key: ClaimKey, verdict: &Verdict, now: Instant) {
         let Entry::Claim { tag, .. } = own.entry else { return };
