--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -25,9 +25,8 @@
 use crate::conn::Conn;
 use crate::conn::SendError;
 use crate::running::Running;
+use crate::running::SIGN_CHECK;
 
-/// Pause between two looks whether an engine that has a queue still shows life.
-const HEAD_CHECK: Duration = Duration::from_millis(230);
 /// Reason of an attempt that was given up after a probe.
 pub(crate) const SERVER_LOST: &str = "server cannot be reached any more";
 /// Largest body of an answer that is not a stream.
@@ -180,12 +179,12 @@
     let mut answer = std::pin::pin!(conn.send(request));
     // Attempts that may be given up are looked at now and then; the others only wait.
     let expected = begun + attempt.head_timeout;
-    let mut due = if attempt.has_spare_try { expected.min(begun + HEAD_CHECK) } else { expected };
+    let mut due = if attempt.has_spare_try { expected.min(begun + SIGN_CHECK) } else { expected };
     loop {
         tokio::select! {
             answer = answer.as_mut() => return Ok(answer),
             () = sleep_until(due.min(attempt.deadline).into()) => {
-                let next = due + HEAD_CHECK;
+                let next = due + SIGN_CHECK;
                 due = if due < expected { next.min(expected) } else { next };
                 if attempt.has_spare_try {
                     running.probe_silent_server(begun);
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -56,7 +56,7 @@
 
 impl RelayConfig {
     /// Names of the settings in which `wanted` differs and that only a restart takes in.
-    pub(crate) fn fixed_changes(&self, wanted: &RelayConfig) -> Vec<&'static str> {
+    pub(crate) fn needs_restart(&self, wanted: &RelayConfig) -> Vec<&'static str> {
         // A port of 0 stands for the one that was bound.
         let moved = |bound: SocketAddr, wanted: SocketAddr| wanted.port() != 0 && bound != wanted;
         let changes = [
@@ -91,7 +91,8 @@
     pub(crate) grace: Cell<Duration>,
     /// Kinds that were listed whole once.
     listed: RefCell<BTreeSet<ObjectKind>>,
-    listed_one: Notify,
+    /// Another kind was listed whole.
+    kind_listed: Notify,
     start_up: StartUp,
     was_ready: Cell<bool>,
     /// Suspected contents that are to be reported, with the number of deaths seen.
@@ -133,7 +134,7 @@
             metrics,
             stopping: Cell::new(false),
             listed: RefCell::default(),
-            listed_one: Notify::new(),
+            kind_listed: Notify::new(),
             start_up: StartUp::new(Instant::now()),
             was_ready: Cell::new(false),
             suspects: RefCell::default(),
@@ -168,7 +169,7 @@
     pub(crate) async fn wait_for_routes(&self, arrived: Instant, patience: Option<Duration>) {
         let until = self.start_up.wait_until(arrived, patience).into();
         while !self.knows_routes() {
-            if tokio::time::timeout_at(until, self.listed_one.notified()).await.is_err() {
+            if tokio::time::timeout_at(until, self.kind_listed.notified()).await.is_err() {
                 return;
             }
         }
@@ -181,7 +182,7 @@
 
     pub(crate) fn set_listed(&self, kind: ObjectKind) {
         self.listed.borrow_mut().insert(kind);
-        self.listed_one.notify_waiters();
+        self.kind_listed.notify_waiters();
     }
 
     /// Bounds on what callers may send, by the configuration in force.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -112,7 +112,7 @@
     pub fn reload(&self, cfg: &RelayConfig, dispatch: DispatchConfig) {
         self.core.grace.set(cfg.grace);
         self.core.dispatcher.borrow_mut().reload(dispatch);
-        let needs_restart = self.core.cfg.fixed_changes(cfg);
+        let needs_restart = self.core.cfg.needs_restart(cfg);
         self.core.log.write(&LogEvent::Reloaded { needs_restart: &needs_restart });
     }
 
--- a/crates/relay/src/running.rs
+++ b/crates/relay/src/running.rs
@@ -23,6 +23,9 @@
 use crate::core::Core;
 use crate::log_event::LogEvent;
 
+/// Pause between two looks whether a server still shows life: two of them pass the silence after which it is probed.
+pub(crate) const SIGN_CHECK: Duration = Duration::from_millis(230);
+
 /// A request of a caller while it is served.
 pub(crate) struct Running {
     pub(crate) core: Rc<Core>,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -3,7 +3,6 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
-use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -21,12 +20,11 @@
 use crate::attempt::find_answer;
 use crate::conn::Conn;
 use crate::running::Running;
+use crate::running::SIGN_CHECK;
 use crate::sse::EventSplitter;
 
 /// Pieces that wait for a slow caller before the server is held back.
 const PIECES: usize = 16;
-/// Pause between two looks whether a stream has stalled.
-const STALL_CHECK: Duration = Duration::from_millis(230);
 
 /// Body of a streamed answer.
 pub(crate) struct EventBody {
@@ -94,7 +92,7 @@
     let mut has_event = false;
     loop {
         let frame = tokio::select! {
-            frame = tokio::time::timeout(STALL_CHECK, body.frame()) => frame,
+            frame = tokio::time::timeout(SIGN_CHECK, body.frame()) => frame,
             () = running.core.server_lost.notified() => {
                 if running.is_stalled(last_event) {
                     return Pumped::Failed(AttemptOutcome::Silent, SERVER_LOST.to_owned());
--- a/crates/route/src/backends/probe.rs
+++ b/crates/route/src/backends/probe.rs
@@ -32,7 +32,7 @@
 /// What probes say of one server.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Reach {
-    /// Last probe, or none since the last sign of life.
+    /// When it was probed last.
     probed: Option<Instant>,
     /// A probe found that the server cannot be reached; a sign of life refutes it.
     lost: Option<Instant>,
