Heed what servers state in their answers: leaving, and a pause

Callers saw requests sent to servers that had said, in an answer, that they leave (the header was read nowhere), and servers that had asked for a pause of more than 1.5 s got requests before its end (the time was cut to 1.5 s, and a later rejection without a time made the pause shorter). Callers of a service whose servers all wanted no request waited for nothing and were told to come back before the pause ended.

A statement counts from the head of any answer but a 421, for that incarnation of the server, on this host. A pause is applied up to 300 s and never becomes shorter; both are limits of the server selection, and each is logged once.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -203,6 +203,12 @@
                         shift.observe(&version, &server, is_bad);
                     }
                 }
+                Notification::ServerLeaving { server } => {
+                    self.log.write(&LogEvent::ServerLeaving { id: &server });
+                }
+                Notification::ServerPaused { server, stated, applied } => {
+                    self.log.write(&LogEvent::ServerPaused { id: &server, stated, applied });
+                }
                 Notification::Suspect { content } => self.report_suspect(content, 1),
                 Notification::Quarantined { content } => self.report_suspect(content, 2),
             }
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -74,6 +74,16 @@
         id: &'a str,
         change: RegistrationChange,
     },
+    /// A server stated in an answer that it is leaving.
+    ServerLeaving {
+        id: &'a str,
+    },
+    /// A server asked for no requests for the stated time.
+    ServerPaused {
+        id: &'a str,
+        stated: Duration,
+        applied: Duration,
+    },
     /// A probe could not connect to a silent server.
     ServerLost {
         id: &'a str,
@@ -242,6 +252,13 @@
                 write!(f, "event=configuration_ignored version={version} in_force={in_force}")
             }
             LogEvent::Server { id, change } => write!(f, "event=server id={id} change={change:?}"),
+            LogEvent::ServerLeaving { id } => write!(f, "event=server_leaving id={id}"),
+            LogEvent::ServerPaused { id, stated, applied } => write!(
+                f,
+                "event=server_paused id={id} stated_ms={} applied_ms={}",
+                stated.as_millis(),
+                applied.as_millis()
+            ),
             LogEvent::ServerLost { id, silence } => {
                 write!(f, "event=server_lost id={id} silent_ms={}", silence.as_millis())
             }
--- a/crates/relay/tests/logs.rs
+++ b/crates/relay/tests/logs.rs
@@ -130,6 +130,16 @@
             "server_lost",
             "silent_ms",
         ),
+        (LogEvent::ServerLeaving { id: "i" }, "server_leaving", "id"),
+        (
+            LogEvent::ServerPaused {
+                id: "i",
+                stated: Duration::MAX,
+                applied: Duration::from_secs(300),
+            },
+            "server_paused",
+            "applied_ms",
+        ),
         (LogEvent::Dropped { lines: 5 }, "log_dropped", "lines"),
     ];
     for (event, name, field) in lines {
--- a/crates/route/src/backends/choose.rs
+++ b/crates/route/src/backends/choose.rs
@@ -128,6 +128,18 @@
         })
     }
 
+    /// Earliest time at which a server that the query allows wants requests again; `None` if one does now or if there
+    /// is none.
+    pub(crate) fn all_paused_until(&self, query: &Query<'_>, now: Instant) -> Option<Instant> {
+        let allowed = self.members(query.service).filter(|server| {
+            server.accepts_new_work()
+                && query.versions.allows(&server.registration.version)
+                && !query.avoid.contains(&server.registration.id)
+        });
+        let ends = allowed.map(|server| server.full_until.filter(|until| now < *until));
+        ends.collect::<Option<Vec<Instant>>>()?.into_iter().min()
+    }
+
     fn estimate(
         &self,
         server: &Server,
--- a/crates/route/src/backends/mod.rs
+++ b/crates/route/src/backends/mod.rs
@@ -99,7 +99,9 @@
     pending_prefill_tokens: u64,
     /// Time of the last head or event of any answer.
     last_activity: Option<Instant>,
-    /// End of the time for which the server stated to be full.
+    /// Whether the server stated in an answer that it is leaving; its registration may say so later.
+    stated_leaving: bool,
+    /// End of the time for which the server wants no requests.
     full_until: Option<Instant>,
     health: Health,
     reachability: Reachability,
@@ -265,6 +267,27 @@
         }
     }
 
+    /// Records that the attempt's server stated to be leaving; returns whether that is new.
+    pub(crate) fn mark_leaving(&mut self, attempt: &Attempt) -> bool {
+        self.incarnation_mut(attempt)
+            .is_some_and(|server| !std::mem::replace(&mut server.stated_leaving, true))
+    }
+
+    /// Records that the attempt's server wants no requests for a time; returns whether it was accepting them.
+    pub(crate) fn pause_server(
+        &mut self,
+        attempt: &Attempt,
+        pause: Duration,
+        now: Instant,
+    ) -> bool {
+        let Some(server) = self.incarnation_mut(attempt) else {
+            return false;
+        };
+        let was_full = server.is_full(now);
+        server.pause_until(now + pause);
+        !was_full
+    }
+
     /// Records the end of an attempt; `had_head` tells whether [`Backends::head_received`] was called for it.
     pub(crate) fn attempt_ended(
         &mut self,
@@ -296,7 +319,7 @@
                 // The address now belongs to another server; only a new registration makes the server usable.
                 server.missing_until = Some(now);
             }
-            AttemptOutcome::Full { retry_after } => server.full_until = Some(now + retry_after),
+            AttemptOutcome::Full { retry_after } => server.pause_until(now + retry_after),
             AttemptOutcome::Dropped | AttemptOutcome::Cancelled => {}
         }
     }
@@ -387,6 +410,7 @@
             in_flight: 0,
             pending_prefill_tokens: 0,
             last_activity: None,
+            stated_leaving: false,
             full_until: None,
             health: Health::new(now),
             reachability: Reachability::default(),
@@ -405,7 +429,12 @@
     }
 
     fn accepts_new_work(&self) -> bool {
-        self.registration.presence == Presence::Live
+        self.registration.presence == Presence::Live && !self.stated_leaving
+    }
+
+    /// Extends the time for which the server gets no requests; it never becomes shorter.
+    fn pause_until(&mut self, until: Instant) {
+        self.full_until = self.full_until.max(Some(until));
     }
 
     fn is_full(&self, now: Instant) -> bool {
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -60,6 +60,8 @@
 const RESUME_WAIT_MAX: Duration = Duration::from_millis(1_500);
 /// Poll interval while waiting for an available server.
 const SERVER_POLL_INTERVAL: Duration = Duration::from_millis(40);
+/// Maximum time for which a server gets no requests because it asked for none.
+const SERVER_PAUSE_MAX: Duration = Duration::from_secs(300);
 /// Minimum time left until the deadline for another attempt.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 /// Timeout for the answer's head while another attempt is left, as a multiple of the mean time.
@@ -131,7 +133,9 @@
     pub echoes_request_id: bool,
     /// Whether the server states that it did not run the request.
     pub not_run: bool,
-    /// Time after which a full server accepts requests again.
+    /// Whether the server states that it is leaving.
+    pub is_leaving: bool,
+    /// Time for which a server that rejected the request wants no other.
     pub retry_after: Option<Duration>,
     /// The model's confidence in its answer, from 0 to 100.
     pub confidence: Option<u8>,
@@ -151,6 +155,10 @@
 pub enum Notification {
     /// A good or bad answer of a version.
     Evidence { service: ServiceId, version: VersionId, server: BackendServerId, is_bad: bool },
+    /// A server stated in an answer that it is leaving.
+    ServerLeaving { server: BackendServerId },
+    /// A server asked for no requests for the stated time; `applied` is the time that it gets none.
+    ServerPaused { server: BackendServerId, stated: Duration, applied: Duration },
     /// A content became suspect because it was running when a server died.
     Suspect { content: Fingerprint },
     /// A content was quarantined after repeated server deaths.
@@ -374,6 +382,7 @@
         if head.status == 421 {
             return HeadVerdict::Drop(AttemptOutcome::Misdirected);
         }
+        self.apply_server_statements(attempt, head, now);
         if head.not_run {
             let retry_after = head.retry_after.unwrap_or(RETRY_AFTER_MIN).min(RETRY_AFTER_MAX);
             return HeadVerdict::Drop(AttemptOutcome::Full { retry_after });
@@ -516,6 +525,23 @@
             && self.backends.has_available_server(&req.service)
     }
 
+    /// Applies what a server states of itself in the head of an answer, whatever the answer is.
+    fn apply_server_statements(&mut self, attempt: &Attempt, head: &AnswerHead, now: Instant) {
+        let server = &attempt.server;
+        if head.is_leaving && self.backends.mark_leaving(attempt) {
+            self.notifications.push(Notification::ServerLeaving { server: server.clone() });
+        }
+        if head.status == 503
+            && let Some(stated) = head.retry_after
+        {
+            let applied = stated.min(SERVER_PAUSE_MAX);
+            if self.backends.pause_server(attempt, applied, now) {
+                let server = server.clone();
+                self.notifications.push(Notification::ServerPaused { server, stated, applied });
+            }
+        }
+    }
+
     fn handle_error_status(
         &mut self,
         req: &mut InFlightRequest,
@@ -566,16 +592,7 @@
     }
 
     fn choose_allowed(&self, req: &InFlightRequest, now: Instant) -> Result<Choice, NoServer> {
-        let model = req.model().cloned();
-        let query = Query {
-            service: &req.service,
-            versions: &req.versions,
-            model: model.as_deref(),
-            parts: &req.parts,
-            prompt_tokens: req.prompt_tokens,
-            retryable: req.route.repeatability.allows_retry(),
-            avoid: &req.tried_servers,
-        };
+        let query = query(req);
         let may_reuse_tried =
             req.last_unreachable.is_none_or(|at| now >= at + SERVER_POLL_INTERVAL);
         match self.backends.choose(&query, now) {
@@ -633,15 +650,22 @@
         } else {
             target.mul_f64(SERVER_WAIT_SHARE).min(SERVER_WAIT_MAX)
         };
+        let paused_until = self.backends.all_paused_until(&query(req), now);
+        let is_pause_too_long = paused_until.is_some_and(|until| until > since + max_wait);
         let until = now + SERVER_POLL_INTERVAL;
-        if until <= since + max_wait && until < req.deadline {
+        if !is_pause_too_long && until <= since + max_wait && until < req.deadline {
             return Step::WaitUntil(until);
         }
         let kind = match reason {
             NoServer::Unserved => ErrorKind::NoServer,
             NoServer::AllBusy => ErrorKind::Overloaded,
         };
-        Step::Refuse(self.refuse(req, kind, now))
+        let mut refusal = self.refuse(req, kind, now);
+        if let Some(until) = paused_until.filter(|_| is_pause_too_long) {
+            let left = until.saturating_duration_since(now);
+            refusal.retry_after = refusal.retry_after.map(|wait| wait.max(left));
+        }
+        Step::Refuse(refusal)
     }
 
     fn notify_evidence(&mut self, attempt: &Attempt, is_bad: bool) {
@@ -652,6 +676,19 @@
     }
 }
 
+/// What the request requires of a server.
+fn query(req: &InFlightRequest) -> Query<'_> {
+    Query {
+        service: &req.service,
+        versions: &req.versions,
+        model: req.model().map(String::as_str),
+        parts: &req.parts,
+        prompt_tokens: req.prompt_tokens,
+        retryable: req.route.repeatability.allows_retry(),
+        avoid: &req.tried_servers,
+    }
+}
+
 /// Priority of the workspace, if it has one, otherwise of the route; from 0, the most urgent, to 9.
 fn priority(req: &InFlightRequest) -> u8 {
     let workspace = req.workspace.as_ref().and_then(|workspace| workspace.priority);
