Let callers pause reading for longer than 2.5 s

A caller that read nothing for longer than 2.5 s lost its connection in the middle of an answer that its server had already made (LOST on a kept connection).

Cause: callers' sockets had the TCP user timeout of the connections to servers and to the store. While the receiver's window is closed, the timeout runs although the receiver is alive and acknowledges the probes.

Connections to servers, the store and other hosts keep 2.5 s. Dead callers are still found by keepalive probes while nothing is unacknowledged.

--- a/crates/relay/src/conn.rs
+++ b/crates/relay/src/conn.rs
@@ -32,8 +32,10 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keepalive probes after which a connection is considered dead.
 const KEEPALIVE_RETRIES: u32 = 2;
-/// `TCP_USER_TIMEOUT`: maximum time for the peer to acknowledge sent data.
-const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Maximum time for a server, the store or an entry host to acknowledge sent data.
+pub(crate) const PEER_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Maximum time for a caller to take sent data. It covers the pauses of a caller that does not read, too.
+pub(crate) const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum idle time of a pooled connection, also where the server states a longer one.
 const MAX_IDLE: Duration = Duration::from_millis(3_000);
 /// Fraction of the server's stated keep-alive timeout for which a connection stays in the pool.
@@ -82,7 +84,7 @@
         let stream = tokio::time::timeout(timeout, TcpStream::connect(address))
             .await
             .map_err(timed_out)??;
-        set_socket_options(&stream)?;
+        set_socket_options(&stream, PEER_USER_TIMEOUT)?;
         let (sender, conn) =
             http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
         // The sender reports connection errors, too.
@@ -183,12 +185,13 @@
     conn.is_ready() && idle_since.elapsed() < conn.max_idle
 }
 
-/// Sets socket options that detect a dead peer and disable Nagle's algorithm.
+/// Sets socket options that detect a dead peer and disable Nagle's algorithm. `user_timeout` is the maximum time for
+/// the peer to take sent data.
 ///
 /// # Errors
 ///
 /// Fails if the operating system rejects an option.
-pub fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
+pub fn set_socket_options(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
@@ -196,7 +199,7 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_RETRIES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(user_timeout))
 }
 
 /// How long a connection may stay idle by the response headers; zero if the server closes it.
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -32,6 +32,7 @@
 use tokio::task::spawn_local;
 
 use crate::conn::Conn;
+use crate::conn::PEER_USER_TIMEOUT;
 use crate::conn::set_socket_options;
 use crate::core::Core;
 use crate::follow;
@@ -111,7 +112,7 @@
             tokio::time::sleep(PLAN_INTERVAL).await;
             continue;
         };
-        if let Err(e) = set_socket_options(&stream) {
+        if let Err(e) = set_socket_options(&stream, PEER_USER_TIMEOUT) {
             log::warn!("event=socket_options_refused reason={:?}", e.to_string());
         }
         let core = core.clone();
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -26,6 +26,7 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
+use crate::conn::CALLER_USER_TIMEOUT;
 use crate::conn::set_socket_options;
 use crate::core::Core;
 use crate::serve::serve;
@@ -106,7 +107,7 @@
 }
 
 async fn serve_caller(core: Rc<Core>, stream: TcpStream) {
-    if let Err(e) = set_socket_options(&stream) {
+    if let Err(e) = set_socket_options(&stream, CALLER_USER_TIMEOUT) {
         log::warn!("event=socket_options_refused reason={:?}", e.to_string());
     }
     let _open = OpenConnection::new(core.clone());
