Abandon a silent attempt only for one that is then made

Callers saw a started stream break off, or a 502, although the server was sound and only silent for about a second.

Cause: the decision to give an attempt up looked at the number of attempts, the time left and whether any server of the service takes work. The step that followed also asked for the retry allowance, for a server that can be chosen now and for the quarantine, and refused. The same held for a failure or a low-confidence answer that was dropped for a retry.

Change: one function, plan_attempt, decides for the next step and for each abandonment. A started stream at a server that is silent in all answers is resumed only on another server; at the same one it would meet the same silence.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -176,7 +176,7 @@
 
 /// Waits for the response head until the deadline or until the dispatcher abandons the attempt.
 async fn wait_for_head(
-    guard: &RequestGuard,
+    guard: &mut RequestGuard,
     conn: &mut Conn,
     request: Request<Full<Bytes>>,
     attempt: &Attempt,
--- a/crates/relay/src/request_guard.rs
+++ b/crates/relay/src/request_guard.rs
@@ -87,18 +87,19 @@
     }
 
     /// Whether an attempt without a response head should be abandoned.
-    pub(crate) fn is_head_overdue(&self, started: Instant) -> bool {
+    pub(crate) fn is_head_overdue(&mut self, started: Instant) -> bool {
         let dispatcher = self.core.dispatcher.borrow();
         self.current.as_ref().is_none_or(|current| {
-            dispatcher.is_head_overdue(&current.attempt, started, Instant::now())
+            let now = Instant::now();
+            dispatcher.is_head_overdue(&mut self.req, &current.attempt, started, now)
         })
     }
 
     /// Whether a stream without an event since `since` should be abandoned.
-    pub(crate) fn is_stalled(&self, since: Instant) -> bool {
+    pub(crate) fn is_stalled(&mut self, since: Instant) -> bool {
         let dispatcher = self.core.dispatcher.borrow();
         self.current.as_ref().is_some_and(|current| {
-            dispatcher.is_stalled(&self.req, &current.attempt, since, Instant::now())
+            dispatcher.is_stalled(&mut self.req, &current.attempt, since, Instant::now())
         })
     }
 
--- a/crates/route/src/dispatch/cascade.rs
+++ b/crates/route/src/dispatch/cascade.rs
@@ -54,9 +54,8 @@
             .get(&req.service)
             .map_or(1.0, |pressure| pressure.floor_part(now));
         let is_affordable = f64::from(confidence) < f64::from(*floor) * part
-            && req.attempts < req.route.max_attempts
             && req.route.repeatability.allows_retry()
-            && self.retries.has_retry_allowance(&req.service, RETRY_RESERVE, now);
+            && self.plan_attempt(req, RETRY_RESERVE, now).is_ok();
         if !is_affordable {
             req.low_confidence_answer =
                 Some(LowConfidenceAnswer { confidence, floor: *floor, floor_part: part });
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -123,6 +123,18 @@
     Refuse(Refusal),
 }
 
+/// Why no attempt is made now.
+#[derive(Clone, Copy, Debug)]
+enum NoAttempt {
+    /// The deadline has passed or is too near.
+    Expired,
+    /// The request may not be sent again, or the limit on attempts or retries is reached.
+    Exhausted,
+    /// The request's content is quarantined.
+    Quarantined,
+    NoServer(NoServer),
+}
+
 /// Head of an answer, as parsed.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct AnswerHead {
@@ -323,23 +335,15 @@
 
     /// Returns the next step for a request without an attempt in flight.
     pub fn next_step(&mut self, req: &mut InFlightRequest, now: Instant) -> Step {
-        let left = req.deadline.saturating_duration_since(now);
-        if left < MIN_TIME_LEFT {
-            return Step::Refuse(self.refuse_expired(req));
-        }
-        if !req.may_be_sent() || req.attempts >= req.route.max_attempts.max(1) {
-            return Step::Refuse(self.refuse_exhausted(req, now));
-        }
-        if self.poison.is_quarantined(req.fingerprint, now) {
-            return Step::Refuse(refusal_for(ErrorKind::Quarantined, req));
-        }
-        let choice = match self.choose(req, now) {
+        let choice = match self.plan_attempt(req, 0.0, now) {
             Ok(choice) => choice,
-            Err(reason) => return self.wait_or_refuse(req, reason, now),
+            Err(NoAttempt::Expired) => return Step::Refuse(self.refuse_expired(req)),
+            Err(NoAttempt::Exhausted) => return Step::Refuse(self.refuse_exhausted(req, now)),
+            Err(NoAttempt::Quarantined) => {
+                return Step::Refuse(refusal_for(ErrorKind::Quarantined, req));
+            }
+            Err(NoAttempt::NoServer(reason)) => return self.wait_or_refuse(req, reason, now),
         };
-        if req.attempts > 0 && !self.retries.has_retry_allowance(&req.service, 0.0, now) {
-            return Step::Refuse(self.refuse_exhausted(req, now));
-        }
         let Some(attempt) = self.new_attempt(req, &choice, now) else {
             return Step::Refuse(self.refuse_exhausted(req, now));
         };
@@ -404,39 +408,49 @@
     /// Whether an attempt without a head should be abandoned for another one. An engine that shows activity in other
     /// answers has a queue: a retry would only move the request to the end of another queue.
     #[must_use]
-    pub fn is_head_overdue(&self, attempt: &Attempt, started: Instant, now: Instant) -> bool {
+    pub fn is_head_overdue(
+        &self,
+        req: &mut InFlightRequest,
+        attempt: &Attempt,
+        started: Instant,
+        now: Instant,
+    ) -> bool {
         let waited = now.saturating_duration_since(started);
         let is_alive = self
             .backends
             .last_activity(attempt)
             .is_some_and(|at| now.saturating_duration_since(at) < attempt.server_silence_timeout);
         let is_queued = attempt.model.is_some() && is_alive && waited < ENGINE_HEAD_WAIT_MAX;
-        let is_unreachable = attempt.has_retry_left && self.backends.is_unreachable(attempt);
-        is_unreachable || (waited >= attempt.head_timeout && !is_queued)
+        let is_unreachable = self.backends.is_unreachable(attempt);
+        if !is_unreachable && (waited < attempt.head_timeout || is_queued) {
+            return false;
+        }
+        let replacement = self.replacement(req, now);
+        replacement.is_some_and(|choice| !is_unreachable || choice.server != attempt.server)
     }
 
-    /// Whether a stream without an event since `since` should be resumed by another attempt. The last attempt is never
-    /// abandoned, since a silent server may still continue.
+    /// Whether a stream without an event since `since` should be resumed by another attempt. An attempt is not abandoned
+    /// without a replacement, since a silent server may still continue.
     #[must_use]
     pub fn is_stalled(
         &self,
-        req: &InFlightRequest,
+        req: &mut InFlightRequest,
         attempt: &Attempt,
         since: Instant,
         now: Instant,
     ) -> bool {
-        if !self.can_retry(req, now) {
-            return false;
-        }
         let silence = now.saturating_duration_since(since);
         let server_silence = self
             .backends
             .last_activity(attempt)
             .map_or(silence, |at| now.saturating_duration_since(at));
         let is_unreachable = silence >= PROBE_AFTER && self.backends.is_unreachable(attempt);
-        is_unreachable
-            || silence >= STREAM_SILENCE_TIMEOUT
-            || server_silence >= attempt.server_silence_timeout
+        let is_server_silent = is_unreachable || server_silence >= attempt.server_silence_timeout;
+        if !is_server_silent && silence < STREAM_SILENCE_TIMEOUT {
+            return false;
+        }
+        let replacement = self.replacement(req, now);
+        replacement.is_some_and(|choice| !is_server_silent || choice.server != attempt.server)
     }
 
     /// Returns the probe to make if the attempt's server has been silent for [`PROBE_AFTER`]; `since` is the start of
@@ -506,14 +520,34 @@
         }
     }
 
-    /// Whether the request would get another attempt if the current one failed now.
-    #[must_use]
-    pub fn can_retry(&self, req: &InFlightRequest, now: Instant) -> bool {
-        let left = req.deadline.saturating_duration_since(now);
-        req.route.repeatability.allows_retry()
-            && req.attempts < req.route.max_attempts
-            && left >= MIN_TIME_LEFT
-            && self.backends.has_available_server(&req.service)
+    /// The server that the request would be sent to next if its current attempt failed now.
+    fn replacement(&self, req: &mut InFlightRequest, now: Instant) -> Option<Choice> {
+        let allows_retry = req.route.repeatability.allows_retry();
+        allows_retry.then(|| self.plan_attempt(req, 0.0, now).ok()).flatten()
+    }
+
+    /// Chooses the server of the next attempt. `reserve` is the part of the retry allowance, from 0 to 1, that is kept
+    /// for more important retries.
+    fn plan_attempt(
+        &self,
+        req: &mut InFlightRequest,
+        reserve: f64,
+        now: Instant,
+    ) -> Result<Choice, NoAttempt> {
+        if req.deadline.saturating_duration_since(now) < MIN_TIME_LEFT {
+            return Err(NoAttempt::Expired);
+        }
+        if !req.may_be_sent() || req.attempts >= req.route.max_attempts.max(1) {
+            return Err(NoAttempt::Exhausted);
+        }
+        if self.poison.is_quarantined(req.fingerprint, now) {
+            return Err(NoAttempt::Quarantined);
+        }
+        let choice = self.choose(req, now).map_err(NoAttempt::NoServer)?;
+        if req.attempts > 0 && !self.retries.has_retry_allowance(&req.service, reserve, now) {
+            return Err(NoAttempt::Exhausted);
+        }
+        Ok(choice)
     }
 
     fn handle_error_status(
@@ -525,7 +559,7 @@
     ) -> HeadVerdict {
         let is_server_error = head.status >= 500;
         let implies_not_run = matches!(head.status, 408 | 429 | 503);
-        if is_server_error && self.can_retry(req, now) {
+        if is_server_error && self.replacement(req, now).is_some() {
             return HeadVerdict::Drop(AttemptOutcome::Failed);
         }
         if implies_not_run {
--- a/crates/route/src/retry_window.rs
+++ b/crates/route/src/retry_window.rs
@@ -66,33 +66,26 @@
     /// Whether the limit allows another retry. `reserve` is the part of the allowance, from 0 to 1, that is kept for
     /// more important retries.
     pub(crate) fn has_retry_allowance(
-        &mut self,
+        &self,
         service: &ServiceId,
         reserve: f64,
         now: Instant,
     ) -> bool {
         let limit = self.limit;
-        let buckets = self.buckets(service, now);
-        let first_attempts: u32 = buckets.iter().map(|bucket| bucket.first_attempts).sum();
-        let retries: u32 = buckets.iter().map(|bucket| bucket.retries).sum();
+        let buckets = self.services.get(service).into_iter().flatten();
+        let (mut first_attempts, mut retries) = (0, 0);
+        for bucket in buckets.filter(|bucket| is_in_window(bucket, &limit, now)) {
+            first_attempts += bucket.first_attempts;
+            retries += bucket.retries;
+        }
         let allowance = f64::from(first_attempts) * limit.ratio + limit.slack * limit.host_share;
         f64::from(retries + 1) <= allowance * (1.0 - reserve)
     }
 
-    fn buckets(&mut self, service: &ServiceId, now: Instant) -> &mut VecDeque<Bucket> {
-        let window = self.limit.window;
-        let buckets = self.services.entry(service.clone()).or_default();
-        while buckets
-            .front()
-            .is_some_and(|bucket| now.saturating_duration_since(bucket.start) > window)
-        {
-            buckets.pop_front();
-        }
-        buckets
-    }
-
     fn bucket(&mut self, service: &ServiceId, now: Instant) -> &mut Bucket {
-        let buckets = self.buckets(service, now);
+        let limit = self.limit;
+        let buckets = self.services.entry(service.clone()).or_default();
+        buckets.retain(|bucket| is_in_window(bucket, &limit, now));
         let is_current = buckets
             .back()
             .is_some_and(|bucket| now.saturating_duration_since(bucket.start) < BUCKET_LENGTH);
@@ -103,3 +96,7 @@
         &mut buckets[last]
     }
 }
+
+fn is_in_window(bucket: &Bucket, limit: &RetryLimit, now: Instant) -> bool {
+    now.saturating_duration_since(bucket.start) <= limit.window
+}
--- a/crates/route/tests/dispatch_attempts.rs
+++ b/crates/route/tests/dispatch_attempts.rs
@@ -187,7 +187,7 @@
         assert_eq!(harness.head(&mut req, &attempt, good_head()), HeadVerdict::Deliver);
         let since = harness.now;
         harness.advance(millis(5_000));
-        let is_stalled = harness.dispatcher.is_stalled(&req, &attempt, since, harness.now);
+        let is_stalled = harness.dispatcher.is_stalled(&mut req, &attempt, since, harness.now);
         assert_eq!(is_stalled, number < 3, "attempt {number}");
         harness.end(&mut req, &attempt, AttemptOutcome::Silent);
         harness.advance(millis(500));
@@ -210,12 +210,13 @@
         harness.advance(millis(300));
         harness.dispatcher.event_received(&running, None, harness.now);
         let waited = harness.now - started;
-        let is_overdue = harness.dispatcher.is_head_overdue(&attempt, started, harness.now);
+        let is_overdue =
+            harness.dispatcher.is_head_overdue(&mut req, &attempt, started, harness.now);
         assert!(!is_overdue, "abandoned after {waited:?} at an active engine");
     }
     // The same engine becomes completely silent.
     harness.advance(millis(1_200));
-    assert!(harness.dispatcher.is_head_overdue(&attempt, started, harness.now));
+    assert!(harness.dispatcher.is_head_overdue(&mut req, &attempt, started, harness.now));
 }
 
 #[test]
--- a/crates/route/tests/dispatch_probes.rs
+++ b/crates/route/tests/dispatch_probes.rs
@@ -80,8 +80,8 @@
 #[case::active(false, true)]
 fn streams_of_a_live_server_are_not_abandoned(#[case] reached: bool, #[case] is_active: bool) {
     let mut harness = harness();
-    let streams = start_streams(&mut harness, 1);
-    let (req, attempt) = &streams[0];
+    let mut streams = start_streams(&mut harness, 1);
+    let (req, attempt) = &mut streams[0];
     let since = harness.now;
     harness.advance(millis(500));
     let probe = harness.dispatcher.take_probe(attempt, since, harness.now).expect("a probe");
@@ -91,7 +91,7 @@
         harness.dispatcher.event_received(attempt, None, harness.now);
     }
     assert!(!harness.dispatcher.is_stalled(req, attempt, since, harness.now));
-    assert!(!harness.dispatcher.is_head_overdue(attempt, since, harness.now));
+    assert!(!harness.dispatcher.is_head_overdue(req, attempt, since, harness.now));
 }
 
 #[test]
@@ -122,8 +122,8 @@
     let attempt = harness.send(&mut req);
     let started = harness.now;
     harness.advance(millis(500));
-    assert!(!harness.dispatcher.is_head_overdue(&attempt, started, harness.now));
+    assert!(!harness.dispatcher.is_head_overdue(&mut req, &attempt, started, harness.now));
     let probe = harness.dispatcher.take_probe(&attempt, started, harness.now).expect("a probe");
     harness.dispatcher.probe_ended(&probe, false, harness.now);
-    assert!(harness.dispatcher.is_head_overdue(&attempt, started, harness.now));
+    assert!(harness.dispatcher.is_head_overdue(&mut req, &attempt, started, harness.now));
 }
--- a/crates/route/tests/fleet/mod.rs
+++ b/crates/route/tests/fleet/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use foxtailhoist_model::Fingerprint;
 use foxtailhoist_model::Presence;
 use foxtailhoist_model::Refusal;
 use foxtailhoist_route::backends::Registration;
@@ -165,6 +166,11 @@
         }
     }
 
+    /// Fingerprint of the last arrival.
+    pub fn last_fingerprint(&self) -> Fingerprint {
+        self.next_id
+    }
+
     pub fn admit(&mut self, arrival: Arrival) -> Result<InFlightRequest, Refusal> {
         self.dispatcher.admit(arrival, self.now)
     }
