Prefer other servers to the one tried last

Callers saw a stream that stalled at two servers in turn hang until its deadline and break off.

Change: with all servers tried, the one tried last is used only if no other is left. The decision to abandon and the next step thereby choose alike.

--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -612,11 +612,13 @@
         };
         let may_reuse_tried =
             req.last_unreachable.is_none_or(|at| now >= at + SERVER_POLL_INTERVAL);
+        // The server tried last is the least likely to answer.
+        let last = req.tried_servers.last().map(std::slice::from_ref).unwrap_or_default();
         match self.backends.choose(&query, now) {
-            Err(NoServer::AllBusy)
-                if !req.tried_servers.is_empty() && query.retryable && may_reuse_tried =>
-            {
-                self.backends.choose(&Query { avoid: &[], ..query }, now)
+            Err(NoServer::AllBusy) if !last.is_empty() && query.retryable && may_reuse_tried => {
+                self.backends
+                    .choose(&Query { avoid: last, ..query }, now)
+                    .or_else(|_| self.backends.choose(&Query { avoid: &[], ..query }, now))
             }
             other => other,
         }
