Replace a plain answer that breaks off inside its body

Callers of idempotent plain requests got 502 whenever a server broke off the body of its answer, although the other servers answered: the request was sent up to three times in vain.

Cause: the head's arrival marked the answer as started for plain answers too, which are passed on only as a whole. Each later answer then counted as a continuation of a stream in a form that cannot continue it, and was dropped.

Evidence: a_plain_answer_that_breaks_off_is_replaced_by_another_servers failed before with one and with two servers (502 instead of 200).

Change: only the head of a successful answer on a streaming route starts the answer.

--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -396,7 +396,8 @@
         if self.should_escalate(req, head, now) {
             return HeadVerdict::Drop(AttemptOutcome::Dropped);
         }
-        req.answer_started = true;
+        // A plain answer is passed on once its body is complete.
+        req.answer_started = req.route.repeatability.is_stream();
         HeadVerdict::Deliver
     }
 
@@ -570,7 +571,6 @@
         if is_server_error {
             self.notify_evidence(attempt, true);
         }
-        req.answer_started = true;
         HeadVerdict::Deliver
     }
 
