Write the last log lines of a process before it exits

Operators never saw the line `stopped`, nor any other line of the last 250 ms of a process: the writer thread wakes four times a second, the process exited without waiting for it, and the logger's flush did nothing.

A test of the buffer covers a reader that is stalled.

--- a/crates/core/commands/relay.rs
+++ b/crates/core/commands/relay.rs
@@ -26,7 +26,9 @@
         .enable_all()
         .build()
         .map_err(|e| Failure::Failed(format!("cannot start the async runtime: {e}")))?;
-    LocalSet::new().block_on(&runtime, serve(file, settings))
+    let result = LocalSet::new().block_on(&runtime, serve(file, settings));
+    log::logger().flush();
+    result
 }
 
 async fn serve(file: &Path, settings: Settings) -> Result<(), Failure> {
--- a/crates/core/logging.rs
+++ b/crates/core/logging.rs
@@ -60,8 +60,8 @@
         Ok(())
     }
 
-    /// Does nothing: the buffer's thread writes all pending lines.
     fn flush(&self) -> io::Result<()> {
+        self.buffer.flush();
         Ok(())
     }
 }
--- a/crates/relay/tests/logs.rs
+++ b/crates/relay/tests/logs.rs
@@ -57,6 +57,23 @@
     }
 }
 
+/// Guards against lines of the last moments of a process that are never written.
+#[test]
+fn a_flush_writes_pending_lines_at_once_and_gives_up_on_a_stalled_reader() {
+    let (release, stalled) = mpsc::channel();
+    let (out, written) = mpsc::channel();
+    let buffer = LogBuffer::start(Box::new(StalledWriter { release: stalled, out }));
+    release.send(()).expect("the thread lives");
+    buffer.push(b"last line");
+    buffer.flush();
+    let text: Vec<u8> = written.try_iter().flatten().collect();
+    assert!(String::from_utf8_lossy(&text).contains("last line"));
+    let start = Instant::now();
+    buffer.push(b"stuck");
+    buffer.flush();
+    assert!(start.elapsed() < Duration::from_secs(1));
+}
+
 #[test]
 fn lines_above_the_rate_limit_are_counted_until_tokens_are_refilled() {
     let start = Instant::now();
