Log how each request ends, and which requests a stop cuts

A broken stream, a connection closed by the header timeout and a request cut by the end of the grace period could not be told apart in the log: `stream_broken` had no reason, a closed connection left no line, and a cut request was logged as `caller_left`, if at all.

`stream_broken` now has the refusal behind it, the outcome of the last attempt, the time left, whether the host is stopping, and the ages of its knowledge. `caller_closed` names a request in progress on a connection that this host closes, 64 at most at the end of the grace period; `stopped` has their number. Two counters have the same reasons. A caller's connection has a phase, from which its timeouts are computed as before.

--- /dev/null
+++ b/crates/relay/src/caller_conn.rs
@@ -0,0 +1,162 @@
+//! Open connections of callers: what each is doing, and why this host closes one.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Instant;
+
+use foxtailhoist_route::in_flight::CallerRequestId;
+use foxtailhoist_route::routes::CallerLimits;
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnPhase {
+    /// No part of a next request has arrived.
+    Idle,
+    /// A request's head is arriving.
+    Head,
+    /// A request's body is arriving.
+    Body,
+    /// The request is complete and waits for its answer.
+    Waiting,
+}
+
+/// Why this host closes a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CloseReason {
+    HeaderTimeout,
+    IdleTimeout,
+    /// The host is stopping and the connection is idle.
+    Stopping,
+    /// The grace period is over.
+    GraceOver,
+}
+
+/// State of a caller's connection, from which its timeouts are computed.
+#[derive(Debug)]
+pub(crate) struct CallerConn {
+    phase: Cell<ConnPhase>,
+    /// When the current phase began, or when the connection was last written to.
+    since: Cell<Instant>,
+    /// The request in progress, once its head has been read.
+    request: RefCell<Option<CallerRequestId>>,
+}
+
+/// The open connections.
+#[derive(Debug, Default)]
+pub(crate) struct CallerConns {
+    conns: RefCell<BTreeMap<u64, Rc<CallerConn>>>,
+    next_key: Cell<u64>,
+}
+
+impl ConnPhase {
+    /// Name in logs.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            ConnPhase::Idle => "idle",
+            ConnPhase::Head => "head",
+            ConnPhase::Body => "body",
+            ConnPhase::Waiting => "waiting",
+        }
+    }
+}
+
+impl CloseReason {
+    /// Name in logs and metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            CloseReason::HeaderTimeout => "header_timeout",
+            CloseReason::IdleTimeout => "idle_timeout",
+            CloseReason::Stopping => "stopping",
+            CloseReason::GraceOver => "grace_over",
+        }
+    }
+}
+
+impl CallerConn {
+    pub(crate) fn new(now: Instant) -> CallerConn {
+        CallerConn {
+            phase: Cell::new(ConnPhase::Idle),
+            since: Cell::new(now),
+            request: RefCell::new(None),
+        }
+    }
+
+    pub(crate) fn phase(&self) -> ConnPhase {
+        self.phase.get()
+    }
+
+    pub(crate) fn since(&self) -> Instant {
+        self.since.get()
+    }
+
+    /// Id of the request in progress, `-` if its head has not been read.
+    pub(crate) fn request(&self) -> String {
+        self.request.borrow().clone().unwrap_or_else(|| "-".to_owned())
+    }
+
+    pub(crate) fn set_request(&self, id: &CallerRequestId) {
+        *self.request.borrow_mut() = Some(id.clone());
+    }
+
+    pub(crate) fn enter(&self, phase: ConnPhase) {
+        self.phase.set(phase);
+        self.since.set(Instant::now());
+        if phase == ConnPhase::Idle {
+            self.request.take();
+        }
+    }
+
+    /// Why the connection is to be closed, if a timeout of the caller has passed.
+    pub(crate) fn overdue(&self, limits: &CallerLimits) -> Option<CloseReason> {
+        let (limit, reason) = match self.phase.get() {
+            ConnPhase::Head => (limits.header_timeout, CloseReason::HeaderTimeout),
+            ConnPhase::Idle => (limits.idle_timeout, CloseReason::IdleTimeout),
+            ConnPhase::Body | ConnPhase::Waiting => return None,
+        };
+        (self.since.get().elapsed() > limit).then_some(reason)
+    }
+
+    /// Records that bytes arrived.
+    pub(crate) fn on_read(&self) {
+        if self.phase.get() == ConnPhase::Idle {
+            self.enter(ConnPhase::Head);
+        }
+    }
+
+    /// Restarts the idle timeout: a connection whose answer is still being written is not idle.
+    pub(crate) fn on_write(&self) {
+        if self.phase.get() == ConnPhase::Idle {
+            self.since.set(Instant::now());
+        }
+    }
+}
+
+impl CallerConns {
+    /// Adds a connection; returns the key that removes it.
+    pub(crate) fn add(&self, conn: Rc<CallerConn>) -> u64 {
+        let key = self.next_key.get();
+        self.next_key.set(key + 1);
+        self.conns.borrow_mut().insert(key, conn);
+        key
+    }
+
+    pub(crate) fn remove(&self, key: u64) {
+        self.conns.borrow_mut().remove(&key);
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.conns.borrow().len()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.conns.borrow().is_empty()
+    }
+
+    /// Connections with a request in progress.
+    pub(crate) fn in_progress(&self) -> Vec<Rc<CallerConn>> {
+        let conns = self.conns.borrow();
+        conns.values().filter(|conn| conn.phase() != ConnPhase::Idle).cloned().collect()
+    }
+}
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -23,6 +23,9 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::caller_conn::CallerConn;
+use crate::caller_conn::CallerConns;
+use crate::caller_conn::CloseReason;
 use crate::conn::ConnPool;
 use crate::log_event::EventLog;
 use crate::log_event::LogEvent;
@@ -104,10 +107,12 @@
     pub(crate) server_lost: Notify,
     /// Signalled when the process resumed after a suspension: known state may be stale and is fetched again.
     pub(crate) resumed: Notify,
-    /// Number of open connections from callers.
-    pub(crate) connections: Cell<usize>,
+    /// Open connections from callers.
+    pub(crate) callers: CallerConns,
     pub(crate) all_closed: Notify,
     pub(crate) closing: Notify,
+    /// Whether the grace period is over: requests that end from here on are cut by this host, not by their callers.
+    pub(crate) closed: Cell<bool>,
 }
 
 impl Core {
@@ -142,9 +147,10 @@
             store_timed_out: Notify::new(),
             server_lost: Notify::new(),
             resumed: Notify::new(),
-            connections: Cell::new(0),
+            callers: CallerConns::default(),
             all_closed: Notify::new(),
             closing: Notify::new(),
+            closed: Cell::new(false),
         })
     }
 
@@ -192,6 +198,17 @@
         dispatcher.table().map_or_else(CallerLimits::default, |table| table.limits)
     }
 
+    /// Logs and counts that this host closes a connection while a request is in progress on it.
+    pub(crate) fn log_caller_closed(&self, conn: &CallerConn, reason: CloseReason) {
+        self.metrics.caller_closed(reason.name());
+        self.log.write(&LogEvent::CallerClosed {
+            request: &conn.request(),
+            reason: reason.name(),
+            phase: conn.phase().name(),
+            elapsed: conn.since().elapsed(),
+        });
+    }
+
     /// Handles the dispatcher's pending notifications: evidence for shifts, and suspected content to report.
     pub(crate) fn handle_notifications(&self) {
         let notifications = self.dispatcher.borrow_mut().take_notifications();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,6 +5,7 @@
 //! translates wire formats. Everything runs on one thread: an entry host has a fraction of a core.
 
 mod attempt;
+mod caller_conn;
 mod clock;
 mod conn;
 mod core;
@@ -35,6 +36,7 @@
 use thiserror::Error;
 use tokio::task::spawn_local;
 
+use crate::caller_conn::CloseReason;
 use crate::core::Core;
 pub use crate::core::RelayConfig;
 use crate::log_event::LogEvent;
@@ -48,6 +50,9 @@
 /// How long before the kill the process exits by itself.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 
+/// Maximum number of lines about requests that are cut by the end of the grace period; `stopped` has their number.
+const MAX_CUT_LINES: usize = 64;
+
 /// Why the relay could not start.
 #[derive(Debug, Error)]
 pub enum StartError {
@@ -130,13 +135,18 @@
         let finish = async {
             tokio::time::sleep(STOP_LINGER.min(grace)).await;
             core.closing.notify_waiters();
-            while core.connections.get() > 0 {
+            while !core.callers.is_empty() {
                 core.all_closed.notified().await;
             }
         };
         // Requests still running at the end of the grace period would be cut off by the kill anyway.
         let _ = tokio::time::timeout(grace, finish).await;
-        core.log.write(&LogEvent::Stopped { open: core.connections.get() });
+        core.closed.set(true);
+        let cut = core.callers.in_progress();
+        for conn in cut.iter().take(MAX_CUT_LINES) {
+            core.log_caller_closed(conn, CloseReason::GraceOver);
+        }
+        core.log.write(&LogEvent::Stopped { open: core.callers.len(), cut: cut.len() });
     }
 }
 
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -1,6 +1,5 @@
 //! Listeners: callers' connections with their timeouts, and the pages for the load balancer and for metrics.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -12,7 +11,6 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use foxtailhoist_route::routes::CallerLimits;
 use http::Response;
 use http::StatusCode;
 use http_body_util::Full;
@@ -26,6 +24,9 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
+use crate::caller_conn::CallerConn;
+use crate::caller_conn::CloseReason;
+use crate::caller_conn::ConnPhase;
 use crate::conn::set_socket_options;
 use crate::core::Core;
 use crate::serve::serve;
@@ -37,20 +38,10 @@
 /// Delay after a failed accept, such as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// State of a caller's connection, from which its timeouts are computed.
-#[derive(Debug)]
-struct Activity {
-    /// Requests being served: 0 or 1.
-    busy: Cell<u32>,
-    /// When the connection became idle, or when the current request head began to arrive.
-    since: Cell<Instant>,
-    head_started: Cell<bool>,
-}
-
-/// A socket that records reads and writes in its connection's activity.
+/// A socket that records reads and writes in its connection's state.
 struct TrackedStream {
     stream: TcpStream,
-    activity: Rc<Activity>,
+    state: Rc<CallerConn>,
 }
 
 /// Binds a listener to an address.
@@ -109,24 +100,17 @@
     if let Err(e) = set_socket_options(&stream) {
         log::warn!("event=socket_options_refused reason={:?}", e.to_string());
     }
-    let _open = OpenConnection::new(core.clone());
-    let activity = Rc::new(Activity {
-        busy: Cell::new(0),
-        since: Cell::new(Instant::now()),
-        head_started: Cell::new(false),
-    });
-    let io = TokioIo::new(TrackedStream { stream, activity: activity.clone() });
+    let state = Rc::new(CallerConn::new(Instant::now()));
+    let _open = OpenConnection::new(core.clone(), state.clone());
+    let io = TokioIo::new(TrackedStream { stream, state: state.clone() });
     let service = {
         let core = core.clone();
-        let activity = activity.clone();
+        let state = state.clone();
         service_fn(move |request| {
-            let guard = BusyGuard::new(activity.clone());
             let core = core.clone();
-            async move {
-                let response = serve(core, request).await;
-                drop(guard);
-                Ok::<_, Infallible>(response)
-            }
+            let state = state.clone();
+            state.enter(ConnPhase::Body);
+            async move { Ok::<_, Infallible>(serve(core, state, request).await) }
         })
     };
     let mut builder = http1::Builder::new();
@@ -140,94 +124,49 @@
             }
             core.closing.notified().await;
         };
-        tokio::select! {
+        let reason = tokio::select! {
             // Errors here are the caller's: it disconnected, or sent an invalid request and was answered 400.
             _ = conn.as_mut() => return,
-            () = closing => {
-                is_closing = true;
-                conn.as_mut().graceful_shutdown();
-            }
-            () = tokio::time::sleep(TIMEOUT_POLL_INTERVAL) => {
-                if activity.is_overdue(&core.limits()) {
-                    if activity.head_started.get() {
-                        return;
-                    }
-                    is_closing = true;
-                    conn.as_mut().graceful_shutdown();
-                }
-            }
+            () = closing => Some(CloseReason::Stopping),
+            () = tokio::time::sleep(TIMEOUT_POLL_INTERVAL) => state.overdue(&core.limits()),
+        };
+        let Some(reason) = reason else {
+            continue;
+        };
+        if reason == CloseReason::HeaderTimeout {
+            core.log_caller_closed(&state, reason);
+            return;
+        }
+        if !is_closing {
+            core.metrics.caller_closed(reason.name());
         }
+        is_closing = true;
+        conn.as_mut().graceful_shutdown();
     }
 }
 
-/// Counts a connection while it is open.
+/// Registers a connection while it is open.
 struct OpenConnection {
     core: Rc<Core>,
+    key: u64,
 }
 
 impl OpenConnection {
-    fn new(core: Rc<Core>) -> OpenConnection {
-        core.connections.set(core.connections.get() + 1);
-        OpenConnection { core }
+    fn new(core: Rc<Core>, state: Rc<CallerConn>) -> OpenConnection {
+        let key = core.callers.add(state);
+        OpenConnection { core, key }
     }
 }
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        let open = self.core.connections.get() - 1;
-        self.core.connections.set(open);
-        if open == 0 {
+        self.core.callers.remove(self.key);
+        if self.core.callers.is_empty() {
             self.core.all_closed.notify_waiters();
         }
     }
 }
 
-/// Marks a connection as busy until the response head is ready to be sent.
-struct BusyGuard {
-    activity: Rc<Activity>,
-}
-
-impl BusyGuard {
-    fn new(activity: Rc<Activity>) -> BusyGuard {
-        activity.busy.set(activity.busy.get() + 1);
-        activity.head_started.set(false);
-        BusyGuard { activity }
-    }
-}
-
-impl Drop for BusyGuard {
-    fn drop(&mut self) {
-        self.activity.busy.set(self.activity.busy.get() - 1);
-        self.activity.since.set(Instant::now());
-        self.activity.head_started.set(false);
-    }
-}
-
-impl Activity {
-    fn is_overdue(&self, limits: &CallerLimits) -> bool {
-        if self.busy.get() > 0 {
-            return false;
-        }
-        let limit =
-            if self.head_started.get() { limits.header_timeout } else { limits.idle_timeout };
-        self.since.get().elapsed() > limit
-    }
-
-    /// Records that the first bytes of a request head arrived.
-    fn on_read(&self) {
-        if self.busy.get() == 0 && !self.head_started.replace(true) {
-            self.since.set(Instant::now());
-        }
-    }
-
-    /// Restarts the idle timeout: a stream that is written to is not idle.
-    fn on_write(&self) {
-        if self.busy.get() == 0 {
-            self.since.set(Instant::now());
-        }
-    }
-}
-
 impl AsyncRead for TrackedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -237,7 +176,7 @@
         let before = buf.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(cx, buf);
         if buf.filled().len() > before {
-            self.activity.on_read();
+            self.state.on_read();
         }
         result
     }
@@ -249,7 +188,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.activity.on_write();
+        self.state.on_write();
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -270,7 +209,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.activity.on_write();
+        self.state.on_write();
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 }
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -35,7 +35,10 @@
     },
     Stopping,
     Stopped {
+        /// Open connections from callers.
         open: usize,
+        /// Those with a request in progress.
+        cut: usize,
     },
     /// Settings were reloaded; those named take effect only after a restart.
     Reloaded {
@@ -137,6 +140,23 @@
     /// A started stream could not be completed.
     StreamBroken {
         req: &'a InFlightRequest,
+        /// Name of the refusal behind it, or `plain_answer` if the last server sent no stream.
+        reason: &'a str,
+        /// Outcome of the last attempt that was made.
+        last_outcome: Option<AttemptOutcome>,
+        elapsed: Duration,
+        /// Time left until the deadline.
+        left: Duration,
+        stopping: bool,
+        /// Time since the known state last matched the store.
+        store_age: Option<Duration>,
+    },
+    /// This host closed a connection while a request was in progress on it.
+    CallerClosed {
+        request: &'a str,
+        reason: &'a str,
+        phase: &'a str,
+        /// Time in this phase.
         elapsed: Duration,
     },
     CallerLeft {
@@ -217,7 +237,9 @@
                 write!(f, "event=started host={host} data_centre={data_centre}")
             }
             LogEvent::Stopping => write!(f, "event=stopping"),
-            LogEvent::Stopped { open } => write!(f, "event=stopped open_connections={open}"),
+            LogEvent::Stopped { open, cut } => {
+                write!(f, "event=stopped open_connections={open} cut={cut}")
+            }
             LogEvent::Reloaded { needs_restart } => {
                 write!(f, "event=reloaded needs_restart={:?}", needs_restart.join(","))
             }
@@ -312,13 +334,31 @@
                 }
                 write!(f, " ms={}", elapsed.as_millis())
             }
-            LogEvent::StreamBroken { req, elapsed } => write!(
+            LogEvent::StreamBroken {
+                req,
+                reason,
+                last_outcome,
+                elapsed,
+                left,
+                stopping,
+                store_age,
+            } => write!(
                 f,
-                "event=stream_broken request={} route={} attempts={} last_event={} ms={}",
+                "event=stream_broken request={} route={} configuration={} attempts={} last_event={} reason={reason} \
+                 last_outcome={} ms={} left_ms={} stopping={stopping} store_age_ms={}",
                 req.id,
                 req.route.id,
+                req.table_version,
                 req.attempts,
                 req.last_event().map_or_else(|| "-".to_owned(), |id| id.to_string()),
+                last_outcome.map_or("-", AttemptOutcome::name),
+                elapsed.as_millis(),
+                left.as_millis(),
+                store_age.map_or_else(|| "-".to_owned(), |age| age.as_millis().to_string()),
+            ),
+            LogEvent::CallerClosed { request, reason, phase, elapsed } => write!(
+                f,
+                "event=caller_closed request={request} reason={reason} phase={phase} ms={}",
                 elapsed.as_millis()
             ),
             LogEvent::CallerLeft { req, elapsed } => write!(
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -16,6 +16,8 @@
     first_byte: Histogram<f64>,
     store_calls: Counter<u64>,
     servers_lost: Counter<u64>,
+    streams_broken: Counter<u64>,
+    callers_closed: Counter<u64>,
 }
 
 impl Metrics {
@@ -33,11 +35,14 @@
             first_byte: meter.f64_histogram("relay_first_byte_seconds").build(),
             store_calls: meter.u64_counter("relay_store_calls").build(),
             servers_lost: meter.u64_counter("relay_servers_lost").build(),
+            streams_broken: meter.u64_counter("relay_streams_broken").build(),
+            callers_closed: meter.u64_counter("relay_callers_closed").build(),
             scrape,
         })
     }
 
-    /// Counts a request that ended; `outcome` is `answered`, `caller_left`, `stream_broken` or a kind of refusal.
+    /// Counts a request that ended; `outcome` is `answered`, `caller_left`, `cut`, `stream_broken` or a kind of
+    /// refusal.
     pub fn request(&self, outcome: &'static str) {
         self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
     }
@@ -66,6 +71,17 @@
         self.servers_lost.add(1, &[]);
     }
 
+    /// Counts a stream that could not be completed; `reason` is a kind of refusal or `plain_answer`.
+    pub fn stream_broken(&self, reason: &'static str) {
+        self.streams_broken.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a caller's connection that this host closes; `reason` is `header_timeout`, `idle_timeout`, `stopping` or
+    /// `grace_over`.
+    pub fn caller_closed(&self, reason: &'static str) {
+        self.callers_closed.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// The metrics page for scraping.
     ///
     /// # Errors
--- a/crates/relay/src/request_guard.rs
+++ b/crates/relay/src/request_guard.rs
@@ -18,6 +18,7 @@
 use foxtailhoist_route::in_flight::InFlightRequest;
 use tokio::task::spawn_local;
 
+use crate::attempt::FinalAnswer;
 use crate::conn::Conn;
 use crate::conn::SERVER_CONNECT_TIMEOUT;
 use crate::core::Core;
@@ -31,6 +32,8 @@
     pub(crate) core: Rc<Core>,
     pub(crate) req: InFlightRequest,
     current: Option<CurrentAttempt>,
+    /// Outcome of the last attempt that ended.
+    last_outcome: Option<AttemptOutcome>,
     is_finished: bool,
 }
 
@@ -43,7 +46,7 @@
 
 impl RequestGuard {
     pub(crate) fn new(core: Rc<Core>, req: InFlightRequest) -> RequestGuard {
-        RequestGuard { core, req, current: None, is_finished: false }
+        RequestGuard { core, req, current: None, last_outcome: None, is_finished: false }
     }
 
     /// Returns the next step; an attempt to send is already counted as started.
@@ -138,6 +141,7 @@
             now,
         );
         core.metrics.attempt(outcome.name());
+        self.last_outcome = Some(outcome);
         if outcome != AttemptOutcome::Whole {
             let elapsed = now - started;
             let req = &self.req;
@@ -174,12 +178,25 @@
         });
     }
 
-    /// Records that a started stream could not be completed.
-    pub(crate) fn finish_stream_broken(mut self) {
+    /// Records that a started stream could not be completed: the attempts ended with `answer`.
+    pub(crate) fn finish_stream_broken(mut self, answer: &FinalAnswer) {
         self.is_finished = true;
+        let reason = match answer {
+            FinalAnswer::Refused(refusal) => refusal.kind.name(),
+            FinalAnswer::Plain(..) | FinalAnswer::Stream(..) => "plain_answer",
+        };
         self.core.metrics.request("stream_broken");
-        let elapsed = self.req.arrived.elapsed();
-        self.core.log.write(&LogEvent::StreamBroken { req: &self.req, elapsed });
+        self.core.metrics.stream_broken(reason);
+        let now = Instant::now();
+        self.core.log.write(&LogEvent::StreamBroken {
+            req: &self.req,
+            reason,
+            last_outcome: self.last_outcome,
+            elapsed: now - self.req.arrived,
+            left: self.req.deadline.saturating_duration_since(now),
+            stopping: self.core.stopping.get(),
+            store_age: self.core.mirror.age(now),
+        });
     }
 }
 
@@ -204,6 +221,12 @@
         if self.is_finished {
             return;
         }
+        if self.core.closed.get() {
+            // `caller_closed` names the request.
+            self.end_attempt(AttemptOutcome::Cancelled, "grace period over");
+            self.core.metrics.request("cut");
+            return;
+        }
         self.end_attempt(AttemptOutcome::Cancelled, "caller disconnected");
         self.core.metrics.request("caller_left");
         let elapsed = self.req.arrived.elapsed();
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -26,6 +26,8 @@
 use crate::attempt::CallerRequest;
 use crate::attempt::FinalAnswer;
 use crate::attempt::run_attempts;
+use crate::caller_conn::CallerConn;
+use crate::caller_conn::ConnPhase;
 use crate::core::Core;
 use crate::log_event::LogEvent;
 use crate::request_guard::RequestGuard;
@@ -52,20 +54,26 @@
 pub(crate) type AnswerBody = Either<Full<Bytes>, EventBody>;
 
 /// Serves one request; closes the connection afterwards where required.
-pub(crate) async fn serve(core: Rc<Core>, request: Request<Incoming>) -> Response<AnswerBody> {
+pub(crate) async fn serve(
+    core: Rc<Core>,
+    conn: Rc<CallerConn>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
     let (head, body) = request.into_parts();
     // Nothing is read from the connection after a chunked body, which prevents request smuggling where two readers
     // interpret the framing differently.
     let must_close = head.headers.contains_key(header::TRANSFER_ENCODING);
-    let mut answer = answer(&core, head, body).await;
+    let mut answer = answer(&core, &conn, head, body).await;
     if must_close || core.stopping.get() {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
+    conn.enter(ConnPhase::Idle);
     answer
 }
 
 async fn answer(
     core: &Rc<Core>,
+    conn: &CallerConn,
     head: http::request::Parts,
     body: Incoming,
 ) -> Response<AnswerBody> {
@@ -79,10 +87,12 @@
             return refuse(core, "-", ErrorKind::BadRequest, &malformed.0, arrived);
         }
     };
+    conn.set_request(&arrival.id);
     let body = match read_body(body, core.limits().body_bytes).await {
         Ok(body) => body,
         Err(kind) => return refuse(core, &arrival.id, kind, "", arrived),
     };
+    conn.enter(ConnPhase::Waiting);
     arrival.fingerprint = stable_hash(FINGERPRINT_SEED, &[arrival.path.as_bytes(), &body]);
     let id = arrival.id.clone();
     core.wait_for_routes(arrived, arrival.caller_timeout).await;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -80,7 +80,7 @@
                 FinalAnswer::Plain(..) | FinalAnswer::Refused(_) => {
                     // Fails only if the caller has already disconnected.
                     let _ = tx.send(Err(StreamBroken)).await;
-                    return guard.finish_stream_broken();
+                    return guard.finish_stream_broken(&answer);
                 }
             }
         }
--- a/crates/relay/tests/logs.rs
+++ b/crates/relay/tests/logs.rs
@@ -94,10 +94,17 @@
         message: "first event expected in 6000 ms".to_owned(),
         retry_after: Some(Duration::from_millis(500)),
     };
+    let caller_closed = LogEvent::CallerClosed {
+        request: "r",
+        reason: "grace_over",
+        phase: "waiting",
+        elapsed: Duration::from_secs(2),
+    };
     let lines = [
         (LogEvent::Started { host: "h", data_centre: "a" }, "started", "host"),
         (LogEvent::Stopping, "stopping", "event"),
-        (LogEvent::Stopped { open: 2 }, "stopped", "open_connections"),
+        (LogEvent::Stopped { open: 2, cut: 1 }, "stopped", "open_connections"),
+        (LogEvent::Stopped { open: 2, cut: 1 }, "stopped", "cut"),
         (LogEvent::Reloaded { needs_restart: &["store"] }, "reloaded", "event"),
         (LogEvent::ReloadRefused { reason: "a = b" }, "reload_refused", "reason"),
         (LogEvent::Ready(true), "ready", "value"),
@@ -147,6 +154,7 @@
             "server_lost",
             "silent_ms",
         ),
+        (caller_closed, "caller_closed", "reason"),
         (LogEvent::Dropped { lines: 5 }, "log_dropped", "lines"),
     ];
     for (event, name, field) in lines {
