Keep a stream open while the next request begins to arrive

A caller that sent the first bytes of its next request while a stream was still being sent lost the stream: the host closed the connection in the middle of the answer as soon as the stream paused for longer than the header timeout.

The connection counted as busy only until the head of its answer was ready; bytes that arrived after it started the header timeout, which closes at once. The connection is now in its answer phase until the body of the answer is dropped, in which no timeout of the caller applies. Bytes that arrived early start the header timeout at the end of the answer.

--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -20,6 +20,8 @@
     Body,
     /// The request is complete and waits for its answer.
     Waiting,
+    /// The answer is being sent.
+    Answer,
 }
 
 /// Why this host closes a connection.
@@ -39,6 +41,8 @@
     phase: Cell<ConnPhase>,
     /// When the current phase began, or when the connection was last written to.
     since: Cell<Instant>,
+    /// Whether bytes of a next request arrived before the end of the answer.
+    has_early_bytes: Cell<bool>,
     /// The request in progress, once its head has been read.
     request: RefCell<Option<CallerRequestId>>,
 }
@@ -58,6 +62,7 @@
             ConnPhase::Head => "head",
             ConnPhase::Body => "body",
             ConnPhase::Waiting => "waiting",
+            ConnPhase::Answer => "answer",
         }
     }
 }
@@ -79,6 +84,7 @@
         CallerConn {
             phase: Cell::new(ConnPhase::Idle),
             since: Cell::new(now),
+            has_early_bytes: Cell::new(false),
             request: RefCell::new(None),
         }
     }
@@ -103,9 +109,13 @@
     pub(crate) fn enter(&self, phase: ConnPhase) {
         self.phase.set(phase);
         self.since.set(Instant::now());
-        if phase == ConnPhase::Idle {
-            self.request.take();
-        }
+    }
+
+    /// Records that the answer was sent: the connection is idle, unless a next request has begun to arrive.
+    pub(crate) fn answer_ended(&self) {
+        self.request.take();
+        let is_idle = !self.has_early_bytes.take();
+        self.enter(if is_idle { ConnPhase::Idle } else { ConnPhase::Head });
     }
 
     /// Why the connection is to be closed, if a timeout of the caller has passed.
@@ -113,15 +123,17 @@
         let (limit, reason) = match self.phase.get() {
             ConnPhase::Head => (limits.header_timeout, CloseReason::HeaderTimeout),
             ConnPhase::Idle => (limits.idle_timeout, CloseReason::IdleTimeout),
-            ConnPhase::Body | ConnPhase::Waiting => return None,
+            ConnPhase::Body | ConnPhase::Waiting | ConnPhase::Answer => return None,
         };
         (self.since.get().elapsed() > limit).then_some(reason)
     }
 
     /// Records that bytes arrived.
     pub(crate) fn on_read(&self) {
-        if self.phase.get() == ConnPhase::Idle {
-            self.enter(ConnPhase::Head);
+        match self.phase.get() {
+            ConnPhase::Idle => self.enter(ConnPhase::Head),
+            ConnPhase::Waiting | ConnPhase::Answer => self.has_early_bytes.set(true),
+            ConnPhase::Head | ConnPhase::Body => {}
         }
     }
 
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,6 +1,9 @@
 //! Serves one request of a caller: reads it, admits it, obtains an answer and returns it.
 
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,6 +19,9 @@
 use http::StatusCode;
 use http::Version;
 use http::header;
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
 use http_body_util::BodyExt;
 use http_body_util::Either;
 use http_body_util::Full;
@@ -33,6 +39,7 @@
 use crate::request_guard::RequestGuard;
 use crate::stream;
 use crate::stream::EventBody;
+use crate::stream::StreamBroken;
 
 /// Maximum time for a request's body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -50,8 +57,13 @@
     "upgrade",
 ];
 
-/// Body of a response to a caller.
-pub(crate) type AnswerBody = Either<Full<Bytes>, EventBody>;
+type FinalBody = Either<Full<Bytes>, EventBody>;
+
+/// Body of a response to a caller; its connection becomes idle when the body is dropped.
+pub(crate) struct AnswerBody {
+    body: FinalBody,
+    conn: Rc<CallerConn>,
+}
 
 /// Serves one request; closes the connection afterwards where required.
 pub(crate) async fn serve(
@@ -67,8 +79,8 @@
     if must_close || core.stopping.get() {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    conn.enter(ConnPhase::Idle);
-    answer
+    conn.enter(ConnPhase::Answer);
+    answer.map(|body| AnswerBody { body, conn })
 }
 
 async fn answer(
@@ -76,7 +88,7 @@
     conn: &CallerConn,
     head: http::request::Parts,
     body: Incoming,
-) -> Response<AnswerBody> {
+) -> Response<FinalBody> {
     let arrived = Instant::now();
     if is_ambiguous(&head) {
         return refuse(core, "-", ErrorKind::BadRequest, "ambiguous framing", arrived);
@@ -170,7 +182,7 @@
     copy
 }
 
-fn response(parts: &http::response::Parts, body: AnswerBody) -> Response<AnswerBody> {
+fn response(parts: &http::response::Parts, body: FinalBody) -> Response<FinalBody> {
     let mut response = Response::new(body);
     *response.status_mut() = parts.status;
     *response.headers_mut() = end_to_end(&parts.headers);
@@ -178,12 +190,7 @@
 }
 
 /// Logs, counts and answers a request that was not admitted.
-fn not_admitted(
-    core: &Core,
-    id: &str,
-    refusal: &Refusal,
-    arrived: Instant,
-) -> Response<AnswerBody> {
+fn not_admitted(core: &Core, id: &str, refusal: &Refusal, arrived: Instant) -> Response<FinalBody> {
     core.metrics.request(refusal.kind.name());
     core.log.write(&LogEvent::Refused { id, req: None, refusal, elapsed: arrived.elapsed() });
     refusal_response(core, refusal)
@@ -196,7 +203,7 @@
     kind: ErrorKind,
     message: &str,
     arrived: Instant,
-) -> Response<AnswerBody> {
+) -> Response<FinalBody> {
     let refusal =
         Refusal { kind, ran: kind.response().ran, message: message.to_owned(), retry_after: None };
     let mut response = not_admitted(core, id, &refusal, arrived);
@@ -205,7 +212,7 @@
     response
 }
 
-fn refusal_response(core: &Core, refusal: &Refusal) -> Response<AnswerBody> {
+fn refusal_response(core: &Core, refusal: &Refusal) -> Response<FinalBody> {
     let (status, headers) = core.wire.encode_refusal(refusal);
     let text = format!("{}: {}\n", refusal.kind.name(), refusal.message);
     let mut response = Response::new(Either::Left(Full::new(Bytes::from(text))));
@@ -214,3 +221,34 @@
     *response.headers_mut() = headers;
     response
 }
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = StreamBroken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamBroken>>> {
+        match &mut self.body {
+            Either::Left(whole) => Pin::new(whole)
+                .poll_frame(cx)
+                .map(|frame| frame.map(|frame| frame.map_err(|never| match never {}))),
+            Either::Right(events) => Pin::new(events).poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        self.conn.answer_ended();
+    }
+}
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -16,10 +16,12 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 use hosts::Hosts;
 use standin::configuration;
 use standin::engine::Behaviour;
+use standin::engine::EVENTS;
 use standin::engine::Engine;
 use standin::eventually;
 use standin::fresh_id;
@@ -28,6 +30,7 @@
 use standin::registration;
 use standin::request_to;
 use standin::store::Store;
+use standin::stream_head;
 use standin::streamed;
 
 struct Harness {
@@ -198,3 +201,33 @@
     })
     .await;
 }
+
+/// Guards against a stream cut by the header timeout because the caller's next request began to arrive early.
+#[tokio::test]
+async fn early_bytes_of_a_next_request_do_not_cut_a_stream() {
+    on_one_thread(async || {
+        let harness = Harness::start("early", "llm").await;
+        harness.until_stream_served().await;
+        harness.limit(2, json!({ "HeaderTimeoutMs": 100 })).await;
+        harness.engine.always(Behaviour::Slow);
+        let mut stream = TcpStream::connect(harness.callers()).await.expect("a connection");
+        // The host checks timeouts a second after the connection opened, which is in a pause of the stream then.
+        sleep(Duration::from_millis(150)).await;
+        let request = stream_head(&fresh_id()) + "\r\nprompt";
+        stream.write_all(request.as_bytes()).await.expect("written");
+        let head = read_until(&mut stream, "piece 1").await;
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+        stream.write_all(b"GET /look/1 HT").await.expect("written");
+        let rest = read_until(&mut stream, "\r\n0\r\n\r\n").await;
+        assert!(rest.contains(&format!("piece {EVENTS}")), "cut after {rest:?}");
+        // The head that began to arrive is bounded by the header timeout from there on.
+        eventually(async || {
+            harness
+                .log_line("event=caller_closed")
+                .is_some_and(|line| line.contains("reason=header_timeout phase=head"))
+        })
+        .await;
+        harness.hosts.close();
+    })
+    .await;
+}
