--- a/crates/relay/tests/logs.rs
+++ b/crates/relay/tests/logs.rs
@@ -57,6 +57,23 @@
     }
 }
 
+/// Guards against lines of the last moments of a process that are never written.
+#[test]
+fn a_flush_writes_pending_lines_at_once_and_gives_up_on_a_stalled_reader() {
+    let (release, stalled) = mpsc::channel();
+    let (out, written) = mpsc::channel();
+    let buffer = LogBuffer::start(Box::new(StalledWriter { release: stalled, out }));
+    release.send(()).expect("the thread lives");
+    buffer.push(b"last line");
+    buffer.flush();
+    let text: Vec<u8> = written.try_iter().flatten().collect();
+    assert!(String::from_utf8_lossy(&text).contains("last line"));
+    let start = Instant::now();
+    buffer.push(b"stuck");
+    buffer.flush();
+    assert!(start.elapsed() < Duration::from_secs(1));
+}
+
 #[test]
 fn lines_above_the_rate_limit_are_counted_until_tokens_are_refilled() {
     let start = Instant::now();
@@ -77,10 +94,17 @@
         message: "first event expected in 6000 ms".to_owned(),
         retry_after: Some(Duration::from_millis(500)),
     };
+    let caller_closed = LogEvent::CallerClosed {
+        request: "r",
+        reason: "grace_over",
+        phase: "waiting",
+        elapsed: Duration::from_secs(2),
+    };
     let lines = [
         (LogEvent::Started { host: "h", data_centre: "a" }, "started", "host"),
         (LogEvent::Stopping, "stopping", "event"),
-        (LogEvent::Stopped { open: 2 }, "stopped", "open_connections"),
+        (LogEvent::Stopped { open: 2, cut: 1 }, "stopped", "open_connections"),
+        (LogEvent::Stopped { open: 2, cut: 1 }, "stopped", "cut"),
         (LogEvent::Reloaded { needs_restart: &["store"] }, "reloaded", "event"),
         (LogEvent::ReloadRefused { reason: "a = b" }, "reload_refused", "reason"),
         (LogEvent::Ready(true), "ready", "value"),
@@ -140,6 +164,7 @@
             "server_paused",
             "applied_ms",
         ),
+        (caller_closed, "caller_closed", "reason"),
         (LogEvent::Dropped { lines: 5 }, "log_dropped", "lines"),
     ];
     for (event, name, field) in lines {
