Order what the store says by era and revision

Callers saw every request of a bad version run on it (N of N), configurations that never came into force, and servers that stayed in use although they were gone, after the store had come back from a copy some seconds old.

Cause: revisions go back with the copy and are given out again. The mirror, the watches and the reports compared bare numbers, so whatever was written again under a revision seen before was ignored until the number had passed the old one. Nothing put back what only the copy lacked: outcomes of roll-outs, registrations of hosts, suspects.

A higher era, status 410 and a revision that falls make a kind be listed anew; answers and frames of an earlier era are dropped. The mirror merges what a restored store shows into what is known: configurations and counts of deaths by maximum, servers that left stay away in the same incarnation, an earlier incarnation replaces no later one. Servers that only the copy lacks are kept as after an outage. A shift's phase only moves forward; its status, host registrations and suspects are put back. A store that states no era, or an unreadable one, is treated as before.

--- a/crates/model/src/store.rs
+++ b/crates/model/src/store.rs
@@ -12,6 +12,16 @@
 use crate::ObjectKey;
 use crate::ObjectVersion;
 
+/// Number of restores of the store from a copy; 0 if the store does not state it.
+pub type StoreEra = u64;
+
+/// Position in the store's history. After a restore, numbers go back and are given out again in a new era.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct StoreRevision {
+    pub era: StoreEra,
+    pub number: u64,
+}
+
 /// One call. Each counts against the store's rate limits, including a watch that waits.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -11,7 +11,9 @@
 
 use foxtailhoist_model::DataCentreId;
 use foxtailhoist_model::EntryHostId;
+use foxtailhoist_model::Fingerprint;
 use foxtailhoist_model::ServiceId;
+use foxtailhoist_model::StoreEra;
 use foxtailhoist_peers::feeds::Feeds;
 use foxtailhoist_rollout::shift::Shift;
 use foxtailhoist_rollout::shift::ShiftRule;
@@ -20,6 +22,7 @@
 use foxtailhoist_route::routes::CallerLimits;
 use foxtailhoist_route::start_up::StartUp;
 use foxtailhoist_route::version_rule::VersionRule;
+use http::HeaderMap;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
@@ -73,12 +76,24 @@
     }
 }
 
+/// A suspected content to report.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SuspectReport {
+    pub(crate) content: Fingerprint,
+    /// Number of server deaths observed.
+    pub(crate) deaths: u32,
+    /// Whether the deaths were reported before and are only put back after a restore of the store.
+    pub(crate) is_known: bool,
+}
+
 /// Shared state.
 pub(crate) struct Core {
     pub(crate) cfg: RelayConfig,
     pub(crate) wire: Box<dyn Wire>,
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) shifts: RefCell<BTreeMap<ServiceId, Shift>>,
+    /// Shifts whose orders a restored store lacks, while an earlier order is in force.
+    pub(crate) suspended_shifts: RefCell<BTreeMap<ServiceId, Shift>>,
     pub(crate) pool: Rc<ConnPool>,
     pub(crate) mirror: Mirror,
     pub(crate) feeds: RefCell<Feeds>,
@@ -95,9 +110,14 @@
     kind_listed: Notify,
     start_up: StartUp,
     was_ready: Cell<bool>,
-    /// Suspected contents to report, with the number of server deaths observed.
-    pub(crate) suspects: RefCell<Vec<(u64, u32)>>,
+    /// Suspected contents to report.
+    pub(crate) suspects: RefCell<Vec<SuspectReport>>,
     pub(crate) suspects_changed: Notify,
+    /// Highest era of the store seen so far.
+    store_era: Cell<StoreEra>,
+    /// Signalled when the store turns out to have been restored from a copy.
+    pub(crate) store_restored: Notify,
+    has_unreadable_era: Cell<bool>,
     /// Signalled when a watch of the store timed out.
     pub(crate) store_timed_out: Notify,
     /// Signalled when a probe found a backend server unreachable.
@@ -129,6 +149,7 @@
             wire,
             dispatcher: RefCell::new(dispatcher),
             shifts: RefCell::default(),
+            suspended_shifts: RefCell::default(),
             pool: Rc::default(),
             log: EventLog::new(Instant::now()),
             metrics,
@@ -139,6 +160,9 @@
             was_ready: Cell::new(false),
             suspects: RefCell::default(),
             suspects_changed: Notify::new(),
+            store_era: Cell::default(),
+            store_restored: Notify::new(),
+            has_unreadable_era: Cell::default(),
             store_timed_out: Notify::new(),
             server_lost: Notify::new(),
             resumed: Notify::new(),
@@ -192,6 +216,33 @@
         dispatcher.table().map_or_else(CallerLimits::default, |table| table.limits)
     }
 
+    pub(crate) fn store_era(&self) -> StoreEra {
+        self.store_era.get()
+    }
+
+    /// Reads the era from the headers of a store's answer. An unreadable one is ignored, as if not stated.
+    pub(crate) fn read_store_era(&self, headers: &HeaderMap) -> Option<StoreEra> {
+        match self.wire.decode_era(headers) {
+            Ok(era) => era.inspect(|era| self.note_store_era(*era)),
+            Err(e) => {
+                if !self.has_unreadable_era.replace(true) {
+                    log::warn!("event=store_era_unreadable reason={:?}", e.0);
+                }
+                None
+            }
+        }
+    }
+
+    /// Records that the store has reached an era.
+    pub(crate) fn note_store_era(&self, era: StoreEra) {
+        let known = self.store_era.get();
+        if era > known {
+            self.store_era.set(era);
+            self.log.write(&LogEvent::StoreEra { known, era });
+            self.store_restored.notify_waiters();
+        }
+    }
+
     /// Handles the dispatcher's pending notifications: evidence for shifts, and suspected content to report.
     pub(crate) fn handle_notifications(&self) {
         let notifications = self.dispatcher.borrow_mut().take_notifications();
@@ -233,7 +284,7 @@
 
     fn report_suspect(&self, content: u64, deaths: u32) {
         self.log.write(&LogEvent::Suspect { content, deaths });
-        self.suspects.borrow_mut().push((content, deaths));
+        self.suspects.borrow_mut().push(SuspectReport { content, deaths, is_known: false });
         self.suspects_changed.notify_one();
     }
 }
--- a/crates/relay/src/duties.rs
+++ b/crates/relay/src/duties.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use foxtailhoist_model::ServiceId;
+use foxtailhoist_model::StoreRevision;
 use foxtailhoist_model::stable_hash;
 use foxtailhoist_rollout::shift::ShiftPhase;
 use foxtailhoist_rollout::shift::ShiftReport;
@@ -15,6 +16,7 @@
 
 use crate::clock::unix_ms;
 use crate::core::Core;
+use crate::core::SuspectReport;
 use crate::log_event::LogEvent;
 use crate::store::StoreClient;
 
@@ -38,7 +40,7 @@
 const SPREAD_SEED: u64 = 0x7370_7264;
 
 /// Pending reports by service and revision of the order, with the time at which each may be sent or resent.
-type Reports = BTreeMap<(ServiceId, u64), Instant>;
+type Reports = BTreeMap<(ServiceId, StoreRevision), Instant>;
 
 /// Runs the periodic tasks until the process ends.
 pub(crate) async fn run_periodic(core: Rc<Core>) {
@@ -69,21 +71,24 @@
     let mut client = StoreClient::new(core.cfg.store);
     loop {
         let next = core.suspects.borrow_mut().pop();
-        let Some((content, deaths)) = next else {
+        let Some(report) = next else {
             core.suspects_changed.notified().await;
             continue;
         };
         core.suspects.borrow_mut().truncate(MAX_PENDING_SUSPECTS);
+        let SuspectReport { content, deaths, is_known } = report;
         let request = core.wire.report_suspect(content, deaths);
-        match client.call(request, WRITE_TIMEOUT).await {
+        let status = client.call(&core, request, WRITE_TIMEOUT).await.map(|answer| answer.status);
+        match status {
             // Another host has reported a death with the same content, which makes two.
-            Ok((StatusCode::CONFLICT, _)) if deaths == 1 => {
+            Ok(StatusCode::CONFLICT) if deaths == 1 && !is_known => {
                 core.dispatcher.borrow_mut().quarantine(content, Instant::now());
-                core.suspects.borrow_mut().push((content, 2));
+                core.suspects.borrow_mut().push(SuspectReport { deaths: 2, ..report });
             }
             // There is no object to update yet: create it first.
-            Ok((StatusCode::NOT_FOUND, _)) if deaths > 1 => {
-                core.suspects.borrow_mut().push((content, 1));
+            Ok(StatusCode::NOT_FOUND) if deaths > 1 => {
+                let first = SuspectReport { deaths: 1, is_known: true, ..report };
+                core.suspects.borrow_mut().extend([report, first]);
             }
             Ok(_) => {}
             Err(e) => {
@@ -114,6 +119,10 @@
         let Some(report) = shift.due_report(has_target, now, now_ms) else {
             continue;
         };
+        if report.revision.era < core.store_era() {
+            // The revision may have been given out again, to another order.
+            continue;
+        }
         let key = (service.clone(), report.revision);
         let due = match reports.get(&key) {
             Some(due) => *due,
@@ -134,7 +143,7 @@
         }
     }
     // Reports for superseded revisions are no longer due.
-    let current: Vec<u64> = shifts.values().map(|shift| shift.order().revision).collect();
+    let current: Vec<StoreRevision> = shifts.values().map(|shift| shift.order().revision).collect();
     reports.retain(|(_, revision), _| current.contains(revision));
 }
 
@@ -151,11 +160,11 @@
     let mut client = StoreClient::new(core.cfg.store);
     let request = core.wire.report_shift(&report);
     let service = &report.service;
-    match client.call(request, WRITE_TIMEOUT).await {
+    match client.call(&core, request, WRITE_TIMEOUT).await {
         // A conflict means that another host reported first; the watch delivers what it wrote.
-        Ok((status, _)) => {
+        Ok(answer) => {
             core.metrics.store_call("write");
-            let (phase, status) = (report.phase, status.as_u16());
+            let (phase, status) = (report.phase, answer.status.as_u16());
             core.log.write(&LogEvent::ShiftReported { service, phase, status });
         }
         Err(e) => {
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -59,6 +59,8 @@
 const REGISTRATION_WAIT: Duration = Duration::from_millis(900);
 /// Timeout of a store call that adds or removes a host's registration.
 const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Upper bound of the random delay before a host registers again with a restored store.
+const RESTORED_REGISTRATION_SPREAD: Duration = Duration::from_millis(2_000);
 /// Delay before a failed registration is retried.
 const REGISTRATION_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 /// Maximum size of a received frame.
@@ -75,6 +77,8 @@
     let mut sources = Sources::new();
     let mut heartbeat_at = Instant::now();
     let mut probe_at = Instant::now();
+    // When to put back a registration that a restored store lacks.
+    let mut put_back_at = None;
     loop {
         let probes = apply_plan(&core, &mut sources);
         let now = Instant::now();
@@ -86,7 +90,16 @@
             core.mirror.publish(&Frame::Beat { age: core.mirror.age(now) });
             heartbeat_at = now + HEARTBEAT_INTERVAL;
         }
-        let is_listed = core.feeds.borrow().entry(&core.cfg.host).is_some();
+        if is_lost_in_restore(&core) {
+            let at = *put_back_at.get_or_insert_with(|| {
+                now + RESTORED_REGISTRATION_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0))
+            });
+            if now >= at {
+                put_back_registration(&core, &mut client).await;
+                put_back_at = None;
+            }
+        }
+        let is_listed = core.feeds.borrow().entry(&core.cfg.host) == Some(&own_entry(&core));
         if (!is_registered || !is_listed) && now >= registered_at + REGISTRATION_RETRY_DELAY {
             is_registered = register(&core, &mut client, false).await;
             registered_at = Instant::now();
@@ -145,13 +158,31 @@
     Response::new(FeedBody::Right(StreamBody::new(frames).boxed_unsync()))
 }
 
+fn own_entry(core: &Core) -> HostEntry {
+    HostEntry { address: core.cfg.peers, data_centre: core.cfg.data_centre.clone() }
+}
+
+/// Whether this host was registered with the store before its restore and is not any more.
+fn is_lost_in_restore(core: &Core) -> bool {
+    let lost = core.mirror.lost_in_restore(ObjectKind::Hosts);
+    lost.iter().any(|record| record.name == core.cfg.host)
+}
+
+async fn put_back_registration(core: &Core, client: &mut StoreClient) {
+    let request = core.wire.register_host(&core.cfg.host, &own_entry(core));
+    match client.call(core, request, REGISTRATION_TIMEOUT).await {
+        Ok(answer) => log::info!("event=host_registered status={}", answer.status),
+        Err(e) => log::warn!("event=host_not_registered reason={:?}", e.to_string()),
+    }
+}
+
 /// Registers this host and lists the others; returns whether that succeeded.
 async fn register(core: &Rc<Core>, client: &mut StoreClient, is_first_start: bool) -> bool {
-    let entry = HostEntry { address: core.cfg.peers, data_centre: core.cfg.data_centre.clone() };
+    let entry = own_entry(core);
     if is_first_start {
         // No host is listed yet: all register first and list afterwards.
         let request = core.wire.register_host(&core.cfg.host, &entry);
-        if let Err(e) = client.call(request, REGISTRATION_TIMEOUT).await {
+        if let Err(e) = client.call(core, request, REGISTRATION_TIMEOUT).await {
             log::warn!("event=host_not_registered reason={:?}", e.to_string());
         }
         tokio::time::sleep(REGISTRATION_WAIT).await;
@@ -167,16 +198,16 @@
     if listed.is_some() {
         // The host restarted under the same name at another address.
         let request = core.wire.remove_host(&core.cfg.host);
-        if let Err(e) = client.call(request, REGISTRATION_TIMEOUT).await {
+        if let Err(e) = client.call(core, request, REGISTRATION_TIMEOUT).await {
             log::warn!("event=host_not_removed reason={:?}", e.to_string());
             return false;
         }
     }
     let request = core.wire.register_host(&core.cfg.host, &entry);
-    match client.call(request, REGISTRATION_TIMEOUT).await {
-        Ok((status, _)) => {
+    match client.call(core, request, REGISTRATION_TIMEOUT).await {
+        Ok(answer) => {
             core.feeds.borrow_mut().add_host(core.cfg.host.clone(), entry);
-            status.is_success() || status == StatusCode::CONFLICT
+            answer.status.is_success() || answer.status == StatusCode::CONFLICT
         }
         Err(e) => {
             log::warn!("event=host_not_registered reason={:?}", e.to_string());
@@ -190,9 +221,9 @@
     let abandoned = core.feeds.borrow().abandoned(now);
     for host in abandoned {
         core.feeds.borrow_mut().remove_host(&host);
-        let outcome = client.call(core.wire.remove_host(&host), REGISTRATION_TIMEOUT).await;
+        let outcome = client.call(core, core.wire.remove_host(&host), REGISTRATION_TIMEOUT).await;
         match outcome {
-            Ok((status, _)) => log::info!("event=host_removed host={host} status={status}"),
+            Ok(answer) => log::info!("event=host_removed host={host} status={}", answer.status),
             Err(e) => log::warn!("event=host_not_removed host={host} reason={:?}", e.to_string()),
         }
     }
@@ -201,12 +232,12 @@
 /// Makes one call to the store to find out whether this host can reach it.
 async fn probe_store(core: Rc<Core>) {
     let mut client = StoreClient::new(core.cfg.store);
-    let revision = core.mirror.revision(ObjectKind::Configuration).unwrap_or(0);
+    let revision = core.mirror.revision(ObjectKind::Configuration).unwrap_or_default();
     let request = core.wire.watch(ObjectKind::Configuration, revision, Duration::from_millis(1));
-    let answer = client.call(request, PROBE_TIMEOUT).await;
+    let answer = client.call(&core, request, PROBE_TIMEOUT).await;
     core.metrics.store_call("probe");
     // Status 410 also shows that the store serves this host; the watch that follows reads the content.
-    if answer.is_ok_and(|(status, _)| status.is_success() || status == StatusCode::GONE) {
+    if answer.is_ok_and(|answer| answer.status.is_success() || answer.status == StatusCode::GONE) {
         core.feeds.borrow_mut().reached_store(Instant::now());
     }
 }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -1,8 +1,8 @@
 //! Follows the store's objects: lists each kind, then watches it from the list's revision.
 //!
 //! Each kind has a task of its own, which is idle while this host receives updates from other hosts. A watch waits only
-//! for a short time, since an open connection may silently stop responding for good. After an outage of the store,
-//! missing registrations of servers may merely have expired: the servers stay in use for a while.
+//! for a short time, since an open connection may silently stop responding for good. After an outage of the store, or a
+//! restore from a copy, missing registrations of servers may merely have expired: the servers stay in use for a while.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use foxtailhoist_model::StoreRevision;
 use foxtailhoist_rollout::shift::Shift;
 use foxtailhoist_rollout::shift::ShiftOrder;
 use foxtailhoist_route::backends::RegistrationChange;
@@ -19,6 +20,7 @@
 
 use crate::clock::unix_ms;
 use crate::core::Core;
+use crate::core::SuspectReport;
 use crate::log_event::LogEvent;
 use crate::mirror::Frame;
 use crate::store::StoreClient;
@@ -48,6 +50,8 @@
 const MIN_RETRY_BACKOFF: Duration = Duration::from_millis(60);
 /// Maximum backoff after failed calls.
 const MAX_RETRY_BACKOFF: Duration = Duration::from_millis(900);
+/// Upper bound of the random delay before a kind is listed after a restore of the store.
+const RESTORED_LIST_SPREAD: Duration = Duration::from_millis(300);
 /// Time without a successful call after which the store counts as having been unavailable.
 const OUTAGE_THRESHOLD: Duration = Duration::from_millis(1_000);
 /// Time after the store's recovery within which live servers register again.
@@ -91,13 +95,31 @@
 pub(crate) fn apply_frame(core: &Rc<Core>, frame: Frame) {
     match frame {
         Frame::Whole { kind, records, revision, keep_for } => {
-            apply_snapshot(core, kind, records, revision, keep_for);
+            if is_current(core, kind, &records, revision) {
+                apply_snapshot(core, kind, records, revision, keep_for);
+            }
+        }
+        Frame::Changes { kind, records, revision } => {
+            if is_current(core, kind, &records, revision) {
+                apply_changes(core, kind, records, revision);
+            }
         }
-        Frame::Changes { kind, records, revision } => apply_changes(core, kind, records, revision),
         Frame::Beat { .. } => {}
     }
 }
 
+/// Whether a frame's sender knows of the last restore of the store; it may know of a later one than this host.
+fn is_current(core: &Core, kind: ObjectKind, records: &[Record], revision: StoreRevision) -> bool {
+    let era = revision.era;
+    core.note_store_era(era);
+    let is_current = era == core.store_era();
+    if !is_current {
+        let records = records.len();
+        core.log.write(&LogEvent::RecordsIgnored { kind, records, era });
+    }
+    is_current
+}
+
 async fn follow_while_watching(
     core: &Rc<Core>,
     client: &mut StoreClient,
@@ -107,11 +129,20 @@
     // State received from other hosts makes the first list unnecessary.
     let mut revision = core.mirror.revision(kind);
     loop {
-        let from = match revision.take() {
+        let era = core.store_era();
+        let known = core.mirror.revision(kind);
+        if core.mirror.is_behind(kind, era) {
+            let delay = RESTORED_LIST_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
+            tokio::time::sleep(delay).await;
+        }
+        let from = match revision.take().filter(|revision| revision.era == era) {
             Some(revision) => revision,
             None => match list(core, client, kind, health.keep_for(Instant::now())).await {
                 Ok(revision) => {
                     health.succeeded(core, kind);
+                    if known.is_some_and(|known| known.era < revision.era) {
+                        health.expired_until = Some(Instant::now() + RELIST_WINDOW);
+                    }
                     revision
                 }
                 Err(e) => {
@@ -130,26 +161,30 @@
     client: &mut StoreClient,
     kind: ObjectKind,
     health: &mut StoreHealth,
-    mut revision: u64,
+    mut revision: StoreRevision,
 ) {
-    loop {
+    while revision.era == core.store_era() {
         let wait = watch_wait(kind);
         let request = core.wire.watch(kind, revision, wait);
-        let call = client.call(request, wait + WATCH_MARGIN);
+        let call = client.call(core, request, wait + WATCH_MARGIN);
         let answer = tokio::select! {
             answer = call => answer,
             () = core.resumed.notified() => return,
+            () = core.store_restored.notified() => return,
             () = core.store_timed_out.notified() => continue,
         };
         if kind == ObjectKind::Configuration && matches!(answer, Err(StoreError::NoAnswer(_))) {
             // Other open connections to the store may have stopped responding, too.
             core.store_timed_out.notify_waiters();
         }
-        let page = answer.and_then(|(status, body)| match status {
+        let page = answer.and_then(|answer| match answer.status {
+            // After a restore, changes since the revision are not those that this host lacks.
+            _ if answer.era > revision.era => Ok(None),
             StatusCode::GONE => Ok(None),
             StatusCode::OK => {
-                let page = core.wire.decode_watch(kind, &body);
-                page.map(Some).map_err(|e| StoreError::Unreadable(e.0))
+                let page = core.wire.decode_watch(kind, answer.era, &answer.body);
+                page.map(|page| Some(page).filter(|page| page.revision >= revision))
+                    .map_err(|e| StoreError::Unreadable(e.0))
             }
             other => Err(StoreError::Status(other)),
         });
@@ -158,7 +193,7 @@
                 core.metrics.store_call("watch");
                 health.succeeded(core, kind);
                 mark_fresh(core, kind);
-                revision = page.revision.max(revision);
+                revision = page.revision;
                 let records = health.mark_expired(page.records, Instant::now());
                 let has_changes = !records.is_empty();
                 apply_changes(core, kind, records, revision);
@@ -167,7 +202,7 @@
                     tokio::time::sleep(batch_delay(kind)).await;
                 }
             }
-            // The store no longer has the history since the revision: list again.
+            // The store does not have the history since the revision: list again.
             Ok(None) => return,
             Err(e) => health.failed(core, kind, &e).await,
         }
@@ -181,72 +216,124 @@
     client: &mut StoreClient,
     kind: ObjectKind,
     keep_for: Option<Duration>,
-) -> Result<u64, StoreError> {
+) -> Result<StoreRevision, StoreError> {
     let mut after: Option<String> = None;
-    let mut revision = u64::MAX;
+    let mut revision: Option<StoreRevision> = None;
     let mut records = Vec::new();
     loop {
         let request = core.wire.list(kind, after.as_deref());
-        let page = match client.call(request, LIST_TIMEOUT).await? {
-            (StatusCode::OK, body) => {
-                core.wire.decode_list(kind, &body).map_err(|e| StoreError::Unreadable(e.0))?
+        let answer = client.call(core, request, LIST_TIMEOUT).await?;
+        let page = match answer.status {
+            StatusCode::OK => {
+                let page = core.wire.decode_list(kind, answer.era, &answer.body);
+                page.map_err(|e| StoreError::Unreadable(e.0))?
             }
             // No object of the kind has been created yet.
-            (StatusCode::NOT_FOUND, _) => Page::default(),
-            (status, _) => return Err(StoreError::Status(status)),
+            StatusCode::NOT_FOUND => {
+                Page { revision: StoreRevision { era: answer.era, number: 0 }, ..Page::default() }
+            }
+            status => return Err(StoreError::Status(status)),
         };
         core.metrics.store_call("list");
-        revision = revision.min(page.revision);
+        if revision.is_some_and(|revision| revision.era < page.revision.era) {
+            return Err(StoreError::EarlierEra);
+        }
+        revision = Some(revision.map_or(page.revision, |revision| revision.min(page.revision)));
         records.extend(page.records);
         match page.next {
             Some(next) => after = Some(next),
             None => break,
         }
     }
+    let revision = revision.unwrap_or_default();
+    if kind == ObjectKind::Suspects && core.mirror.is_behind(kind, revision.era) {
+        put_back_suspects(core, &records);
+    }
     mark_fresh(core, kind);
     apply_snapshot(core, kind, records, revision, keep_for);
     Ok(revision)
 }
 
-/// Applies a complete list of a kind; known objects that it lacks are treated as deleted.
+/// Applies a complete list of a kind; known objects that it lacks are treated as deleted. What a restored store lacks
+/// may be put back.
 fn apply_snapshot(
     core: &Rc<Core>,
     kind: ObjectKind,
     records: Vec<Record>,
-    revision: u64,
+    revision: StoreRevision,
     keep_for: Option<Duration>,
 ) {
+    let is_restored = core.mirror.is_behind(kind, revision.era);
+    let keep_for = if is_restored { Some(RELIST_WINDOW) } else { keep_for };
+    if is_restored && kind == ObjectKind::Servers {
+        let mut dispatcher = core.dispatcher.borrow_mut();
+        dispatcher.backends_mut().extend_missing(Instant::now() + RELIST_WINDOW);
+    }
     let names: BTreeSet<String> = records.iter().map(|record| record.name.clone()).collect();
     let missing = core.mirror.missing(kind, &names, revision);
     let deleted = missing.into_iter().map(|name| Record {
         name,
         revision,
-        content: Content::Deleted { keep_for },
+        content: Content::Deleted { keep_for, started_ms: None },
     });
-    apply_changes(core, kind, records.into_iter().chain(deleted).collect(), revision);
-    if !core.is_listed(kind) {
+    let records = records.into_iter().chain(deleted).collect();
+    let updates = update(core, kind, records, revision);
+    // A subscriber counts a kind as listed, and learns what a restored store lacks, only from a snapshot.
+    if is_restored || !core.is_listed(kind) {
         core.set_listed(kind);
-        // A subscriber counts a kind as listed only after a snapshot, not after changes.
         core.mirror.publish(&core.mirror.snapshot(kind, keep_for));
+    } else if !updates.is_empty() {
+        core.mirror.publish(&Frame::Changes { kind, records: updates, revision });
     }
 }
 
-/// Applies changes in order and forwards those that are new; of several changes of one object only the last is applied.
-fn apply_changes(core: &Rc<Core>, kind: ObjectKind, records: Vec<Record>, revision: u64) {
-    let last: BTreeMap<String, u64> =
+/// Applies changes in order and forwards those that are new.
+fn apply_changes(core: &Rc<Core>, kind: ObjectKind, records: Vec<Record>, revision: StoreRevision) {
+    let updates = update(core, kind, records, revision);
+    if !updates.is_empty() {
+        core.mirror.publish(&Frame::Changes { kind, records: updates, revision });
+    }
+}
+
+/// Applies records in order and returns those that are new; of several records of one object only the last is applied.
+fn update(
+    core: &Rc<Core>,
+    kind: ObjectKind,
+    records: Vec<Record>,
+    revision: StoreRevision,
+) -> Vec<Record> {
+    let last: BTreeMap<String, StoreRevision> =
         records.iter().map(|record| (record.name.clone(), record.revision)).collect();
     let updates: Vec<Record> = records
         .into_iter()
         .filter(|record| last.get(&record.name) == Some(&record.revision))
-        .filter(|record| core.mirror.update(kind, record))
+        .filter_map(|record| core.mirror.update(kind, record))
         .collect();
     for record in &updates {
         apply_record(core, kind, record.clone());
     }
     core.mirror.set_revision(kind, revision);
-    if !updates.is_empty() {
-        core.mirror.publish(&Frame::Changes { kind, records: updates, revision });
+    updates
+}
+
+/// Reports again the suspects, and the deaths, that a restored store lacks.
+fn put_back_suspects(core: &Core, restored: &[Record]) {
+    let restored: BTreeMap<&str, u32> = restored
+        .iter()
+        .filter_map(|record| match record.content {
+            Content::Suspect { deaths, .. } => Some((record.name.as_str(), deaths)),
+            _ => None,
+        })
+        .collect();
+    for record in core.mirror.live_records(ObjectKind::Suspects) {
+        let Content::Suspect { content, deaths } = record.content else {
+            continue;
+        };
+        if restored.get(record.name.as_str()).is_none_or(|restored| *restored < deaths) {
+            core.suspects.borrow_mut().push(SuspectReport { content, deaths, is_known: true });
+        }
     }
+    core.suspects_changed.notify_one();
 }
 
 /// Records that the state is current. Only the configuration counts, since its watches wait the shortest time.
@@ -292,7 +379,7 @@
             core.log.write(&LogEvent::Suspect { content, deaths });
         }
         Content::Host(entry) => core.feeds.borrow_mut().add_host(name, entry),
-        Content::Deleted { keep_for } => apply_deletion(core, kind, &name, keep_for, now),
+        Content::Deleted { keep_for, .. } => apply_deletion(core, kind, &name, keep_for, now),
         Content::Unreadable(reason) => {
             let reason = &reason;
             core.log.write(&LogEvent::Unreadable { kind, name: &name, reason });
@@ -307,8 +394,20 @@
     let phase = order.phase;
     match shifts.get_mut(&order.service) {
         Some(shift) if shift.is_same_order(&order) => shift.update(order),
-        _ => {
-            shifts.insert(service.clone(), Shift::new(order, now, unix_ms()));
+        known => {
+            let is_restored = known.is_some_and(|shift| shift.is_restored(&order));
+            // The operator may write the order again that the restored store lacks.
+            let mut suspended = core.suspended_shifts.borrow_mut();
+            let shift = match suspended.remove(&service) {
+                Some(mut shift) if shift.is_restored(&order) && shift.is_same_order(&order) => {
+                    shift.update(order);
+                    shift
+                }
+                _ => Shift::new(order, now, unix_ms()),
+            };
+            if let Some(known) = shifts.insert(service.clone(), shift).filter(|_| is_restored) {
+                suspended.insert(service.clone(), known);
+            }
         }
     }
     drop(shifts);
@@ -386,7 +485,7 @@
     fn mark_expired(&self, mut records: Vec<Record>, now: Instant) -> Vec<Record> {
         let left = self.keep_for(now);
         for record in &mut records {
-            if let Content::Deleted { keep_for } = &mut record.content {
+            if let Content::Deleted { keep_for, .. } = &mut record.content {
                 *keep_for = left;
             }
         }
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use foxtailhoist_model::Refusal;
+use foxtailhoist_model::StoreEra;
 use foxtailhoist_model::stable_hash;
 use foxtailhoist_rollout::shift::ShiftPhase;
 use foxtailhoist_route::backends::RegistrationChange;
@@ -57,6 +58,17 @@
         kind: ObjectKind,
         away: Duration,
     },
+    /// The store was restored from a copy; `known` is 0 if no era was known.
+    StoreEra {
+        known: StoreEra,
+        era: StoreEra,
+    },
+    /// Records from before a restore of the store were ignored.
+    RecordsIgnored {
+        kind: ObjectKind,
+        records: usize,
+        era: StoreEra,
+    },
     Unreadable {
         kind: ObjectKind,
         name: &'a str,
@@ -232,6 +244,12 @@
             LogEvent::StoreRegained { kind, away } => {
                 write!(f, "event=store_regained kind={kind:?} away_ms={}", away.as_millis())
             }
+            LogEvent::StoreEra { known, era } => {
+                write!(f, "event=store_era known={known} era={era}")
+            }
+            LogEvent::RecordsIgnored { kind, records, era } => {
+                write!(f, "event=records_ignored kind={kind:?} records={records} era={era}")
+            }
             LogEvent::Unreadable { kind, name, reason } => {
                 write!(f, "event=object_unreadable kind={kind:?} name={name:?} reason={reason:?}")
             }
--- a/crates/relay/src/wire.rs
+++ b/crates/relay/src/wire.rs
@@ -9,6 +9,8 @@
 use foxtailhoist_model::EntryHostId;
 use foxtailhoist_model::Fingerprint;
 use foxtailhoist_model::Refusal;
+use foxtailhoist_model::StoreEra;
+use foxtailhoist_model::StoreRevision;
 use foxtailhoist_peers::feeds::HostEntry;
 use foxtailhoist_rollout::shift::ShiftOrder;
 use foxtailhoist_rollout::shift::ShiftReport;
@@ -55,7 +57,7 @@
 pub struct Record {
     pub name: String,
     /// Revision of the object's last change; for a deleted object, revision of the page that shows the deletion.
-    pub revision: u64,
+    pub revision: StoreRevision,
     pub content: Content,
 }
 
@@ -74,6 +76,8 @@
     /// for that time.
     Deleted {
         keep_for: Option<Duration>,
+        /// Start of the server that it registered, in Unix milliseconds, if known.
+        started_ms: Option<u64>,
     },
     /// The object cannot be decoded, for example because another writer stored it in another format, and is ignored.
     /// Holds the reason.
@@ -85,7 +89,7 @@
 pub struct Page {
     pub records: Vec<Record>,
     /// Store revision from which to watch.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Name after which the list continues, if it does.
     pub next: Option<String>,
 }
@@ -126,21 +130,29 @@
     fn list(&self, kind: ObjectKind, after: Option<&str>) -> Request<Bytes>;
 
     /// Builds a call that waits for changes of a kind after a revision.
-    fn watch(&self, kind: ObjectKind, revision: u64, wait: Duration) -> Request<Bytes>;
+    fn watch(&self, kind: ObjectKind, revision: StoreRevision, wait: Duration) -> Request<Bytes>;
 
-    /// Decodes the answer to [`Wire::list`].
+    /// Decodes the store's era from the headers of any of its answers; `None` if it is not stated.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the era is not a number.
+    fn decode_era(&self, headers: &HeaderMap) -> Result<Option<StoreEra>, Malformed>;
+
+    /// Decodes the answer to [`Wire::list`], given in an era.
     ///
     /// # Errors
     ///
     /// Fails if the answer as a whole cannot be decoded; a single object that cannot becomes [`Content::Unreadable`].
-    fn decode_list(&self, kind: ObjectKind, body: &[u8]) -> Result<Page, Malformed>;
+    fn decode_list(&self, kind: ObjectKind, era: StoreEra, body: &[u8]) -> Result<Page, Malformed>;
 
-    /// Decodes the answer to [`Wire::watch`].
+    /// Decodes the answer to [`Wire::watch`], given in an era.
     ///
     /// # Errors
     ///
     /// Fails in the same cases as [`Wire::decode_list`].
-    fn decode_watch(&self, kind: ObjectKind, body: &[u8]) -> Result<Page, Malformed>;
+    fn decode_watch(&self, kind: ObjectKind, era: StoreEra, body: &[u8])
+    -> Result<Page, Malformed>;
 
     /// Builds a call that reports on a shift, conditional on the order's object being unchanged.
     fn report_shift(&self, report: &ShiftReport) -> Request<Bytes>;
--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -11,6 +11,7 @@
 
 use foxtailhoist_model::BackendServerId;
 use foxtailhoist_model::ServiceId;
+use foxtailhoist_model::StoreRevision;
 use foxtailhoist_model::VersionId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -36,8 +37,8 @@
 /// Upper bound of the old version's share of bad answers that the target is compared with.
 const MAX_REFERENCE_SHARE: f64 = 0.5;
 
-/// Phase of an ordered shift in the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Phase of an ordered shift in the store, in the order in which one may replace another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum ShiftPhase {
     InProgress,
     Completed,
@@ -56,7 +57,7 @@
     /// Start in Unix milliseconds, set by the first report.
     pub started_ms: Option<u64>,
     /// Revision of the order's object in the store; reports are conditional on it.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// Report to write on condition that the order's object is unchanged.
@@ -66,7 +67,7 @@
     pub target: VersionId,
     pub phase: ShiftPhase,
     pub started_ms: u64,
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// Versions that may take new work at a point of the schedule.
@@ -84,6 +85,8 @@
 #[derive(Debug)]
 pub struct Shift {
     order: ShiftOrder,
+    /// Phase that the store's object states; after a restore of the store, earlier than that of `order`.
+    stored: Option<ShiftPhase>,
     started: Instant,
     target: OutcomeCount,
     others: OutcomeCount,
@@ -100,6 +103,7 @@
         let elapsed = Duration::from_millis(elapsed_ms).min(order.duration);
         Shift {
             started: now.checked_sub(elapsed).unwrap_or(now),
+            stored: order.phase,
             order,
             target: OutcomeCount::default(),
             others: OutcomeCount::default(),
@@ -114,19 +118,26 @@
         &self.order
     }
 
-    /// Applies a store update of the order's object.
+    /// Applies a store update of the order's object. The phase never goes back, even if that in the store does.
     pub fn update(&mut self, order: ShiftOrder) {
-        self.order = order;
+        self.stored = order.phase;
+        let phase = self.order.phase.max(order.phase);
+        let started_ms = self.order.started_ms.or(order.started_ms);
+        self.order = ShiftOrder { phase, started_ms, ..order };
     }
 
     /// Whether `order` is this order at a later revision rather than a new order.
     #[must_use]
     pub fn is_same_order(&self, order: &ShiftOrder) -> bool {
-        let ended =
-            matches!(self.order.phase, Some(ShiftPhase::Completed | ShiftPhase::RolledBack));
-        self.order.target == order.target
-            && self.order.duration == order.duration
-            && !(ended && order.phase.is_none())
+        let ended = matches!(self.stored, Some(ShiftPhase::Completed | ShiftPhase::RolledBack));
+        let is_repeated = ended && order.phase.is_none() && !self.is_restored(order);
+        self.order.target == order.target && self.order.duration == order.duration && !is_repeated
+    }
+
+    /// Whether the store was restored from a copy since the last update, so that `order` may lack what was reported.
+    #[must_use]
+    pub fn is_restored(&self, order: &ShiftOrder) -> bool {
+        order.revision.era > self.order.revision.era
     }
 
     /// Counts an answer from one of the service's servers.
@@ -174,10 +185,11 @@
     #[must_use]
     pub fn due_report(&self, has_target: bool, now: Instant, now_ms: u64) -> Option<ShiftReport> {
         let phase = match self.order.phase {
-            Some(ShiftPhase::Completed | ShiftPhase::RolledBack) => return None,
+            _ if self.stored > Some(ShiftPhase::InProgress) => return None,
+            Some(ended @ (ShiftPhase::Completed | ShiftPhase::RolledBack)) => ended,
             _ if self.is_withdrawn => ShiftPhase::RolledBack,
-            None => ShiftPhase::InProgress,
-            Some(ShiftPhase::InProgress) => {
+            _ if self.stored.is_none() => ShiftPhase::InProgress,
+            None | Some(ShiftPhase::InProgress) => {
                 if self.elapsed_fraction(now) < COMPLETION_FRACTION || !has_target {
                     return None;
                 }
--- a/crates/rollout/tests/shift.rs
+++ b/crates/rollout/tests/shift.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use foxtailhoist_model::StoreRevision;
 use foxtailhoist_rollout::shift::Shift;
 use foxtailhoist_rollout::shift::ShiftOrder;
 use foxtailhoist_rollout::shift::ShiftPhase;
@@ -37,18 +38,21 @@
     let start = Instant::now();
     let mut shift = Shift::new(order(20), start, NOW_MS);
     let first = shift.due_report(true, start, NOW_MS).expect("due at once");
-    assert_eq!((first.phase, first.revision), (ShiftPhase::InProgress, 5));
+    assert_eq!((first.phase, first.revision), (ShiftPhase::InProgress, revision(5)));
     shift.update(ShiftOrder {
         phase: Some(ShiftPhase::InProgress),
         started_ms: Some(NOW_MS),
-        revision: 6,
+        revision: revision(6),
         ..order(20)
     });
     let half = start + Duration::from_secs(10);
     assert_eq!(shift.due_report(true, half, NOW_MS + 10_000), None);
     let late = start + Duration::from_secs(18);
     let done = shift.due_report(true, late, NOW_MS + 18_000).expect("due");
-    assert_eq!((done.phase, done.revision, done.started_ms), (ShiftPhase::Completed, 6, NOW_MS));
+    assert_eq!(
+        (done.phase, done.revision, done.started_ms),
+        (ShiftPhase::Completed, revision(6), NOW_MS)
+    );
     // Without servers of the target version, completion must not be reported: the old servers must keep running.
     assert_eq!(shift.due_report(false, late, NOW_MS + 18_000), None);
 }
@@ -116,6 +120,10 @@
     assert!(!shift.is_same_order(&ShiftOrder { target: "v3".to_owned(), ..order(20) }));
 }
 
+fn revision(number: u64) -> StoreRevision {
+    StoreRevision { era: 0, number }
+}
+
 fn order(seconds: u64) -> ShiftOrder {
     ShiftOrder {
         service: "llm".to_owned(),
@@ -123,6 +131,6 @@
         duration: Duration::from_secs(seconds),
         phase: None,
         started_ms: None,
-        revision: 5,
+        revision: revision(5),
     }
 }
--- a/crates/route/src/backends/mod.rs
+++ b/crates/route/src/backends/mod.rs
@@ -179,6 +179,13 @@
         }
     }
 
+    /// Extends the deadlines of all missing registrations after the store was restored.
+    pub fn extend_missing(&mut self, until: Instant) {
+        for server in self.servers.values_mut() {
+            server.missing_until = server.missing_until.map(|known| known.max(until));
+        }
+    }
+
     /// Removes and returns the servers whose registration is still missing at its deadline.
     pub fn expire_missing(&mut self, now: Instant) -> Vec<BackendServerId> {
         let is_due = |server: &Server| server.missing_until.is_some_and(|until| until <= now);
