Shift: a verdict on the target

The schedule needs to know whether too little is known about a version, or that it is as good as the others. Shift::verdict tells, from the counts that the shift has; nothing reads it yet.

--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -36,6 +36,11 @@
 /// Upper bound of the old version's share of bad answers that the target is compared with.
 const MAX_REFERENCE_SHARE: f64 = 0.5;
 
+/// Fewest answers from which on the target can be found good.
+const MIN_GOOD_ANSWERS: u64 = 20;
+/// Excess of the target's share of bad answers over the other versions' share that a good version may have.
+const GOOD_TOLERANCE: f64 = 0.05;
+
 /// Phase of an ordered shift in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ShiftPhase {
@@ -80,6 +85,17 @@
     Except(VersionId),
 }
 
+/// What the answers so far tell about the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Too few answers.
+    Unknown,
+    /// No worse than the other versions, within the tolerance.
+    Good,
+    /// Worse than the other versions.
+    Bad,
+}
+
 /// Progress of one ordered shift on this host.
 #[derive(Debug)]
 pub struct Shift {
@@ -137,9 +153,8 @@
             return;
         }
         self.target = self.target.plus(count);
-        let (answers, bad) = REFERENCE_PRIOR;
-        let reference = (self.others.bad as f64 + bad) / (self.others.total as f64 + answers);
-        self.test.add(count, reference.min(MAX_REFERENCE_SHARE));
+        let reference = self.reference_share();
+        self.test.add(count, reference);
         if is_bad {
             self.bad_servers.insert(server.clone());
         }
@@ -150,6 +165,24 @@
         }
     }
 
+    #[must_use]
+    pub fn is_withdrawn(&self) -> bool {
+        self.is_withdrawn
+    }
+
+    #[must_use]
+    pub fn verdict(&self) -> Verdict {
+        if self.is_withdrawn {
+            return Verdict::Bad;
+        }
+        let answers = self.target.total as f64;
+        let tolerated = self.reference_share() + GOOD_TOLERANCE;
+        if self.target.total >= MIN_GOOD_ANSWERS && self.target.bad as f64 <= tolerated * answers {
+            return Verdict::Good;
+        }
+        Verdict::Unknown
+    }
+
     /// Which versions may take new work.
     #[must_use]
     pub fn rule(&self, now: Instant) -> ShiftRule {
@@ -201,6 +234,13 @@
         (self.target, self.others)
     }
 
+    /// Share of bad answers that the target is compared with.
+    fn reference_share(&self) -> f64 {
+        let (answers, bad) = REFERENCE_PRIOR;
+        let share = (self.others.bad as f64 + bad) / (self.others.total as f64 + answers);
+        share.min(MAX_REFERENCE_SHARE)
+    }
+
     fn elapsed_fraction(&self, now: Instant) -> f64 {
         let elapsed = now.saturating_duration_since(self.started).as_secs_f64();
         elapsed / self.order.duration.as_secs_f64().max(0.001)
