Versions: a withdrawn or unordered version gets no attempt

Callers' retries and resumed streams went to a bad version seconds after its withdrawal. A request kept the versions that it was admitted with until none of their servers was left, and a rule named one version only: an order for a third version freed a withdrawn one whose servers were still registered, and servers known before their order got requests at once.

The dispatcher now keeps the versions in use and the withdrawn ones of each service and asks for each attempt anew. A version in use stays so until it is withdrawn or replaced, or until none of its servers accepts work.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -218,13 +218,7 @@
                 ShiftRule::Share { target, share, is_trial } => {
                     VersionRule::Shift { target, share, is_trial }
                 }
-                ShiftRule::Only(target) => {
-                    if dispatcher.backends().has_version(service, &target) {
-                        VersionRule::Only(target)
-                    } else {
-                        VersionRule::Any
-                    }
-                }
+                ShiftRule::Only(target) => VersionRule::Only(target),
                 ShiftRule::Except(target) => VersionRule::Except(target),
             };
             dispatcher.set_version_rule(service.clone(), rule);
--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -79,7 +79,7 @@
 pub enum ShiftRule {
     /// The target takes a share of the sessions; during the trial, existing sessions stay where they are.
     Share { target: VersionId, share: f64, is_trial: bool },
-    /// Only the target.
+    /// Only the target, which replaced all others.
     Only(VersionId),
     /// Any version but the target.
     Except(VersionId),
@@ -198,7 +198,6 @@
         let elapsed_fraction = self.elapsed_fraction(now);
         match STEPS.iter().rev().find(|(start, _)| elapsed_fraction >= *start) {
             None => ShiftRule::Share { target, share: TRIAL_SHARE, is_trial: true },
-            Some((_, share)) if *share >= 1.0 => ShiftRule::Only(target),
             Some((_, share)) => ShiftRule::Share { target, share: *share, is_trial: false },
         }
     }
--- a/crates/route/src/backends/choose.rs
+++ b/crates/route/src/backends/choose.rs
@@ -6,6 +6,7 @@
 //! that the hosts of a data centre agree without communication. A queue at that server outweighs the cache hit, which
 //! bounds its load (Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded Loads", 2018).
 
+use std::collections::BTreeSet;
 use std::time::Instant;
 
 use foxtailhoist_model::BackendServerId;
@@ -57,8 +58,8 @@
 pub(crate) enum VersionFilter {
     #[default]
     Any,
-    Only(VersionId),
-    Except(VersionId),
+    OneOf(BTreeSet<VersionId>),
+    Except(BTreeSet<VersionId>),
 }
 
 /// The chosen server and the estimate for the request there.
@@ -173,8 +174,8 @@
     pub(crate) fn allows(&self, version: &str) -> bool {
         match self {
             VersionFilter::Any => true,
-            VersionFilter::Only(only) => version == only,
-            VersionFilter::Except(except) => version != except,
+            VersionFilter::OneOf(versions) => versions.contains(version),
+            VersionFilter::Except(versions) => !versions.contains(version),
         }
     }
 }
--- a/crates/route/src/backends/mod.rs
+++ b/crates/route/src/backends/mod.rs
@@ -208,6 +208,12 @@
             .any(|server| server.accepts_new_work() && server.registration.version == version)
     }
 
+    /// Versions of the service whose servers accept new work.
+    pub(crate) fn live_versions(&self, service: &str) -> BTreeSet<&VersionId> {
+        let live = self.members(service).filter(|server| server.accepts_new_work());
+        live.map(|server| &server.registration.version).collect()
+    }
+
     /// Last activity of the attempt's server in any answer.
     #[must_use]
     pub fn last_activity(&self, attempt: &Attempt) -> Option<Instant> {
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -48,6 +48,8 @@
 use crate::routes::Identity;
 use crate::routes::RoutingTable;
 use crate::stream_time::StreamTime;
+use crate::version_rule::ServiceVersions;
+use crate::version_rule::VersionRequest;
 use crate::version_rule::VersionRule;
 
 /// Timeout for a caller without a deadline on a route without a timeout.
@@ -99,7 +101,7 @@
     table: Option<Arc<RoutingTable>>,
     backends: Backends,
     retries: RetryWindows,
-    version_rules: BTreeMap<ServiceId, VersionRule>,
+    versions: BTreeMap<ServiceId, ServiceVersions>,
     latency_pressures: BTreeMap<ServiceId, LatencyPressure>,
     stream_times: BTreeMap<ServiceId, StreamTime>,
     queue_delays: BTreeMap<QueueDelayKey, QueueDelay>,
@@ -166,7 +168,7 @@
             retries: RetryWindows::new(cfg.retries),
             cfg,
             table: None,
-            version_rules: BTreeMap::new(),
+            versions: BTreeMap::new(),
             latency_pressures: BTreeMap::new(),
             stream_times: BTreeMap::new(),
             queue_delays: BTreeMap::new(),
@@ -221,7 +223,8 @@
 
     /// Sets which versions of a service accept new work.
     pub fn set_version_rule(&mut self, service: ServiceId, rule: VersionRule) {
-        self.version_rules.insert(service, rule);
+        let live = self.backends.live_versions(&service);
+        self.versions.entry(service).or_default().set_rule(rule, &live);
     }
 
     /// Records another host's report that a server died while it ran the content.
@@ -288,8 +291,6 @@
         if self.ends_at.is_some_and(|ends_at| ends_at < expected_end) {
             return Err(refusal(ErrorKind::Stopping, Some(RETRY_AFTER_MIN)));
         }
-        let rule = self.version_rules.get(&service).unwrap_or(&VersionRule::Any);
-        let versions = rule.filter(arrival.session, request_hash);
         let req = InFlightRequest {
             id: arrival.id,
             route: route.clone(),
@@ -304,7 +305,7 @@
             attempts: 0,
             requested_model: arrival.model,
             model_index: 0,
-            versions,
+            version: None,
             session: arrival.session,
             request_hash,
             fingerprint: arrival.fingerprint,
@@ -359,6 +360,7 @@
         req.last_unreachable = None;
         self.first_event_wait_started(req, attempt, now);
         req.attempts += 1;
+        req.version = Some(attempt.version.clone());
         req.tried_servers.push(attempt.server.clone());
     }
 
@@ -540,36 +542,33 @@
         HeadVerdict::Deliver
     }
 
-    fn choose(&self, req: &mut InFlightRequest, now: Instant) -> Result<Choice, NoServer> {
-        if req.versions == VersionFilter::Any {
-            // A traffic shift may have started since the request was admitted.
-            req.versions = self.allowed_versions(req);
-        }
-        match self.choose_allowed(req, now) {
-            Err(NoServer::Unserved) => {
-                // The allowed versions have no server left: apply the current rule, or allow any version if that rule
-                // requires the same one.
-                let current = self.allowed_versions(req);
-                let is_target_unavailable =
-                    current == req.versions && matches!(current, VersionFilter::Only(_));
-                req.versions = if is_target_unavailable { VersionFilter::Any } else { current };
-                self.choose_allowed(req, now)
+    fn choose(&mut self, req: &InFlightRequest, now: Instant) -> Result<Choice, NoServer> {
+        let versions = self.versions.entry(req.service.clone()).or_default();
+        versions.update_in_use(&self.backends.live_versions(&req.service));
+        let filters = versions.filters(&VersionRequest {
+            session: req.session,
+            request_hash: req.request_hash,
+            previous: req.version.as_ref(),
+        });
+        for filter in &filters {
+            match self.choose_allowed(req, filter, now) {
+                Err(NoServer::Unserved) => {}
+                other => return other,
             }
-            other => other,
         }
+        Err(NoServer::Unserved)
     }
 
-    /// Versions that the current rule allows for the request.
-    fn allowed_versions(&self, req: &InFlightRequest) -> VersionFilter {
-        let rule = self.version_rules.get(&req.service).unwrap_or(&VersionRule::Any);
-        rule.filter(req.session, req.request_hash)
-    }
-
-    fn choose_allowed(&self, req: &InFlightRequest, now: Instant) -> Result<Choice, NoServer> {
+    fn choose_allowed(
+        &self,
+        req: &InFlightRequest,
+        versions: &VersionFilter,
+        now: Instant,
+    ) -> Result<Choice, NoServer> {
         let model = req.model().cloned();
         let query = Query {
             service: &req.service,
-            versions: &req.versions,
+            versions,
             model: model.as_deref(),
             parts: &req.parts,
             prompt_tokens: req.prompt_tokens,
--- a/crates/route/src/in_flight.rs
+++ b/crates/route/src/in_flight.rs
@@ -11,7 +11,6 @@
 use foxtailhoist_model::VersionId;
 
 use crate::backends::Generation;
-use crate::backends::choose::VersionFilter;
 use crate::routes::Route;
 use crate::routes::Workspace;
 
@@ -140,9 +139,8 @@
     pub(crate) requested_model: Option<ModelId>,
     /// Index into the route's models.
     pub(crate) model_index: usize,
-    /// Versions that the request may run on. A restriction is kept, so that the request stays on its version, until
-    /// these versions have no server left.
-    pub(crate) versions: VersionFilter,
+    /// Version of the last attempt that was sent.
+    pub(crate) version: Option<VersionId>,
     pub(crate) session: Option<u64>,
     /// Uniformly distributed hash of the request id; replaces the session hash where there is none.
     pub(crate) request_hash: u64,
--- a/crates/route/src/version_rule.rs
+++ b/crates/route/src/version_rule.rs
@@ -4,6 +4,11 @@
 //! All hosts agree on that without communication, and a growing share moves each session once. During the trial phase
 //! of a shift, sessions stay on the old version and only requests without a session take part: several hosts serve a
 //! session at once, so no host knows whether a session is new.
+//!
+//! Servers and orders are read from the store separately, so servers of a version may be known before its order. They
+//! get no work while a version in use has servers.
+
+use std::collections::BTreeSet;
 
 use foxtailhoist_model::VersionId;
 use foxtailhoist_model::stable_hash;
@@ -16,38 +21,123 @@
 /// Versions of one service that take new work.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub enum VersionRule {
+    /// All versions in use.
     #[default]
     Any,
-    /// All but this one, which is withdrawn or has no roll-out yet.
+    /// All but this one, which is withdrawn.
     Except(VersionId),
-    /// Only this one.
+    /// Only this one, which replaced all others.
     Only(VersionId),
     /// A share of the requests goes to a new version.
     Shift {
         target: VersionId,
         /// Fraction of the requests, from 0 to 1.
         share: f64,
-        /// Sessions stay on the old version.
+        /// Sessions and retries stay on the old version.
         is_trial: bool,
     },
 }
 
-impl VersionRule {
-    /// Versions that a request may run on; `request_hash`, uniformly distributed, replaces the session where there is
-    /// none.
-    pub(crate) fn filter(&self, session: Option<u64>, request_hash: u64) -> VersionFilter {
-        match self {
-            VersionRule::Any => VersionFilter::Any,
-            VersionRule::Except(version) => VersionFilter::Except(version.clone()),
-            VersionRule::Only(version) => VersionFilter::Only(version.clone()),
-            VersionRule::Shift { target, share, is_trial } => {
-                let stays = *is_trial && session.is_some();
-                if !stays && hash_fraction(target, session.unwrap_or(request_hash)) < *share {
-                    VersionFilter::Only(target.clone())
-                } else {
-                    VersionFilter::Except(target.clone())
-                }
+/// What decides the version of a request's next attempt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct VersionRequest<'a> {
+    pub(crate) session: Option<u64>,
+    /// Uniformly distributed; replaces the session where there is none.
+    pub(crate) request_hash: u64,
+    /// Version of the previous attempt.
+    pub(crate) previous: Option<&'a VersionId>,
+}
+
+/// Versions of one service, as known from servers and orders.
+#[derive(Debug, Default)]
+pub(crate) struct ServiceVersions {
+    rule: VersionRule,
+    /// Versions that take work without an order.
+    in_use: BTreeSet<VersionId>,
+    /// Versions that get no work until there is a new order for them.
+    withdrawn: BTreeSet<VersionId>,
+}
+
+impl ServiceVersions {
+    /// Applies a rule; `live` are the versions whose servers accept work.
+    pub(crate) fn set_rule(&mut self, rule: VersionRule, live: &BTreeSet<&VersionId>) {
+        if self.rule == rule {
+            return;
+        }
+        match &rule {
+            VersionRule::Any => {}
+            VersionRule::Except(version) => {
+                self.withdrawn.insert(version.clone());
+            }
+            VersionRule::Only(version) => {
+                self.withdrawn.remove(version);
+                self.withdrawn.extend(self.in_use.iter().filter(|old| *old != version).cloned());
+                self.in_use = BTreeSet::from([version.clone()]);
+            }
+            VersionRule::Shift { target, .. } => {
+                self.withdrawn.remove(target);
+            }
+        }
+        self.rule = rule;
+        self.update_in_use(live);
+    }
+
+    /// Drops versions on trial and withdrawn ones from the versions in use. If none of these has servers that accept
+    /// work, the live versions without an order replace them.
+    pub(crate) fn update_in_use(&mut self, live: &BTreeSet<&VersionId>) {
+        let target = self.target().cloned();
+        self.in_use.retain(|version| {
+            !self.withdrawn.contains(version) && Some(version) != target.as_ref()
+        });
+        if !live.iter().any(|version| self.in_use.contains(*version)) {
+            let unordered = live
+                .iter()
+                .copied()
+                .filter(|version| !self.withdrawn.contains(*version))
+                .filter(|version| Some(*version) != target.as_ref());
+            let unordered: BTreeSet<VersionId> = unordered.cloned().collect();
+            if !unordered.is_empty() {
+                self.in_use = unordered;
+            }
+        }
+    }
+
+    /// Versions that the next attempt may run on, in order of preference: the next filter applies if no server of the
+    /// previous one's versions accepts work.
+    pub(crate) fn filters(&self, request: &VersionRequest<'_>) -> Vec<VersionFilter> {
+        let in_use = VersionFilter::OneOf(self.in_use.clone());
+        let any = VersionFilter::Except(self.withdrawn.clone());
+        match self.target_for(request) {
+            Some(target) => {
+                vec![VersionFilter::OneOf(BTreeSet::from([target.clone()])), in_use, any]
             }
+            None => vec![in_use, any],
+        }
+    }
+
+    /// The shift's target, if the next attempt belongs there.
+    fn target_for(&self, request: &VersionRequest<'_>) -> Option<&VersionId> {
+        let VersionRule::Shift { target, share, is_trial } = &self.rule else {
+            return None;
+        };
+        if *is_trial && (request.session.is_some() || request.previous.is_some()) {
+            return None;
+        }
+        if let Some(previous) = request.previous
+            && self.in_use.contains(previous)
+            && *share < 1.0
+        {
+            return None;
+        }
+        let stays = request.previous == Some(target);
+        let hash = request.session.unwrap_or(request.request_hash);
+        (stays || hash_fraction(target, hash) < *share).then_some(target)
+    }
+
+    fn target(&self) -> Option<&VersionId> {
+        match &self.rule {
+            VersionRule::Shift { target, .. } => Some(target),
+            VersionRule::Any | VersionRule::Except(_) | VersionRule::Only(_) => None,
         }
     }
 }
--- /dev/null
+++ b/crates/route/tests/versions.rs
@@ -0,0 +1,131 @@
+//! Versions that attempts run on during, after and between traffic shifts.
+
+mod fleet;
+
+use foxtailhoist_route::in_flight::AttemptOutcome;
+use foxtailhoist_route::in_flight::InFlightRequest;
+use foxtailhoist_route::version_rule::VersionRule;
+
+use fleet::Harness;
+use fleet::LOCAL_DC;
+use fleet::harness;
+use fleet::registration;
+
+// Guards against retries that follow a withdrawn version because their request was admitted on it.
+#[test]
+fn a_request_in_flight_leaves_a_withdrawn_version() {
+    let mut harness = harness();
+    register(&mut harness, "new", "v2");
+    set_rule(&mut harness, shift("v2", 1.0));
+    let mut req = harness.admitted("/chat/1");
+    let first = harness.send(&mut req);
+    assert_eq!(first.version, "v2");
+    req.record_forwarded_event(3);
+    set_rule(&mut harness, VersionRule::Except("v2".to_owned()));
+    harness.end(&mut req, &first, AttemptOutcome::Broken);
+    assert_eq!(harness.send(&mut req).version, "v1");
+}
+
+// Guards against retries on old servers that stop without draining once a shift has completed.
+#[test]
+fn a_request_in_flight_leaves_a_replaced_version() {
+    let mut harness = harness();
+    register(&mut harness, "new", "v2");
+    set_rule(&mut harness, trial("v2"));
+    let mut req = session_request(&mut harness, 1);
+    let first = harness.send(&mut req);
+    assert_eq!(first.version, "v1");
+    set_rule(&mut harness, VersionRule::Only("v2".to_owned()));
+    harness.end(&mut req, &first, AttemptOutcome::Broken);
+    assert_eq!(harness.send(&mut req).version, "v2");
+}
+
+// Guards against an order for a third version that brings a withdrawn one back, whose servers are still registered.
+#[test]
+fn a_later_order_does_not_free_a_withdrawn_version() {
+    let mut harness = harness();
+    register(&mut harness, "new", "v2");
+    set_rule(&mut harness, VersionRule::Except("v2".to_owned()));
+    register(&mut harness, "newer", "v3");
+    for rule in [shift("v3", 0.3), VersionRule::Except("v3".to_owned())] {
+        set_rule(&mut harness, rule);
+        let versions = served_versions(&mut harness, 200);
+        assert!(!versions.contains(&"v2".to_owned()), "the withdrawn version got requests");
+    }
+    // A new order for the version itself does.
+    set_rule(&mut harness, shift("v2", 1.0));
+    assert_eq!(served_versions(&mut harness, 1), ["v2"]);
+}
+
+// Guards against a completed shift whose replaced version returns with the next order.
+#[test]
+fn a_later_order_does_not_free_a_replaced_version() {
+    let mut harness = harness();
+    register(&mut harness, "new", "v2");
+    set_rule(&mut harness, VersionRule::Only("v2".to_owned()));
+    register(&mut harness, "newer", "v3");
+    set_rule(&mut harness, shift("v3", 0.3));
+    let versions = served_versions(&mut harness, 200);
+    assert!(!versions.contains(&"v1".to_owned()), "the replaced version got requests");
+}
+
+// Guards against requests for a new version's servers that are known before the order to try them.
+#[test]
+fn a_version_without_an_order_gets_no_requests_beside_one_in_use() {
+    let mut harness = harness();
+    assert_eq!(served_versions(&mut harness, 1), ["v1"]);
+    register(&mut harness, "new", "v2");
+    assert!(served_versions(&mut harness, 100).iter().all(|version| version == "v1"));
+    set_rule(&mut harness, VersionRule::Except("v2".to_owned()));
+    register(&mut harness, "newer", "v3");
+    assert!(served_versions(&mut harness, 100).iter().all(|version| version == "v1"));
+}
+
+// Guards against a service that is refused because its only version never had an order.
+#[test]
+fn a_service_whose_only_version_is_new_is_served() {
+    let mut harness = harness();
+    assert_eq!(served_versions(&mut harness, 1), ["v1"]);
+    register(&mut harness, "new", "v2");
+    for id in ["engine-1", "engine-2", "engine-3"] {
+        harness.dispatcher.backends_mut().deregister(id);
+    }
+    assert_eq!(served_versions(&mut harness, 1), ["v2"]);
+}
+
+fn shift(target: &str, share: f64) -> VersionRule {
+    VersionRule::Shift { target: target.to_owned(), share, is_trial: false }
+}
+
+fn trial(target: &str) -> VersionRule {
+    VersionRule::Shift { target: target.to_owned(), share: 1.0, is_trial: true }
+}
+
+fn set_rule(harness: &mut Harness, rule: VersionRule) {
+    harness.dispatcher.set_version_rule("llm".to_owned(), rule);
+}
+
+fn register(harness: &mut Harness, prefix: &str, version: &str) {
+    for number in 1..=3 {
+        let mut new = registration(&format!("{prefix}-{number}"), "llm", LOCAL_DC);
+        new.version = version.to_owned();
+        harness.register(new);
+    }
+}
+
+fn session_request(harness: &mut Harness, session: u64) -> InFlightRequest {
+    let mut arrival = harness.arrival("/chat/1");
+    arrival.session = Some(session);
+    harness.admit(arrival).expect("admitted")
+}
+
+/// Versions on which requests without a session ran.
+fn served_versions(harness: &mut Harness, count: usize) -> Vec<String> {
+    let run = |_| {
+        let mut req = harness.admitted("/chat/1");
+        let attempt = harness.send(&mut req);
+        harness.end(&mut req, &attempt, AttemptOutcome::Whole);
+        attempt.version
+    };
+    (0..count).map(run).collect()
+}
