Trials: a limit on exposure that binds whatever the schedule says

The dispatcher counts the first attempts of a service and all attempts at the target since the order, and sends no request to a version on trial beyond a fraction of its own requests and its part of the constant. Retries go to a version in use. A host that starts during a trial gets no part of the constant, which it may have used before. Share and constant come from the settings; 0.8 of them is used.

--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -34,6 +34,8 @@
 use crate::backends::choose::VersionFilter;
 use crate::backends::probe::PROBE_AFTER;
 use crate::backends::probe::Probe;
+use crate::exposure::Exposure;
+use crate::exposure::ExposureLimit;
 use crate::in_flight::Arrival;
 use crate::in_flight::Attempt;
 use crate::in_flight::AttemptOutcome;
@@ -89,6 +91,7 @@
 pub struct DispatchConfig {
     pub data_centre: DataCentreId,
     pub retries: RetryLimit,
+    pub exposure: ExposureLimit,
     /// Confidence, from 0 to 100, below which a small model's answer is replaced by a larger model's. Indexed by the
     /// route's priority; the last floor applies to all less urgent ones. If empty, every answer is accepted.
     pub confidence_floors: Vec<u8>,
@@ -102,6 +105,8 @@
     backends: Backends,
     retries: RetryWindows,
     versions: BTreeMap<ServiceId, ServiceVersions>,
+    /// Entry hosts of the fleet.
+    host_count: usize,
     latency_pressures: BTreeMap<ServiceId, LatencyPressure>,
     stream_times: BTreeMap<ServiceId, StreamTime>,
     queue_delays: BTreeMap<QueueDelayKey, QueueDelay>,
@@ -169,6 +174,7 @@
             cfg,
             table: None,
             versions: BTreeMap::new(),
+            host_count: 1,
             latency_pressures: BTreeMap::new(),
             stream_times: BTreeMap::new(),
             queue_delays: BTreeMap::new(),
@@ -217,6 +223,7 @@
     /// Sets the number of entry hosts in the fleet and in this data centre, which determine this host's share of
     /// fleet-wide limits and the estimated load from other hosts.
     pub fn set_host_counts(&mut self, fleet: usize, local: usize) {
+        self.host_count = fleet;
         self.retries.set_host_count(fleet);
         self.backends.set_host_count(local);
     }
@@ -345,6 +352,9 @@
             return Step::Refuse(self.refuse_exhausted(req, now));
         };
         self.backends.attempt_started(&attempt);
+        if let Some(exposure) = self.exposure_mut(&req.service) {
+            exposure.record_attempt(&attempt.version);
+        }
         Step::Send(Box::new(attempt))
     }
 
@@ -352,6 +362,7 @@
     /// Attempts at unreachable servers are not counted.
     pub fn attempt_sent(&mut self, req: &mut InFlightRequest, attempt: &Attempt, now: Instant) {
         if req.attempts == 0 {
+            self.versions.entry(req.service.clone()).or_default().record_request();
             self.retries.record_first_attempt(&req.service, now);
         } else {
             self.retries.record_retry(&req.service, now);
@@ -502,6 +513,9 @@
                 req.tried_servers.push(attempt.server.clone());
                 req.waiting_for_server_since.get_or_insert(now);
                 req.last_unreachable = Some(now);
+                if let Some(exposure) = self.exposure_mut(&req.service) {
+                    exposure.cancel_attempt(&attempt.version);
+                }
                 self.server_died(&attempt.server, now);
             }
             AttemptOutcome::Misdirected | AttemptOutcome::Full { .. } => {}
@@ -545,11 +559,12 @@
     fn choose(&mut self, req: &InFlightRequest, now: Instant) -> Result<Choice, NoServer> {
         let versions = self.versions.entry(req.service.clone()).or_default();
         versions.update_in_use(&self.backends.live_versions(&req.service));
-        let filters = versions.filters(&VersionRequest {
+        let request = VersionRequest {
             session: req.session,
             request_hash: req.request_hash,
             previous: req.version.as_ref(),
-        });
+        };
+        let filters = versions.filters(&request, self.cfg.exposure, self.host_count);
         for filter in &filters {
             match self.choose_allowed(req, filter, now) {
                 Err(NoServer::Unserved) => {}
@@ -559,6 +574,10 @@
         Err(NoServer::Unserved)
     }
 
+    fn exposure_mut(&mut self, service: &str) -> Option<&mut Exposure> {
+        self.versions.get_mut(service).and_then(ServiceVersions::exposure_mut)
+    }
+
     fn choose_allowed(
         &self,
         req: &InFlightRequest,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -15,6 +15,7 @@
 mod destination;
 pub mod dispatch;
 pub mod event;
+pub mod exposure;
 pub mod in_flight;
 mod latency_pressure;
 mod lifecycle;
--- a/crates/route/src/version_rule.rs
+++ b/crates/route/src/version_rule.rs
@@ -14,6 +14,8 @@
 use foxtailhoist_model::stable_hash;
 
 use crate::backends::choose::VersionFilter;
+use crate::exposure::Exposure;
+use crate::exposure::ExposureLimit;
 
 /// Seed of the hash that decides whether a session is within the share.
 const SHARE_SEED: u64 = 0x7368_6172;
@@ -33,7 +35,7 @@
         target: VersionId,
         /// Fraction of the requests, from 0 to 1.
         share: f64,
-        /// Sessions and retries stay on the old version.
+        /// Sessions and retries stay on the old version, and the exposure limit applies.
         is_trial: bool,
     },
 }
@@ -56,6 +58,9 @@
     in_use: BTreeSet<VersionId>,
     /// Versions that get no work until there is a new order for them.
     withdrawn: BTreeSet<VersionId>,
+    /// Whether this host has sent a request to the service.
+    has_requests: bool,
+    exposure: Option<Exposure>,
 }
 
 impl ServiceVersions {
@@ -76,12 +81,30 @@
             }
             VersionRule::Shift { target, .. } => {
                 self.withdrawn.remove(target);
+                let is_same =
+                    matches!(&self.rule, VersionRule::Shift { target: old, .. } if old == target);
+                if !is_same {
+                    self.exposure = Some(Exposure::new(target.clone(), self.has_requests));
+                }
             }
         }
         self.rule = rule;
         self.update_in_use(live);
     }
 
+    /// Counts of the last trial.
+    pub(crate) fn exposure_mut(&mut self) -> Option<&mut Exposure> {
+        self.exposure.as_mut()
+    }
+
+    /// Records a request that is sent for the first time.
+    pub(crate) fn record_request(&mut self) {
+        self.has_requests = true;
+        if let Some(exposure) = &mut self.exposure {
+            exposure.record_request();
+        }
+    }
+
     /// Drops versions on trial and withdrawn ones from the versions in use. If none of these has servers that accept
     /// work, the live versions without an order replace them.
     pub(crate) fn update_in_use(&mut self, live: &BTreeSet<&VersionId>) {
@@ -104,10 +127,15 @@
 
     /// Versions that the next attempt may run on, in order of preference: the next filter applies if no server of the
     /// previous one's versions accepts work.
-    pub(crate) fn filters(&self, request: &VersionRequest<'_>) -> Vec<VersionFilter> {
+    pub(crate) fn filters(
+        &self,
+        request: &VersionRequest<'_>,
+        limit: ExposureLimit,
+        hosts: usize,
+    ) -> Vec<VersionFilter> {
         let in_use = VersionFilter::OneOf(self.in_use.clone());
         let any = VersionFilter::Except(self.withdrawn.clone());
-        match self.target_for(request) {
+        match self.target_for(request, limit, hosts) {
             Some(target) => {
                 vec![VersionFilter::OneOf(BTreeSet::from([target.clone()])), in_use, any]
             }
@@ -116,13 +144,22 @@
     }
 
     /// The shift's target, if the next attempt belongs there.
-    fn target_for(&self, request: &VersionRequest<'_>) -> Option<&VersionId> {
+    fn target_for(
+        &self,
+        request: &VersionRequest<'_>,
+        limit: ExposureLimit,
+        hosts: usize,
+    ) -> Option<&VersionId> {
         let VersionRule::Shift { target, share, is_trial } = &self.rule else {
             return None;
         };
         if *is_trial && (request.session.is_some() || request.previous.is_some()) {
             return None;
         }
+        let exposure = self.exposure.as_ref();
+        if *is_trial && !exposure.is_some_and(|exposure| exposure.allows_attempt(limit, hosts)) {
+            return None;
+        }
         if let Some(previous) = request.previous
             && self.in_use.contains(previous)
             && *share < 1.0
--- a/crates/route/tests/fleet/mod.rs
+++ b/crates/route/tests/fleet/mod.rs
@@ -15,6 +15,7 @@
 use foxtailhoist_route::dispatch::Dispatcher;
 use foxtailhoist_route::dispatch::HeadVerdict;
 use foxtailhoist_route::dispatch::Step;
+use foxtailhoist_route::exposure::ExposureLimit;
 use foxtailhoist_route::in_flight::Arrival;
 use foxtailhoist_route::in_flight::Attempt;
 use foxtailhoist_route::in_flight::AttemptOutcome;
@@ -68,6 +69,7 @@
             window: Duration::from_secs(10),
             host_share: 0.2,
         },
+        exposure: ExposureLimit { share: 0.12, tolerance: 24.0 },
         confidence_floors: vec![70, 50],
     }
 }
--- a/crates/route/tests/versions.rs
+++ b/crates/route/tests/versions.rs
@@ -9,6 +9,7 @@
 use fleet::Harness;
 use fleet::LOCAL_DC;
 use fleet::harness;
+use fleet::millis;
 use fleet::registration;
 
 // Guards against retries that follow a withdrawn version because their request was admitted on it.
@@ -93,6 +94,45 @@
     assert_eq!(served_versions(&mut harness, 1), ["v2"]);
 }
 
+// Guards against a trial that exceeds the exposure limit of 0.15 of the requests and 30 for the whole fleet.
+#[test]
+fn a_trial_stays_within_the_exposure_limit_whatever_its_share() {
+    const HOSTS: usize = 6;
+    let mut harness = harness();
+    harness.dispatcher.set_host_counts(HOSTS, HOSTS);
+    served_versions(&mut harness, 1);
+    register(&mut harness, "new", "v2");
+    set_rule(&mut harness, trial("v2"));
+    let mut on_new = 0_u32;
+    for number in 1..=1_000_u32 {
+        harness.advance(millis(15));
+        let mut req = harness.admitted("/chat/1");
+        for is_last in [number % 2 == 0, true] {
+            let attempt = harness.send(&mut req);
+            on_new += u32::from(attempt.version == "v2");
+            if is_last {
+                harness.end(&mut req, &attempt, AttemptOutcome::Whole);
+                break;
+            }
+            harness.end(&mut req, &attempt, AttemptOutcome::Failed);
+        }
+        let bound = 0.15 * f64::from(number) + 30.0 / HOSTS as f64;
+        assert!(f64::from(on_new) <= bound, "{on_new} attempts of {number} requests");
+    }
+    assert!(on_new >= 100, "the trial used only {on_new} of about 120 requests");
+}
+
+// Guards against restarted hosts that each use the constant part of the exposure limit again.
+#[test]
+fn a_host_that_starts_during_a_trial_has_no_constant_allowance() {
+    let mut harness = harness();
+    register(&mut harness, "new", "v2");
+    set_rule(&mut harness, trial("v2"));
+    let versions = served_versions(&mut harness, 20);
+    let on_new = versions.iter().filter(|version| *version == "v2").count();
+    assert!(on_new <= 3, "{on_new} of 20 requests");
+}
+
 fn shift(target: &str, share: f64) -> VersionRule {
     VersionRule::Shift { target: target.to_owned(), share, is_trial: false }
 }
