Shifts: traffic moves and the shift completes only for a version found good

The schedule moved all sessions at 0.72 of the time and reported completion at 0.86, whatever the answers told.

Evidence: four of the changed and new tests in tests/shift.rs failed before (a version with five answers took sessions at 8 of 15 s, all traffic later, and was reported as completed).

While the verdict is Unknown a shift stays on trial, within the exposure limit, even past its deadline. Sessions move on a verdict of Good, and go back only if the version is withdrawn. Completion needs a verdict of Good and a time in which the target took all traffic. Reports of short shifts spread over a shorter time: 0.9 s late, a shift of 6 s completed after its deadline.

Tests changed: reports_follow_the_schedule and the two on the trial and on a late start feed good answers first, since the clock alone no longer moves traffic; the late start now asserts that nothing moves before that.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -211,9 +211,9 @@
 
     /// Applies the current rules of all shifts to the dispatcher.
     pub(crate) fn apply_shifts(&self, now: Instant) {
-        let shifts = self.shifts.borrow();
+        let mut shifts = self.shifts.borrow_mut();
         let mut dispatcher = self.dispatcher.borrow_mut();
-        for (service, shift) in shifts.iter() {
+        for (service, shift) in shifts.iter_mut() {
             let rule = match shift.rule(now) {
                 ShiftRule::Share { target, share, is_trial } => {
                     VersionRule::Shift { target, share, is_trial }
--- a/crates/relay/src/duties.rs
+++ b/crates/relay/src/duties.rs
@@ -26,9 +26,11 @@
 const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(1_000);
 /// Timeout of a call that writes.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Range of the delays after which hosts send a report that any of them may send; with different delays, usually only
-/// one host sends it.
-const REPORT_SPREAD_MS: u64 = 900;
+/// Longest range of the delays after which hosts send a report that any of them may send; with different delays, usually
+/// only one host sends it.
+const MAX_REPORT_SPREAD: Duration = Duration::from_millis(900);
+/// Range of these delays as a fraction of the ordered duration, so that short shifts complete in time.
+const REPORT_SPREAD_FRACTION: f64 = 0.05;
 /// Delay before a report is retried.
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(1_200);
 /// Maximum number of pending suspect reports; later ones are dropped.
@@ -123,7 +125,7 @@
                     let (bad, answers) = (target_count.bad, target_count.total);
                     core.log.write(&LogEvent::ShiftWithdrawn { service, target, bad, answers });
                 }
-                now + report_delay(core, &report)
+                now + report_delay(core, &report, shift.order().duration)
             }
         };
         if due <= now {
@@ -139,12 +141,13 @@
 }
 
 /// How long this host waits before it sends a report; a rollback is reported at once.
-fn report_delay(core: &Core, report: &ShiftReport) -> Duration {
+fn report_delay(core: &Core, report: &ShiftReport, ordered: Duration) -> Duration {
     if report.phase == ShiftPhase::RolledBack {
         return Duration::ZERO;
     }
     let parts = [core.cfg.host.as_bytes(), report.service.as_bytes()];
-    Duration::from_millis(stable_hash(SPREAD_SEED, &parts) % REPORT_SPREAD_MS)
+    let spread = ordered.mul_f64(REPORT_SPREAD_FRACTION).min(MAX_REPORT_SPREAD);
+    spread.mul_f64(stable_hash(SPREAD_SEED, &parts) as f64 / u64::MAX as f64)
 }
 
 async fn report_shift(core: Rc<Core>, report: ShiftReport) {
--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -1,7 +1,8 @@
 //! Shift of a service's traffic to a new version before a deadline, without coordination between hosts.
 //!
 //! Operators order a shift. Every host follows the same schedule from the start of the order: a trial with requests
-//! that have no session, then growing shares of the sessions, then all traffic, and finally the completion report.
+//! that have no session, then growing shares of the sessions, then all traffic, and finally the completion report. The
+//! trial goes on, even past the deadline, until enough answers tell whether the version is good.
 //! Each host tests the version on the answers that it sees itself; the first host that finds it bad withdraws it for
 //! all. The order and its outcome are in the store, so a host that starts during a shift resumes from there.
 
@@ -19,12 +20,21 @@
 use crate::judge::sequential::OutcomeCount;
 
 /// Steps of a shift: fraction of the ordered duration at which the step starts, and share of the sessions from then on.
-/// Before the first step only requests without a session take part.
+/// Before the first step, and while too little is known of the target, only requests without a session take part.
 const STEPS: [(f64, f64); 4] = [(0.52, 0.06), (0.59, 0.2), (0.66, 0.45), (0.72, 1.0)];
-/// Share of the requests without a session that take part before the first step.
-const TRIAL_SHARE: f64 = 0.06;
+/// Share of the requests without a session that take part while too little is known of the target; the exposure limit
+/// of the dispatcher bounds them.
+const TRIAL_SHARE: f64 = 1.0;
+/// Share of the requests without a session that take part once the target seems good, until the first step.
+const CONFIRMATION_SHARE: f64 = 0.06;
 /// Fraction of the ordered duration at which completion is reported, so that requests on the old version can end.
 const COMPLETION_FRACTION: f64 = 0.86;
+/// Fraction of the ordered duration for which the target takes all traffic before completion is reported.
+const SETTLING_FRACTION: f64 = 0.14;
+/// The same for a target that is found good late.
+const MIN_SETTLING_FRACTION: f64 = 0.05;
+/// Fraction of the ordered duration by which completion is reported if the shorter settling time allows it.
+const LATE_COMPLETION_FRACTION: f64 = 0.94;
 /// Log evidence against the version at which it is withdrawn; about ln 100, for a false alarm rate of 1 %.
 const WITHDRAW_LOG_THRESHOLD: f64 = 4.6;
 /// Fewest bad answers before a version is withdrawn.
@@ -106,6 +116,10 @@
     bad_servers: BTreeSet<BackendServerId>,
     test: MixtureTest,
     is_withdrawn: bool,
+    /// Whether sessions have moved to the target; they stay there unless it is withdrawn.
+    has_moved: bool,
+    /// When the target first took all traffic.
+    all_moved_at: Option<Instant>,
 }
 
 impl Shift {
@@ -122,6 +136,8 @@
             bad_servers: BTreeSet::new(),
             test: MixtureTest::default(),
             is_withdrawn: false,
+            has_moved: false,
+            all_moved_at: None,
         }
     }
 
@@ -185,20 +201,34 @@
 
     /// Which versions may take new work.
     #[must_use]
-    pub fn rule(&self, now: Instant) -> ShiftRule {
+    pub fn rule(&mut self, now: Instant) -> ShiftRule {
         let target = self.order.target.clone();
         match self.order.phase {
             Some(ShiftPhase::RolledBack) => return ShiftRule::Except(target),
             Some(ShiftPhase::Completed) => return ShiftRule::Only(target),
             Some(ShiftPhase::InProgress) | None => {}
         }
-        if self.is_withdrawn {
-            return ShiftRule::Except(target);
-        }
+        let verdict = self.verdict();
         let elapsed_fraction = self.elapsed_fraction(now);
-        match STEPS.iter().rev().find(|(start, _)| elapsed_fraction >= *start) {
-            None => ShiftRule::Share { target, share: TRIAL_SHARE, is_trial: true },
-            Some((_, share)) => ShiftRule::Share { target, share: *share, is_trial: false },
+        let step = STEPS.iter().rev().find(|(start, _)| elapsed_fraction >= *start);
+        match (verdict, step) {
+            (Verdict::Bad, _) => ShiftRule::Except(target),
+            (Verdict::Unknown, Some((_, share))) if self.has_moved => {
+                ShiftRule::Share { target, share: *share, is_trial: false }
+            }
+            (Verdict::Unknown, _) => {
+                ShiftRule::Share { target, share: TRIAL_SHARE, is_trial: true }
+            }
+            (Verdict::Good, None) => {
+                ShiftRule::Share { target, share: CONFIRMATION_SHARE, is_trial: true }
+            }
+            (Verdict::Good, Some((_, share))) => {
+                self.has_moved = true;
+                if *share >= 1.0 {
+                    self.all_moved_at.get_or_insert(now);
+                }
+                ShiftRule::Share { target, share: *share, is_trial: false }
+            }
         }
     }
 
@@ -210,7 +240,8 @@
             _ if self.is_withdrawn => ShiftPhase::RolledBack,
             None => ShiftPhase::InProgress,
             Some(ShiftPhase::InProgress) => {
-                if self.elapsed_fraction(now) < COMPLETION_FRACTION || !has_target {
+                let may_complete = has_target && self.verdict() == Verdict::Good;
+                if !may_complete || !self.has_settled(now) {
                     return None;
                 }
                 ShiftPhase::Completed
@@ -240,6 +271,21 @@
         share.min(MAX_REFERENCE_SHARE)
     }
 
+    /// Whether the target has taken all traffic for long enough that requests on other versions have ended.
+    fn has_settled(&self, now: Instant) -> bool {
+        let Some(moved_at) = self.all_moved_at else {
+            return false;
+        };
+        let elapsed = self.elapsed_fraction(now);
+        let settled = elapsed - self.elapsed_fraction(moved_at);
+        let needed = if elapsed < LATE_COMPLETION_FRACTION {
+            SETTLING_FRACTION
+        } else {
+            MIN_SETTLING_FRACTION
+        };
+        elapsed >= COMPLETION_FRACTION && settled >= needed
+    }
+
     fn elapsed_fraction(&self, now: Instant) -> f64 {
         let elapsed = now.saturating_duration_since(self.started).as_secs_f64();
         elapsed / self.order.duration.as_secs_f64().max(0.001)
--- a/crates/rollout/tests/shift.rs
+++ b/crates/rollout/tests/shift.rs
@@ -7,6 +7,7 @@
 use foxtailhoist_rollout::shift::ShiftOrder;
 use foxtailhoist_rollout::shift::ShiftPhase;
 use foxtailhoist_rollout::shift::ShiftRule;
+use foxtailhoist_rollout::shift::Verdict;
 use rstest::rstest;
 
 const NOW_MS: u64 = 1_000_000_000;
@@ -16,8 +17,8 @@
 #[test]
 fn the_trial_stays_below_the_exposure_limit_and_all_traffic_follows() {
     let start = Instant::now();
-    let shift = Shift::new(order(24), start, NOW_MS);
-    let share = |seconds| match shift.rule(start + Duration::from_secs(seconds)) {
+    let mut shift = proven(24, start);
+    let mut share = |seconds| match shift.rule(start + Duration::from_secs(seconds)) {
         ShiftRule::Share { share, is_trial, .. } => (share, is_trial),
         ShiftRule::Only(_) => (1.0, false),
         ShiftRule::Except(_) => (0.0, false),
@@ -32,20 +33,67 @@
     assert_eq!(share(18), (1.0, false));
 }
 
+// Guards against a bad version that gets all traffic by the clock, before enough answers tell that it is good.
+#[test]
+fn a_version_that_too_little_is_known_of_stays_on_trial() {
+    let start = Instant::now();
+    let mut shift = Shift::new(order(15), start, NOW_MS);
+    for _ in 0..5 {
+        shift.observe("v1", &"old".to_owned(), false);
+        shift.observe("v2", &"new".to_owned(), false);
+    }
+    shift.update(in_progress(15));
+    for seconds in 0..30 {
+        let now = start + Duration::from_secs(seconds);
+        let rule = shift.rule(now);
+        assert!(matches!(rule, ShiftRule::Share { is_trial: true, .. }), "{rule:?} at {seconds} s");
+        assert_eq!(shift.due_report(true, now, NOW_MS + seconds * 1_000), None);
+    }
+}
+
+// Guards against sessions that go back and forth when later answers leave it open whether a version is good.
+#[test]
+fn sessions_stay_on_a_version_that_was_found_good_unless_it_is_withdrawn() {
+    let start = Instant::now();
+    let mut shift = proven(20, start);
+    shift.update(in_progress(20));
+    let late = start + Duration::from_secs(18);
+    let all = ShiftRule::Share { target: "v2".to_owned(), share: 1.0, is_trial: false };
+    assert_eq!(shift.rule(late), all);
+    // One server alone does not withdraw its version.
+    for _ in 0..40 {
+        shift.observe("v2", &"new-1".to_owned(), true);
+    }
+    assert_ne!(shift.verdict(), Verdict::Good);
+    assert_eq!(shift.rule(late), all);
+    assert_eq!(shift.due_report(true, late + Duration::from_secs(2), NOW_MS + 20_000), None);
+}
+
+// Guards against a completion that stops the old servers while most callers still use them.
+#[test]
+fn a_version_found_good_late_takes_all_traffic_before_it_completes() {
+    let start = Instant::now();
+    let mut shift = Shift::new(in_progress(20), start, NOW_MS);
+    let late = start + Duration::from_millis(18_000);
+    assert!(matches!(shift.rule(late), ShiftRule::Share { is_trial: true, .. }));
+    observe_good(&mut shift);
+    assert!(matches!(shift.rule(late), ShiftRule::Share { is_trial: false, .. }));
+    assert_eq!(shift.due_report(true, late, NOW_MS + 18_000), None);
+    let later = late + Duration::from_millis(1_200);
+    let report = shift.due_report(true, later, NOW_MS + 19_200).expect("due");
+    assert_eq!(report.phase, ShiftPhase::Completed);
+}
+
 #[test]
 fn reports_follow_the_schedule() {
     let start = Instant::now();
-    let mut shift = Shift::new(order(20), start, NOW_MS);
+    let mut shift = proven(20, start);
     let first = shift.due_report(true, start, NOW_MS).expect("due at once");
     assert_eq!((first.phase, first.revision), (ShiftPhase::InProgress, 5));
-    shift.update(ShiftOrder {
-        phase: Some(ShiftPhase::InProgress),
-        started_ms: Some(NOW_MS),
-        revision: 6,
-        ..order(20)
-    });
+    shift.update(ShiftOrder { revision: 6, ..in_progress(20) });
     let half = start + Duration::from_secs(10);
     assert_eq!(shift.due_report(true, half, NOW_MS + 10_000), None);
+    let _ = shift.rule(start + Duration::from_secs(15));
     let late = start + Duration::from_secs(18);
     let done = shift.due_report(true, late, NOW_MS + 18_000).expect("due");
     assert_eq!((done.phase, done.revision, done.started_ms), (ShiftPhase::Completed, 6, NOW_MS));
@@ -97,14 +145,15 @@
 #[test]
 fn a_host_that_starts_during_a_shift_resumes_from_the_store() {
     let start = Instant::now();
-    let running =
-        ShiftOrder { phase: Some(ShiftPhase::InProgress), started_ms: Some(NOW_MS), ..order(20) };
-    let shift = Shift::new(running, start, NOW_MS + 18_000);
+    let mut shift = Shift::new(in_progress(20), start, NOW_MS + 18_000);
+    assert!(matches!(shift.rule(start), ShiftRule::Share { is_trial: true, .. }));
+    observe_good(&mut shift);
     let all = ShiftRule::Share { target: "v2".to_owned(), share: 1.0, is_trial: false };
     assert_eq!(shift.rule(start), all);
-    assert!(shift.due_report(true, start, NOW_MS + 18_000).is_some());
+    let later = start + Duration::from_secs(2);
+    assert!(shift.due_report(true, later, NOW_MS + 20_000).is_some());
     let ended = ShiftOrder { phase: Some(ShiftPhase::RolledBack), ..order(20) };
-    let shift = Shift::new(ended, start, NOW_MS);
+    let mut shift = Shift::new(ended, start, NOW_MS);
     assert_eq!(shift.rule(start), ShiftRule::Except("v2".to_owned()));
     assert_eq!(shift.due_report(true, start, NOW_MS), None);
 }
@@ -117,6 +166,24 @@
     assert!(!shift.is_same_order(&ShiftOrder { target: "v3".to_owned(), ..order(20) }));
 }
 
+/// A shift that has seen enough good answers.
+fn proven(seconds: u64, start: Instant) -> Shift {
+    let mut shift = Shift::new(order(seconds), start, NOW_MS);
+    observe_good(&mut shift);
+    shift
+}
+
+fn observe_good(shift: &mut Shift) {
+    for number in 0..60 {
+        shift.observe("v1", &"old".to_owned(), false);
+        shift.observe("v2", &format!("new-{}", number % 4), false);
+    }
+}
+
+fn in_progress(seconds: u64) -> ShiftOrder {
+    ShiftOrder { phase: Some(ShiftPhase::InProgress), started_ms: Some(NOW_MS), ..order(seconds) }
+}
+
 fn order(seconds: u64) -> ShiftOrder {
     ShiftOrder {
         service: "llm".to_owned(),
