Trials: use a few servers of the new version, and leave them when they are busy

A version that is bad only under load passed its trial: the trial's share was spread over all new servers, which stood nearly idle until the last steps of the schedule. A request for a trial whose servers were all full also waited for them while others had room.

A trial uses a fraction of the target's servers equal to the exposure limit's share, three at least, selected by a hash that is the same on all hosts. A request that none of them takes goes to a version in use.

--- a/crates/route/src/backends/choose.rs
+++ b/crates/route/src/backends/choose.rs
@@ -5,6 +5,9 @@
 //! server that rendezvous hashing selects for the shared part of a prompt is assumed to have that part in its cache, so
 //! that the hosts of a data centre agree without communication. A queue at that server outweighs the cache hit, which
 //! bounds its load (Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded Loads", 2018).
+//!
+//! A trial of a new version uses a few of its servers, the same on all hosts, so that these see about their usual load: a
+//! version that fails only under load would otherwise fail after the trial.
 
 use std::collections::BTreeSet;
 use std::time::Instant;
@@ -40,11 +43,18 @@
 /// Seed of the rendezvous hash over prompt parts and servers.
 const HASH_SEED: u64 = 0x7061_7274;
 
+/// Seed of the hash that selects the servers of a trial.
+const TRIAL_SEED: u64 = 0x7472_6961;
+/// Fewest servers of a trial, so that one bad server does not decide it.
+const MIN_TRIAL_SERVERS: usize = 3;
+
 /// Requirements of a request for a server.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Query<'a> {
     pub(crate) service: &'a ServiceId,
     pub(crate) versions: &'a VersionFilter,
+    /// Fraction of the servers that a trial uses; `None` outside a trial.
+    pub(crate) trial_share: Option<f64>,
     pub(crate) model: Option<&'a str>,
     pub(crate) parts: &'a [PromptPart],
     pub(crate) prompt_tokens: u64,
@@ -100,6 +110,13 @@
         if candidates.is_empty() {
             return Err(NoServer::Unserved);
         }
+        if let Some(share) = query.trial_share {
+            let count = (candidates.len() as f64 * share).ceil() as usize;
+            candidates.sort_by_cached_key(|server| {
+                stable_hash(TRIAL_SEED, &[server.registration.id.as_bytes()])
+            });
+            candidates.truncate(count.max(MIN_TRIAL_SERVERS));
+        }
         candidates.retain(|server| {
             !query.avoid.contains(&server.registration.id) && !server.is_full(now)
         });
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -31,7 +31,6 @@
 use crate::backends::Query;
 use crate::backends::choose::Choice;
 use crate::backends::choose::NoServer;
-use crate::backends::choose::VersionFilter;
 use crate::backends::probe::PROBE_AFTER;
 use crate::backends::probe::Probe;
 use crate::exposure::Exposure;
@@ -50,6 +49,7 @@
 use crate::routes::Identity;
 use crate::routes::RoutingTable;
 use crate::stream_time::StreamTime;
+use crate::version_rule::Preference;
 use crate::version_rule::ServiceVersions;
 use crate::version_rule::VersionRequest;
 use crate::version_rule::VersionRule;
@@ -564,10 +564,11 @@
             request_hash: req.request_hash,
             previous: req.version.as_ref(),
         };
-        let filters = versions.filters(&request, self.cfg.exposure, self.host_count);
-        for filter in &filters {
-            match self.choose_allowed(req, filter, now) {
+        let preferences = versions.preferences(&request, self.cfg.exposure, self.host_count);
+        for preference in &preferences {
+            match self.choose_allowed(req, preference, now) {
                 Err(NoServer::Unserved) => {}
+                Err(NoServer::AllBusy) if preference.is_trial => {}
                 other => return other,
             }
         }
@@ -581,13 +582,14 @@
     fn choose_allowed(
         &self,
         req: &InFlightRequest,
-        versions: &VersionFilter,
+        preference: &Preference,
         now: Instant,
     ) -> Result<Choice, NoServer> {
         let model = req.model().cloned();
         let query = Query {
             service: &req.service,
-            versions,
+            versions: &preference.versions,
+            trial_share: preference.is_trial.then_some(self.cfg.exposure.share),
             model: model.as_deref(),
             parts: &req.parts,
             prompt_tokens: req.prompt_tokens,
--- a/crates/route/src/version_rule.rs
+++ b/crates/route/src/version_rule.rs
@@ -50,6 +50,14 @@
     pub(crate) previous: Option<&'a VersionId>,
 }
 
+/// Versions that an attempt may run on.
+#[derive(Clone, Debug)]
+pub(crate) struct Preference {
+    pub(crate) versions: VersionFilter,
+    /// Whether the attempt is part of a trial.
+    pub(crate) is_trial: bool,
+}
+
 /// Versions of one service, as known from servers and orders.
 #[derive(Debug, Default)]
 pub(crate) struct ServiceVersions {
@@ -125,22 +133,22 @@
         }
     }
 
-    /// Versions that the next attempt may run on, in order of preference: the next filter applies if no server of the
-    /// previous one's versions accepts work.
-    pub(crate) fn filters(
+    /// Versions that the next attempt may run on, in order of preference: the next applies if no server of the previous
+    /// one's versions accepts work, or if the servers of a trial are busy.
+    pub(crate) fn preferences(
         &self,
         request: &VersionRequest<'_>,
         limit: ExposureLimit,
         hosts: usize,
-    ) -> Vec<VersionFilter> {
+    ) -> Vec<Preference> {
+        let target = self.target_for(request, limit, hosts).map(|target| Preference {
+            versions: VersionFilter::OneOf(BTreeSet::from([target.clone()])),
+            is_trial: matches!(self.rule, VersionRule::Shift { is_trial: true, .. }),
+        });
         let in_use = VersionFilter::OneOf(self.in_use.clone());
-        let any = VersionFilter::Except(self.withdrawn.clone());
-        match self.target_for(request, limit, hosts) {
-            Some(target) => {
-                vec![VersionFilter::OneOf(BTreeSet::from([target.clone()])), in_use, any]
-            }
-            None => vec![in_use, any],
-        }
+        let others = [in_use, VersionFilter::Except(self.withdrawn.clone())];
+        let others = others.map(|versions| Preference { versions, is_trial: false });
+        target.into_iter().chain(others).collect()
     }
 
     /// The shift's target, if the next attempt belongs there.
--- a/crates/route/tests/versions.rs
+++ b/crates/route/tests/versions.rs
@@ -2,6 +2,8 @@
 
 mod fleet;
 
+use std::collections::BTreeSet;
+
 use foxtailhoist_route::in_flight::AttemptOutcome;
 use foxtailhoist_route::in_flight::InFlightRequest;
 use foxtailhoist_route::version_rule::VersionRule;
@@ -133,6 +135,54 @@
     assert!(on_new <= 3, "{on_new} of 20 requests");
 }
 
+// Guards against a trial that is spread so thin that its servers never see their usual load.
+#[test]
+fn hosts_try_a_version_on_the_same_few_servers() {
+    let mut servers = BTreeSet::new();
+    for _ in 0..2 {
+        let mut harness = harness();
+        served_versions(&mut harness, 1_000);
+        for number in 0..24 {
+            let mut new = registration(&format!("new-{number}"), "llm", LOCAL_DC);
+            new.version = "v2".to_owned();
+            harness.register(new);
+        }
+        set_rule(&mut harness, trial("v2"));
+        for _ in 0..200 {
+            let mut req = harness.admitted("/chat/1");
+            let attempt = harness.send(&mut req);
+            harness.end(&mut req, &attempt, AttemptOutcome::Whole);
+            if attempt.version == "v2" {
+                servers.insert(attempt.server);
+            }
+        }
+    }
+    assert_eq!(servers.len(), 3, "{servers:?}");
+}
+
+// Guards against callers that wait for the few servers of a trial while those in use have room.
+#[test]
+fn a_request_runs_on_a_version_in_use_if_the_trial_is_full() {
+    let mut harness = harness();
+    served_versions(&mut harness, 1);
+    register(&mut harness, "new", "v2");
+    set_rule(&mut harness, trial("v2"));
+    let mut full = 0;
+    for _ in 0..10 {
+        let mut req = harness.admitted("/chat/1");
+        let mut attempt = harness.send(&mut req);
+        if attempt.version == "v2" {
+            full += 1;
+            let outcome = AttemptOutcome::Full { retry_after: millis(1_000) };
+            harness.end(&mut req, &attempt, outcome);
+            attempt = harness.send(&mut req);
+        }
+        assert_eq!(attempt.version, "v1");
+        harness.end(&mut req, &attempt, AttemptOutcome::Whole);
+    }
+    assert_eq!(full, 3);
+}
+
 fn shift(target: &str, share: f64) -> VersionRule {
     VersionRule::Shift { target: target.to_owned(), share, is_trial: false }
 }
