--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -1,7 +1,8 @@
 //! Shift of a service's traffic to a new version before a deadline, without coordination between hosts.
 //!
 //! Operators order a shift. Every host follows the same schedule from the start of the order: a trial with requests
-//! that have no session, then growing shares of the sessions, then all traffic, and finally the completion report.
+//! that have no session, then growing shares of the sessions, then all traffic, and finally the completion report. The
+//! trial goes on, even past the deadline, until enough answers tell whether the version is good.
 //! Each host tests the version on the answers that it sees itself; the first host that finds it bad withdraws it for
 //! all. The order and its outcome are in the store, so a host that starts during a shift resumes from there.
 
@@ -20,12 +21,21 @@
 use crate::judge::sequential::OutcomeCount;
 
 /// Steps of a shift: fraction of the ordered duration at which the step starts, and share of the sessions from then on.
-/// Before the first step only requests without a session take part.
+/// Before the first step, and while too little is known of the target, only requests without a session take part.
 const STEPS: [(f64, f64); 4] = [(0.52, 0.06), (0.59, 0.2), (0.66, 0.45), (0.72, 1.0)];
-/// Share of the requests without a session that take part before the first step.
-const TRIAL_SHARE: f64 = 0.06;
+/// Share of the requests without a session that take part while too little is known of the target; the exposure limit
+/// of the dispatcher bounds them.
+const TRIAL_SHARE: f64 = 1.0;
+/// Share of the requests without a session that take part once the target seems good, until the first step.
+const CONFIRMATION_SHARE: f64 = 0.06;
 /// Fraction of the ordered duration at which completion is reported, so that requests on the old version can end.
 const COMPLETION_FRACTION: f64 = 0.86;
+/// Fraction of the ordered duration for which the target takes all traffic before completion is reported.
+const SETTLING_FRACTION: f64 = 0.14;
+/// The same for a target that is found good late.
+const MIN_SETTLING_FRACTION: f64 = 0.05;
+/// Fraction of the ordered duration by which completion is reported if the shorter settling time allows it.
+const LATE_COMPLETION_FRACTION: f64 = 0.94;
 /// Log evidence against the version at which it is withdrawn; about ln 100, for a false alarm rate of 1 %.
 const WITHDRAW_LOG_THRESHOLD: f64 = 4.6;
 /// Fewest bad answers before a version is withdrawn.
@@ -37,6 +47,11 @@
 /// Upper bound of the old version's share of bad answers that the target is compared with.
 const MAX_REFERENCE_SHARE: f64 = 0.5;
 
+/// Fewest answers from which on the target can be found good.
+const MIN_GOOD_ANSWERS: u64 = 20;
+/// Excess of the target's share of bad answers over the other versions' share that a good version may have.
+const GOOD_TOLERANCE: f64 = 0.05;
+
 /// Phase of an ordered shift in the store, in the order in which one may replace another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum ShiftPhase {
@@ -75,12 +90,23 @@
 pub enum ShiftRule {
     /// The target takes a share of the sessions; during the trial, existing sessions stay where they are.
     Share { target: VersionId, share: f64, is_trial: bool },
-    /// Only the target.
+    /// Only the target, which replaced all others.
     Only(VersionId),
     /// Any version but the target.
     Except(VersionId),
 }
 
+/// What the answers so far tell about the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Too few answers.
+    Unknown,
+    /// No worse than the other versions, within the tolerance.
+    Good,
+    /// Worse than the other versions.
+    Bad,
+}
+
 /// Progress of one ordered shift on this host.
 #[derive(Debug)]
 pub struct Shift {
@@ -93,6 +119,10 @@
     bad_servers: BTreeSet<BackendServerId>,
     test: MixtureTest,
     is_withdrawn: bool,
+    /// Whether sessions have moved to the target; they stay there unless it is withdrawn.
+    has_moved: bool,
+    /// When the target first took all traffic.
+    all_moved_at: Option<Instant>,
 }
 
 impl Shift {
@@ -110,6 +140,8 @@
             bad_servers: BTreeSet::new(),
             test: MixtureTest::default(),
             is_withdrawn: false,
+            has_moved: false,
+            all_moved_at: None,
         }
     }
 
@@ -148,9 +180,8 @@
             return;
         }
         self.target = self.target.plus(count);
-        let (answers, bad) = REFERENCE_PRIOR;
-        let reference = (self.others.bad as f64 + bad) / (self.others.total as f64 + answers);
-        self.test.add(count, reference.min(MAX_REFERENCE_SHARE));
+        let reference = self.reference_share();
+        self.test.add(count, reference);
         if is_bad {
             self.bad_servers.insert(server.clone());
         }
@@ -161,23 +192,54 @@
         }
     }
 
+    #[must_use]
+    pub fn is_withdrawn(&self) -> bool {
+        self.is_withdrawn
+    }
+
+    #[must_use]
+    pub fn verdict(&self) -> Verdict {
+        if self.is_withdrawn {
+            return Verdict::Bad;
+        }
+        let answers = self.target.total as f64;
+        let tolerated = self.reference_share() + GOOD_TOLERANCE;
+        if self.target.total >= MIN_GOOD_ANSWERS && self.target.bad as f64 <= tolerated * answers {
+            return Verdict::Good;
+        }
+        Verdict::Unknown
+    }
+
     /// Which versions may take new work.
     #[must_use]
-    pub fn rule(&self, now: Instant) -> ShiftRule {
+    pub fn rule(&mut self, now: Instant) -> ShiftRule {
         let target = self.order.target.clone();
         match self.order.phase {
             Some(ShiftPhase::RolledBack) => return ShiftRule::Except(target),
             Some(ShiftPhase::Completed) => return ShiftRule::Only(target),
             Some(ShiftPhase::InProgress) | None => {}
         }
-        if self.is_withdrawn {
-            return ShiftRule::Except(target);
-        }
+        let verdict = self.verdict();
         let elapsed_fraction = self.elapsed_fraction(now);
-        match STEPS.iter().rev().find(|(start, _)| elapsed_fraction >= *start) {
-            None => ShiftRule::Share { target, share: TRIAL_SHARE, is_trial: true },
-            Some((_, share)) if *share >= 1.0 => ShiftRule::Only(target),
-            Some((_, share)) => ShiftRule::Share { target, share: *share, is_trial: false },
+        let step = STEPS.iter().rev().find(|(start, _)| elapsed_fraction >= *start);
+        match (verdict, step) {
+            (Verdict::Bad, _) => ShiftRule::Except(target),
+            (Verdict::Unknown, Some((_, share))) if self.has_moved => {
+                ShiftRule::Share { target, share: *share, is_trial: false }
+            }
+            (Verdict::Unknown, _) => {
+                ShiftRule::Share { target, share: TRIAL_SHARE, is_trial: true }
+            }
+            (Verdict::Good, None) => {
+                ShiftRule::Share { target, share: CONFIRMATION_SHARE, is_trial: true }
+            }
+            (Verdict::Good, Some((_, share))) => {
+                self.has_moved = true;
+                if *share >= 1.0 {
+                    self.all_moved_at.get_or_insert(now);
+                }
+                ShiftRule::Share { target, share: *share, is_trial: false }
+            }
         }
     }
 
@@ -190,7 +252,8 @@
             _ if self.is_withdrawn => ShiftPhase::RolledBack,
             _ if self.stored.is_none() => ShiftPhase::InProgress,
             None | Some(ShiftPhase::InProgress) => {
-                if self.elapsed_fraction(now) < COMPLETION_FRACTION || !has_target {
+                let may_complete = has_target && self.verdict() == Verdict::Good;
+                if !may_complete || !self.has_settled(now) {
                     return None;
                 }
                 ShiftPhase::Completed
@@ -213,6 +276,28 @@
         (self.target, self.others)
     }
 
+    /// Share of bad answers that the target is compared with.
+    fn reference_share(&self) -> f64 {
+        let (answers, bad) = REFERENCE_PRIOR;
+        let share = (self.others.bad as f64 + bad) / (self.others.total as f64 + answers);
+        share.min(MAX_REFERENCE_SHARE)
+    }
+
+    /// Whether the target has taken all traffic for long enough that requests on other versions have ended.
+    fn has_settled(&self, now: Instant) -> bool {
+        let Some(moved_at) = self.all_moved_at else {
+            return false;
+        };
+        let elapsed = self.elapsed_fraction(now);
+        let settled = elapsed - self.elapsed_fraction(moved_at);
+        let needed = if elapsed < LATE_COMPLETION_FRACTION {
+            SETTLING_FRACTION
+        } else {
+            MIN_SETTLING_FRACTION
+        };
+        elapsed >= COMPLETION_FRACTION && settled >= needed
+    }
+
     fn elapsed_fraction(&self, now: Instant) -> f64 {
         let elapsed = now.saturating_duration_since(self.started).as_secs_f64();
         elapsed / self.order.duration.as_secs_f64().max(0.001)
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -34,6 +34,8 @@
 use crate::backends::choose::VersionFilter;
 use crate::backends::probe::PROBE_AFTER;
 use crate::backends::probe::Probe;
+use crate::exposure::Exposure;
+use crate::exposure::ExposureLimit;
 use crate::in_flight::Arrival;
 use crate::in_flight::Attempt;
 use crate::in_flight::AttemptOutcome;
@@ -48,6 +50,9 @@
 use crate::routes::Identity;
 use crate::routes::RoutingTable;
 use crate::stream_time::StreamTime;
+use crate::version_rule::Preference;
+use crate::version_rule::ServiceVersions;
+use crate::version_rule::VersionRequest;
 use crate::version_rule::VersionRule;
 
 /// Timeout for a caller without a deadline on a route without a timeout.
@@ -89,6 +94,7 @@
 pub struct DispatchConfig {
     pub data_centre: DataCentreId,
     pub retries: RetryLimit,
+    pub exposure: ExposureLimit,
     /// Confidence, from 0 to 100, below which a small model's answer is replaced by a larger model's. Indexed by the
     /// route's priority; the last floor applies to all less urgent ones. If empty, every answer is accepted.
     pub confidence_floors: Vec<u8>,
@@ -101,7 +107,9 @@
     table: Option<Arc<RoutingTable>>,
     backends: Backends,
     retries: RetryWindows,
-    version_rules: BTreeMap<ServiceId, VersionRule>,
+    versions: BTreeMap<ServiceId, ServiceVersions>,
+    /// Entry hosts of the fleet.
+    host_count: usize,
     latency_pressures: BTreeMap<ServiceId, LatencyPressure>,
     stream_times: BTreeMap<ServiceId, StreamTime>,
     queue_delays: BTreeMap<QueueDelayKey, QueueDelay>,
@@ -186,7 +194,8 @@
             retries: RetryWindows::new(cfg.retries),
             cfg,
             table: None,
-            version_rules: BTreeMap::new(),
+            versions: BTreeMap::new(),
+            host_count: 1,
             latency_pressures: BTreeMap::new(),
             stream_times: BTreeMap::new(),
             queue_delays: BTreeMap::new(),
@@ -235,13 +244,15 @@
     /// Sets the number of entry hosts in the fleet and in this data centre, which determine this host's share of
     /// fleet-wide limits and the estimated load from other hosts.
     pub fn set_host_counts(&mut self, fleet: usize, local: usize) {
+        self.host_count = fleet;
         self.retries.set_host_count(fleet);
         self.backends.set_host_count(local);
     }
 
     /// Sets which versions of a service accept new work.
     pub fn set_version_rule(&mut self, service: ServiceId, rule: VersionRule) {
-        self.version_rules.insert(service, rule);
+        let live = self.backends.live_versions(&service);
+        self.versions.entry(service).or_default().set_rule(rule, &live);
     }
 
     /// Records another host's report that a server died while it ran the content.
@@ -308,8 +319,6 @@
         if self.ends_at.is_some_and(|ends_at| ends_at < expected_end) {
             return Err(refusal(ErrorKind::Stopping, Some(RETRY_AFTER_MIN)));
         }
-        let rule = self.version_rules.get(&service).unwrap_or(&VersionRule::Any);
-        let versions = rule.filter(arrival.session, request_hash);
         let req = InFlightRequest {
             id: arrival.id,
             route: route.clone(),
@@ -324,7 +333,7 @@
             attempts: 0,
             requested_model: arrival.model,
             model_index: 0,
-            versions,
+            version: None,
             session: arrival.session,
             request_hash,
             fingerprint: arrival.fingerprint,
@@ -343,6 +352,7 @@
 
     /// Returns the next step for a request without an attempt in flight.
     pub fn next_step(&mut self, req: &mut InFlightRequest, now: Instant) -> Step {
+        self.update_versions(&req.service);
         let choice = match self.plan_attempt(req, 0.0, now) {
             Ok(choice) => choice,
             Err(NoAttempt::Expired) => return Step::Refuse(self.refuse_expired(req)),
@@ -356,6 +366,9 @@
             return Step::Refuse(self.refuse_exhausted(req, now));
         };
         self.backends.attempt_started(&attempt);
+        if let Some(exposure) = self.exposure_mut(&req.service) {
+            exposure.record_attempt(&attempt.version);
+        }
         Step::Send(Box::new(attempt))
     }
 
@@ -363,6 +376,7 @@
     /// Attempts at unreachable servers are not counted.
     pub fn attempt_sent(&mut self, req: &mut InFlightRequest, attempt: &Attempt, now: Instant) {
         if req.attempts == 0 {
+            self.versions.entry(req.service.clone()).or_default().record_request();
             self.retries.record_first_attempt(&req.service, now);
         } else {
             self.retries.record_retry(&req.service, now);
@@ -371,6 +385,7 @@
         req.last_unreachable = None;
         self.first_event_wait_started(req, attempt, now);
         req.attempts += 1;
+        req.version = Some(attempt.version.clone());
         req.tried_servers.push(attempt.server.clone());
     }
 
@@ -524,6 +539,9 @@
                 req.tried_servers.push(attempt.server.clone());
                 req.waiting_for_server_since.get_or_insert(now);
                 req.last_unreachable = Some(now);
+                if let Some(exposure) = self.exposure_mut(&req.service) {
+                    exposure.cancel_attempt(&attempt.version);
+                }
                 self.server_died(&attempt.server, now);
             }
             AttemptOutcome::Misdirected | AttemptOutcome::Full { .. } => {}
@@ -600,33 +618,49 @@
         HeadVerdict::Deliver
     }
 
-    fn choose(&self, req: &mut InFlightRequest, now: Instant) -> Result<Choice, NoServer> {
-        if req.versions == VersionFilter::Any {
-            // A traffic shift may have started since the request was admitted.
-            req.versions = self.allowed_versions(req);
-        }
-        match self.choose_allowed(req, now) {
-            Err(NoServer::Unserved) => {
-                // The allowed versions have no server left: apply the current rule, or allow any version if that rule
-                // requires the same one.
-                let current = self.allowed_versions(req);
-                let is_target_unavailable =
-                    current == req.versions && matches!(current, VersionFilter::Only(_));
-                req.versions = if is_target_unavailable { VersionFilter::Any } else { current };
-                self.choose_allowed(req, now)
+    fn choose(&self, req: &InFlightRequest, now: Instant) -> Result<Choice, NoServer> {
+        for preference in &self.preferences(req) {
+            match self.choose_preferred(req, preference, now) {
+                Err(NoServer::Unserved) => {}
+                Err(NoServer::AllBusy) if preference.is_trial => {}
+                other => return other,
             }
-            other => other,
         }
+        Err(NoServer::Unserved)
     }
 
-    /// Versions that the current rule allows for the request.
-    fn allowed_versions(&self, req: &InFlightRequest) -> VersionFilter {
-        let rule = self.version_rules.get(&req.service).unwrap_or(&VersionRule::Any);
-        rule.filter(req.session, req.request_hash)
+    /// Versions that the request's next attempt may run on, in order of preference.
+    fn preferences(&self, req: &InFlightRequest) -> Vec<Preference> {
+        let request = VersionRequest {
+            session: req.session,
+            request_hash: req.request_hash,
+            previous: req.version.as_ref(),
+        };
+        let versions = self.versions.get(&req.service);
+        versions.map_or_else(
+            || vec![Preference { versions: VersionFilter::Any, is_trial: false }],
+            |versions| versions.preferences(&request, self.cfg.exposure, self.host_count),
+        )
     }
 
-    fn choose_allowed(&self, req: &InFlightRequest, now: Instant) -> Result<Choice, NoServer> {
-        let query = query(req);
+    /// Takes note of versions that came or went since the last request.
+    fn update_versions(&mut self, service: &ServiceId) {
+        let versions = self.versions.entry(service.clone()).or_default();
+        versions.update_in_use(&self.backends.live_versions(service));
+    }
+
+    fn exposure_mut(&mut self, service: &str) -> Option<&mut Exposure> {
+        self.versions.get_mut(service).and_then(ServiceVersions::exposure_mut)
+    }
+
+    fn choose_preferred(
+        &self,
+        req: &InFlightRequest,
+        preference: &Preference,
+        now: Instant,
+    ) -> Result<Choice, NoServer> {
+        let trial_share = preference.is_trial.then_some(self.cfg.exposure.share);
+        let query = Query { trial_share, ..query(req, &preference.versions) };
         let may_reuse_tried =
             req.last_unreachable.is_none_or(|at| now >= at + SERVER_POLL_INTERVAL);
         // The server tried last is the least likely to answer.
@@ -686,7 +720,13 @@
         } else {
             target.mul_f64(SERVER_WAIT_SHARE).min(SERVER_WAIT_MAX)
         };
-        let paused_until = self.backends.all_paused_until(&query(req), now);
+        let paused_until = self
+            .preferences(req)
+            .iter()
+            .filter(|preference| !preference.is_trial)
+            .map(|preference| query(req, &preference.versions))
+            .find(|query| self.backends.is_served(query))
+            .and_then(|query| self.backends.all_paused_until(&query, now));
         let is_pause_too_long = paused_until.is_some_and(|until| until > since + max_wait);
         let until = now + SERVER_POLL_INTERVAL;
         if !is_pause_too_long && until <= since + max_wait && until < req.deadline {
@@ -713,10 +753,11 @@
 }
 
 /// What the request requires of a server.
-fn query(req: &InFlightRequest) -> Query<'_> {
+fn query<'a>(req: &'a InFlightRequest, versions: &'a VersionFilter) -> Query<'a> {
     Query {
         service: &req.service,
-        versions: &req.versions,
+        versions,
+        trial_share: None,
         model: req.model().map(String::as_str),
         parts: &req.parts,
         prompt_tokens: req.prompt_tokens,
