Count a failure that is passed on once

A server's 500 that reached the caller counted twice as evidence against its version: at its head, and again at the end of the attempt. Failures that were retried counted once. So the share of failures was overstated where no retry was left, for all versions, and a version was withdrawn on fewer failures than the test states.

The test a_delivered_failure_is_reported_once failed before: two notifications instead of one. The end of the attempt alone reports it now.

--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -387,7 +387,7 @@
             self.sample_latency_pressure(req, attempt, elapsed, now);
         }
         if !(200..300).contains(&head.status) {
-            return self.handle_error_status(req, attempt, head, now);
+            return self.handle_error_status(req, head, now);
         }
         if self.should_escalate(req, head, now) {
             return HeadVerdict::Drop(AttemptOutcome::Dropped);
@@ -519,7 +519,6 @@
     fn handle_error_status(
         &mut self,
         req: &mut InFlightRequest,
-        attempt: &Attempt,
         head: &AnswerHead,
         now: Instant,
     ) -> HeadVerdict {
@@ -533,9 +532,6 @@
             // reach the caller.
             return HeadVerdict::Drop(AttemptOutcome::Failed);
         }
-        if is_server_error {
-            self.notify_evidence(attempt, true);
-        }
         req.answer_started = true;
         HeadVerdict::Deliver
     }
