Slow answers are evidence against a new version

Callers saw a new version of an engine service that answers several times slower get all their requests: of its answers only failures counted as bad.

Each attempt now yields one pace: the mean gap between the first events of a stream, or the time to the head per unit of work. An attempt that ends before is a lower bound. Servers that warm up are left out. Each host keeps a baseline of the versions in use: the share of failures of each route, and the latest paces by route, model and kind. A pace of the new version is ranked among the latest ones of the other versions, so that bursts and slow stores move both. The mixture test runs on failures and on ranks, over all routes and on each, with all answers and with the latest ones, as a version may turn bad late. The server with the strongest evidence is left out. A withdrawal binds on its host at once, and its log line tells the inputs.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -15,6 +15,10 @@
 use foxtailhoist_peers::feeds::Feeds;
 use foxtailhoist_rollout::shift::Shift;
 use foxtailhoist_rollout::shift::ShiftRule;
+use foxtailhoist_rollout::shift::baseline::Baseline;
+use foxtailhoist_rollout::shift::baseline::Finding;
+use foxtailhoist_rollout::shift::baseline::Observation;
+use foxtailhoist_route::dispatch::AnswerEvidence;
 use foxtailhoist_route::dispatch::Dispatcher;
 use foxtailhoist_route::dispatch::Notification;
 use foxtailhoist_route::routes::CallerLimits;
@@ -79,6 +83,8 @@
     pub(crate) wire: Box<dyn Wire>,
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) shifts: RefCell<BTreeMap<ServiceId, Shift>>,
+    /// Answers of the versions in use.
+    baselines: RefCell<BTreeMap<ServiceId, Baseline>>,
     pub(crate) pool: Rc<ConnPool>,
     pub(crate) mirror: Mirror,
     pub(crate) feeds: RefCell<Feeds>,
@@ -129,6 +135,7 @@
             wire,
             dispatcher: RefCell::new(dispatcher),
             shifts: RefCell::default(),
+            baselines: RefCell::default(),
             pool: Rc::default(),
             log: EventLog::new(Instant::now()),
             metrics,
@@ -197,11 +204,12 @@
         let notifications = self.dispatcher.borrow_mut().take_notifications();
         for notification in notifications {
             match notification {
-                Notification::Evidence { service, version, server, is_bad } => {
-                    let mut shifts = self.shifts.borrow_mut();
-                    if let Some(shift) = shifts.get_mut(&service) {
-                        shift.observe(&version, &server, is_bad);
-                    }
+                Notification::Evidence { service, route, version, server, evidence } => {
+                    let finding = match evidence {
+                        AnswerEvidence::Ended { is_bad } => Finding::Ended { is_bad },
+                        AnswerEvidence::Pace { model, pace } => Finding::Pace { model, pace },
+                    };
+                    self.observe(&service, &Observation { route, version, server, finding });
                 }
                 Notification::Suspect { content } => self.report_suspect(content, 1),
                 Notification::Quarantined { content } => self.report_suspect(content, 2),
@@ -209,6 +217,24 @@
         }
     }
 
+    /// Adds a finding to the service's baseline or, about the target of a shift, to the shift.
+    fn observe(&self, service: &ServiceId, observation: &Observation) {
+        let now = Instant::now();
+        let mut baselines = self.baselines.borrow_mut();
+        let baseline = baselines.entry(service.clone()).or_default();
+        let mut shifts = self.shifts.borrow_mut();
+        let Some(shift) = shifts.get_mut(service) else {
+            return baseline.record(observation, now);
+        };
+        let was_withdrawn = shift.is_withdrawn();
+        shift.observe(observation, baseline, now);
+        let is_new = !was_withdrawn && shift.is_withdrawn();
+        drop(shifts);
+        if is_new {
+            self.apply_shifts(now);
+        }
+    }
+
     /// Applies the current rules of all shifts to the dispatcher.
     pub(crate) fn apply_shifts(&self, now: Instant) {
         let shifts = self.shifts.borrow();
--- a/crates/relay/src/duties.rs
+++ b/crates/relay/src/duties.rs
@@ -119,9 +119,7 @@
             Some(due) => *due,
             None => {
                 if report.phase == ShiftPhase::RolledBack {
-                    let (target_count, _) = shift.counts();
-                    let (bad, answers) = (target_count.bad, target_count.total);
-                    core.log.write(&LogEvent::ShiftWithdrawn { service, target, bad, answers });
+                    core.log.write(&LogEvent::ShiftWithdrawn { service, target, shift });
                 }
                 now + report_delay(core, &report)
             }
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -10,6 +10,7 @@
 
 use foxtailhoist_model::Refusal;
 use foxtailhoist_model::stable_hash;
+use foxtailhoist_rollout::shift::Shift;
 use foxtailhoist_rollout::shift::ShiftPhase;
 use foxtailhoist_route::backends::RegistrationChange;
 use foxtailhoist_route::in_flight::Attempt;
@@ -93,8 +94,7 @@
     ShiftWithdrawn {
         service: &'a str,
         target: &'a str,
-        bad: u64,
-        answers: u64,
+        shift: &'a Shift,
     },
     Suspect {
         content: u64,
@@ -251,10 +251,27 @@
             LogEvent::ShiftReported { service, phase, status } => {
                 write!(f, "event=shift_reported service={service} phase={phase:?} status={status}")
             }
-            LogEvent::ShiftWithdrawn { service, target, bad, answers } => write!(
-                f,
-                "event=shift_withdrawn service={service} target={target} bad={bad} answers={answers}"
-            ),
+            LogEvent::ShiftWithdrawn { service, target, shift } => {
+                let (target_count, others) = shift.counts();
+                let (failures, slowness) = shift.evidence().log_evidence();
+                write!(
+                    f,
+                    "event=shift_withdrawn service={service} target={target} bad={} answers={} \
+                     other_bad={} other_answers={} log_failures={failures:.1} log_slowness={slowness:.1}",
+                    target_count.bad, target_count.total, others.bad, others.total,
+                )?;
+                let Some(conclusion) = shift.conclusion() else {
+                    return Ok(());
+                };
+                write!(
+                    f,
+                    " cause={:?} route={} servers={} log_evidence={:.1}",
+                    conclusion.cause,
+                    conclusion.route.as_deref().unwrap_or("all"),
+                    conclusion.servers,
+                    conclusion.log_evidence,
+                )
+            }
             LogEvent::Suspect { content, deaths } => {
                 write!(f, "event=suspect content={content:016x} deaths={deaths}")
             }
--- a/crates/relay/src/request_guard.rs
+++ b/crates/relay/src/request_guard.rs
@@ -79,10 +79,13 @@
     }
 
     /// Records that events of the stream arrived.
-    pub(crate) fn record_progress(&self, gap: Option<Duration>) {
+    pub(crate) fn record_progress(&mut self, gap: Option<Duration>) {
         if let Some(current) = &self.current {
             let now = Instant::now();
-            self.core.dispatcher.borrow_mut().event_received(&current.attempt, gap, now);
+            let mut dispatcher = self.core.dispatcher.borrow_mut();
+            dispatcher.event_received(&mut self.req, &current.attempt, gap, now);
+            drop(dispatcher);
+            self.core.handle_notifications();
         }
     }
 
--- a/crates/relay/tests/logs.rs
+++ b/crates/relay/tests/logs.rs
@@ -15,6 +15,8 @@
 use foxtailhoist_relay::log_event::EventLog;
 use foxtailhoist_relay::log_event::LogEvent;
 use foxtailhoist_relay::wire::ObjectKind;
+use foxtailhoist_rollout::shift::Shift;
+use foxtailhoist_rollout::shift::ShiftOrder;
 use foxtailhoist_rollout::shift::ShiftPhase;
 use foxtailhoist_route::backends::RegistrationChange;
 
@@ -77,6 +79,15 @@
         message: "first event expected in 6000 ms".to_owned(),
         retry_after: Some(Duration::from_millis(500)),
     };
+    let order = ShiftOrder {
+        service: "s".to_owned(),
+        target: "v".to_owned(),
+        duration: Duration::from_secs(10),
+        phase: None,
+        started_ms: None,
+        revision: 1,
+    };
+    let shift = Shift::new(order, Instant::now(), 0);
     let lines = [
         (LogEvent::Started { host: "h", data_centre: "a" }, "started", "host"),
         (LogEvent::Stopping, "stopping", "event"),
@@ -102,7 +113,7 @@
             "status",
         ),
         (
-            LogEvent::ShiftWithdrawn { service: "s", target: "v", bad: 3, answers: 9 },
+            LogEvent::ShiftWithdrawn { service: "s", target: "v", shift: &shift },
             "shift_withdrawn",
             "bad",
         ),
--- a/crates/rollout/src/judge/sequential.rs
+++ b/crates/rollout/src/judge/sequential.rs
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct MixtureTest {
     /// Logarithm of the likelihood ratio of each alternative.
-    log_ratios: [f64; ALTERNATIVES.len()],
+    log_ratios: [f64; ALTERNATIVE_COUNT],
 }
 
 /// Test for an increase of the share.
@@ -31,8 +31,10 @@
     sum: f64,
 }
 
+/// Alternatives of a mixture.
+pub const ALTERNATIVE_COUNT: usize = 4;
 /// Distance of each alternative of the mixture above the reference.
-const ALTERNATIVES: [f64; 4] = [0.08, 0.16, 0.32, 0.6];
+const ALTERNATIVES: [f64; ALTERNATIVE_COUNT] = [0.08, 0.16, 0.32, 0.6];
 /// Largest share that a test works with, so that logarithms stay finite.
 const SHARE_LIMIT: f64 = 0.98;
 
@@ -44,6 +46,37 @@
         }
     }
 
+    /// A test with the given logarithm of the likelihood ratio of each alternative.
+    #[must_use]
+    pub fn from_log_ratios(log_ratios: [f64; ALTERNATIVE_COUNT]) -> MixtureTest {
+        MixtureTest { log_ratios }
+    }
+
+    #[must_use]
+    pub fn log_ratios(&self) -> [f64; ALTERNATIVE_COUNT] {
+        self.log_ratios
+    }
+
+    /// The test on both tests' observations.
+    #[must_use]
+    pub fn plus(&self, other: &MixtureTest) -> MixtureTest {
+        MixtureTest {
+            log_ratios: std::array::from_fn(|index| {
+                self.log_ratios[index] + other.log_ratios[index]
+            }),
+        }
+    }
+
+    /// The test without the other test's observations.
+    #[must_use]
+    pub fn minus(&self, other: &MixtureTest) -> MixtureTest {
+        MixtureTest {
+            log_ratios: std::array::from_fn(|index| {
+                self.log_ratios[index] - other.log_ratios[index]
+            }),
+        }
+    }
+
     /// Logarithm of the evidence against the reference.
     #[must_use]
     pub fn log_evidence(&self) -> f64 {
--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -5,18 +5,23 @@
 //! Each host tests the version on the answers that it sees itself; the first host that finds it bad withdraws it for
 //! all. The order and its outcome are in the store, so a host that starts during a shift resumes from there.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
-use foxtailhoist_model::BackendServerId;
 use foxtailhoist_model::ServiceId;
 use foxtailhoist_model::VersionId;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::judge::sequential::MixtureTest;
 use crate::judge::sequential::OutcomeCount;
+use crate::shift::baseline::Baseline;
+use crate::shift::baseline::Finding;
+use crate::shift::baseline::Observation;
+use crate::shift::evidence::Conclusion;
+use crate::shift::evidence::Evidence;
+
+pub mod baseline;
+pub mod evidence;
 
 /// Steps of a shift: fraction of the ordered duration at which the step starts, and share of the sessions from then on.
 /// Before the first step only requests without a session take part.
@@ -25,22 +30,6 @@
 const TRIAL_SHARE: f64 = 0.06;
 /// Fraction of the ordered duration at which completion is reported, so that requests on the old version can end.
 const COMPLETION_FRACTION: f64 = 0.86;
-/// Log evidence against the version at which it is withdrawn; about ln 100, for a false alarm rate of 1 %.
-const WITHDRAW_LOG_THRESHOLD: f64 = 4.6;
-/// Fewest bad answers before a version is withdrawn.
-const MIN_BAD_ANSWERS: u64 = 3;
-/// Fewest servers with bad answers before a version is withdrawn.
-const MIN_BAD_SERVERS: usize = 2;
-/// Prior for the old version's share of bad answers: number of answers, and number of bad ones among them.
-const REFERENCE_PRIOR: (f64, f64) = (25.0, 0.5);
-/// Upper bound of the old version's share of bad answers that the target is compared with.
-const MAX_REFERENCE_SHARE: f64 = 0.5;
-
-/// Fewest answers from which on the target can be found good.
-const MIN_GOOD_ANSWERS: u64 = 20;
-/// Excess of the target's share of bad answers over the other versions' share that a good version may have.
-const GOOD_TOLERANCE: f64 = 0.05;
-
 /// Phase of an ordered shift in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ShiftPhase {
@@ -103,9 +92,9 @@
     started: Instant,
     target: OutcomeCount,
     others: OutcomeCount,
-    bad_servers: BTreeSet<BackendServerId>,
-    test: MixtureTest,
-    is_withdrawn: bool,
+    evidence: Evidence,
+    /// Why this host withdrew the target, if it did.
+    conclusion: Option<Conclusion>,
 }
 
 impl Shift {
@@ -119,9 +108,8 @@
             order,
             target: OutcomeCount::default(),
             others: OutcomeCount::default(),
-            bad_servers: BTreeSet::new(),
-            test: MixtureTest::default(),
-            is_withdrawn: false,
+            evidence: Evidence::default(),
+            conclusion: None,
         }
     }
 
@@ -145,42 +133,60 @@
             && !(ended && order.phase.is_none())
     }
 
-    /// Counts an answer from one of the service's servers.
-    pub fn observe(&mut self, version: &str, server: &BackendServerId, is_bad: bool) {
-        let count = OutcomeCount { bad: u64::from(is_bad), total: 1 };
-        if version != self.order.target {
-            self.others = self.others.plus(count);
+    /// Adds a finding about an answer of one of the service's servers. The baseline holds the other versions' answers,
+    /// and the target's once the shift is complete.
+    pub fn observe(&mut self, observation: &Observation, baseline: &mut Baseline, now: Instant) {
+        let is_target = observation.version == self.order.target;
+        if let Finding::Ended { is_bad } = observation.finding {
+            let count = OutcomeCount { bad: u64::from(is_bad), total: 1 };
+            let counted = if is_target { &mut self.target } else { &mut self.others };
+            *counted = counted.plus(count);
+        }
+        if !is_target || self.order.phase == Some(ShiftPhase::Completed) {
+            baseline.record(observation, now);
             return;
         }
-        self.target = self.target.plus(count);
-        let reference = self.reference_share();
-        self.test.add(count, reference);
-        if is_bad {
-            self.bad_servers.insert(server.clone());
+        let Observation { route, server, finding, .. } = observation;
+        match finding {
+            Finding::Ended { is_bad } => {
+                self.evidence.add_end(route, server, *is_bad, baseline.bad_share(route));
+            }
+            Finding::Pace { model, pace } => {
+                if let Some(band) = baseline.band(route, model.as_ref(), *pace, now) {
+                    self.evidence.add_pace(route, server, band);
+                }
+            }
         }
-        let has_min_evidence =
-            self.target.bad >= MIN_BAD_ANSWERS && self.bad_servers.len() >= MIN_BAD_SERVERS;
-        if has_min_evidence && self.test.log_evidence() >= WITHDRAW_LOG_THRESHOLD {
-            self.is_withdrawn = true;
+        if self.conclusion.is_none() {
+            self.conclusion = self.evidence.conclusion();
         }
     }
 
     #[must_use]
     pub fn is_withdrawn(&self) -> bool {
-        self.is_withdrawn
+        self.conclusion.is_some()
+    }
+
+    /// Why this host withdrew the target, if it did.
+    #[must_use]
+    pub fn conclusion(&self) -> Option<&Conclusion> {
+        self.conclusion.as_ref()
+    }
+
+    #[must_use]
+    pub fn evidence(&self) -> &Evidence {
+        &self.evidence
     }
 
     #[must_use]
     pub fn verdict(&self) -> Verdict {
-        if self.is_withdrawn {
-            return Verdict::Bad;
+        if self.is_withdrawn() {
+            Verdict::Bad
+        } else if self.evidence.is_good() {
+            Verdict::Good
+        } else {
+            Verdict::Unknown
         }
-        let answers = self.target.total as f64;
-        let tolerated = self.reference_share() + GOOD_TOLERANCE;
-        if self.target.total >= MIN_GOOD_ANSWERS && self.target.bad as f64 <= tolerated * answers {
-            return Verdict::Good;
-        }
-        Verdict::Unknown
     }
 
     /// Which versions may take new work.
@@ -192,7 +198,7 @@
             Some(ShiftPhase::Completed) => return ShiftRule::Only(target),
             Some(ShiftPhase::InProgress) | None => {}
         }
-        if self.is_withdrawn {
+        if self.is_withdrawn() {
             return ShiftRule::Except(target);
         }
         let elapsed_fraction = self.elapsed_fraction(now);
@@ -208,7 +214,7 @@
     pub fn due_report(&self, has_target: bool, now: Instant, now_ms: u64) -> Option<ShiftReport> {
         let phase = match self.order.phase {
             Some(ShiftPhase::Completed | ShiftPhase::RolledBack) => return None,
-            _ if self.is_withdrawn => ShiftPhase::RolledBack,
+            _ if self.is_withdrawn() => ShiftPhase::RolledBack,
             None => ShiftPhase::InProgress,
             Some(ShiftPhase::InProgress) => {
                 if self.elapsed_fraction(now) < COMPLETION_FRACTION || !has_target {
@@ -234,13 +240,6 @@
         (self.target, self.others)
     }
 
-    /// Share of bad answers that the target is compared with.
-    fn reference_share(&self) -> f64 {
-        let (answers, bad) = REFERENCE_PRIOR;
-        let share = (self.others.bad as f64 + bad) / (self.others.total as f64 + answers);
-        share.min(MAX_REFERENCE_SHARE)
-    }
-
     fn elapsed_fraction(&self, now: Instant) -> f64 {
         let elapsed = now.saturating_duration_since(self.started).as_secs_f64();
         elapsed / self.order.duration.as_secs_f64().max(0.001)
--- a/crates/rollout/tests/shift.rs
+++ b/crates/rollout/tests/shift.rs
@@ -7,6 +7,9 @@
 use foxtailhoist_rollout::shift::ShiftOrder;
 use foxtailhoist_rollout::shift::ShiftPhase;
 use foxtailhoist_rollout::shift::ShiftRule;
+use foxtailhoist_rollout::shift::baseline::Baseline;
+use foxtailhoist_rollout::shift::baseline::Finding;
+use foxtailhoist_rollout::shift::baseline::Observation;
 use rstest::rstest;
 
 const NOW_MS: u64 = 1_000_000_000;
@@ -58,15 +61,16 @@
 #[case::a_third_fails(3)]
 fn a_bad_version_is_withdrawn_after_few_answers(#[case] every: u64) {
     let mut shift = Shift::new(order(24), Instant::now(), NOW_MS);
+    let mut baseline = Baseline::default();
     for _ in 0..100 {
-        shift.observe("v1", &"old".to_owned(), false);
+        observe(&mut shift, &mut baseline, "v1", "old", false);
     }
     let mut answers = 0;
     while !matches!(shift.rule(Instant::now()), ShiftRule::Except(_)) {
         answers += 1;
         assert!(answers <= 50, "still in use after {answers} answers");
         let server = format!("new-{}", answers % 4);
-        shift.observe("v2", &server, answers % every == 0);
+        observe(&mut shift, &mut baseline, "v2", &server, answers % every == 0);
     }
     let report = shift.due_report(true, Instant::now(), NOW_MS).expect("due");
     assert_eq!(report.phase, ShiftPhase::RolledBack);
@@ -75,10 +79,11 @@
 #[test]
 fn one_failing_server_does_not_withdraw_its_version() {
     let mut shift = Shift::new(order(24), Instant::now(), NOW_MS);
+    let mut baseline = Baseline::default();
     for _ in 0..40 {
-        shift.observe("v1", &"old".to_owned(), false);
-        shift.observe("v2", &"new-1".to_owned(), true);
-        shift.observe("v2", &"new-2".to_owned(), false);
+        observe(&mut shift, &mut baseline, "v1", "old", false);
+        observe(&mut shift, &mut baseline, "v2", "new-1", true);
+        observe(&mut shift, &mut baseline, "v2", "new-2", false);
     }
     assert!(!matches!(shift.rule(Instant::now()), ShiftRule::Except(_)));
 }
@@ -86,10 +91,11 @@
 #[test]
 fn failures_that_the_old_version_shares_cause_no_withdrawal() {
     let mut shift = Shift::new(order(24), Instant::now(), NOW_MS);
+    let mut baseline = Baseline::default();
     for number in 0..300 {
         let is_bad = number % 5 == 0;
-        shift.observe("v1", &"old".to_owned(), is_bad);
-        shift.observe("v2", &format!("new-{}", number % 3), is_bad);
+        observe(&mut shift, &mut baseline, "v1", "old", is_bad);
+        observe(&mut shift, &mut baseline, "v2", &format!("new-{}", number % 3), is_bad);
     }
     assert!(!matches!(shift.rule(Instant::now()), ShiftRule::Except(_)));
 }
@@ -116,6 +122,16 @@
     assert!(!shift.is_same_order(&ShiftOrder { target: "v3".to_owned(), ..order(20) }));
 }
 
+fn observe(shift: &mut Shift, baseline: &mut Baseline, version: &str, server: &str, is_bad: bool) {
+    let observation = Observation {
+        route: "chat".to_owned(),
+        version: version.to_owned(),
+        server: server.to_owned(),
+        finding: Finding::Ended { is_bad },
+    };
+    shift.observe(&observation, baseline, Instant::now());
+}
+
 fn order(seconds: u64) -> ShiftOrder {
     ShiftOrder {
         service: "llm".to_owned(),
--- /dev/null
+++ b/crates/route/src/attempt_times.rs
@@ -0,0 +1,96 @@
+//! Times of the attempt in flight, as evidence of its server's pace.
+//!
+//! Each attempt yields at most one pace. A stream with enough events yields the mean gap between them, since the time to
+//! its head depends mostly on what was queued before it. Other attempts yield the time to their head.
+
+use std::time::Instant;
+
+use foxtailhoist_model::Pace;
+use foxtailhoist_model::PaceKind;
+
+use crate::in_flight::Attempt;
+use crate::in_flight::AttemptOutcome;
+
+/// Gaps between events after which a stream's pace is known.
+const GAPS_PER_PACE: u32 = 8;
+/// Fewest gaps that make a pace at the end of a stream.
+const MIN_GAPS: u32 = 2;
+
+/// Times of one attempt.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct AttemptTimes {
+    sent: Option<Instant>,
+    head: Option<Instant>,
+    first_event: Option<Instant>,
+    last_event: Option<Instant>,
+    gaps: u32,
+    /// Whether the pace was taken.
+    is_taken: bool,
+}
+
+impl AttemptTimes {
+    pub(crate) fn sent(now: Instant) -> AttemptTimes {
+        AttemptTimes { sent: Some(now), ..AttemptTimes::default() }
+    }
+
+    pub(crate) fn record_head(&mut self, now: Instant) {
+        self.head = Some(now);
+    }
+
+    /// Records events that arrived together; returns the pace once enough of them have arrived.
+    pub(crate) fn record_event(&mut self, now: Instant) -> Option<Pace> {
+        if self.first_event.is_none() {
+            self.first_event = Some(now);
+        } else {
+            self.gaps += 1;
+        }
+        self.last_event = Some(now);
+        if self.is_taken || self.gaps < GAPS_PER_PACE {
+            return None;
+        }
+        self.is_taken = true;
+        self.event_gap(now, self.gaps, false)
+    }
+
+    /// Returns the attempt's pace at its end, unless it was taken before or is unknown.
+    pub(crate) fn end(
+        &mut self,
+        attempt: &Attempt,
+        outcome: AttemptOutcome,
+        now: Instant,
+    ) -> Option<Pace> {
+        if self.is_taken {
+            return None;
+        }
+        self.is_taken = true;
+        match outcome {
+            AttemptOutcome::Whole | AttemptOutcome::Dropped => match self.last_event {
+                Some(last) if self.gaps >= MIN_GAPS => self.event_gap(last, self.gaps, false),
+                _ => self.head_pace(attempt, self.head?, false),
+            },
+            AttemptOutcome::Silent | AttemptOutcome::Cancelled => match self.head {
+                Some(_) if self.first_event.is_some() => self.event_gap(now, self.gaps + 1, true),
+                Some(head) => self.head_pace(attempt, head, false),
+                None => self.head_pace(attempt, now, true),
+            },
+            AttemptOutcome::Failed
+            | AttemptOutcome::Garbled
+            | AttemptOutcome::Broken
+            | AttemptOutcome::Unreachable
+            | AttemptOutcome::Misdirected
+            | AttemptOutcome::Full { .. } => None,
+        }
+    }
+
+    fn head_pace(&self, attempt: &Attempt, at: Instant, is_lower_bound: bool) -> Option<Pace> {
+        let elapsed = at.saturating_duration_since(self.sent?);
+        let millis = elapsed.as_secs_f64() * 1_000.0 / attempt.work();
+        Some(Pace { kind: PaceKind::Head, millis, is_lower_bound })
+    }
+
+    fn event_gap(&self, until: Instant, gaps: u32, is_lower_bound: bool) -> Option<Pace> {
+        let elapsed = until.saturating_duration_since(self.first_event?);
+        let millis = elapsed.as_secs_f64() * 1_000.0 / f64::from(gaps.max(1));
+        Some(Pace { kind: PaceKind::EventGap, millis, is_lower_bound })
+    }
+}
--- a/crates/route/src/backends/mod.rs
+++ b/crates/route/src/backends/mod.rs
@@ -208,6 +208,11 @@
             .any(|server| server.accepts_new_work() && server.registration.version == version)
     }
 
+    /// Whether the attempt's server has warmed up.
+    pub(crate) fn is_warm(&self, attempt: &Attempt, now: Instant) -> bool {
+        self.incarnation(attempt).is_some_and(|server| now >= server.warm_at)
+    }
+
     /// Last activity of the attempt's server in any answer.
     #[must_use]
     pub fn last_activity(&self, attempt: &Attempt) -> Option<Instant> {
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -17,6 +17,8 @@
 use foxtailhoist_model::DataCentreId;
 use foxtailhoist_model::ErrorKind;
 use foxtailhoist_model::Fingerprint;
+use foxtailhoist_model::ModelId;
+use foxtailhoist_model::Pace;
 use foxtailhoist_model::Refusal;
 use foxtailhoist_model::ServiceId;
 use foxtailhoist_model::VersionId;
@@ -27,6 +29,7 @@
 use self::refusal::RETRY_AFTER_MIN;
 use self::refusal::refusal;
 use self::refusal::refusal_for;
+use crate::attempt_times::AttemptTimes;
 use crate::backends::Backends;
 use crate::backends::Query;
 use crate::backends::choose::Choice;
@@ -46,6 +49,7 @@
 use crate::retry_window::RetryLimit;
 use crate::retry_window::RetryWindows;
 use crate::routes::Identity;
+use crate::routes::RouteId;
 use crate::routes::RoutingTable;
 use crate::stream_time::StreamTime;
 use crate::version_rule::VersionRule;
@@ -146,11 +150,24 @@
     Drop(AttemptOutcome),
 }
 
+/// What an answer tells about its version.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AnswerEvidence {
+    Ended { is_bad: bool },
+    Pace { model: Option<ModelId>, pace: Pace },
+}
+
 /// State-change event for other components and hosts.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Notification {
-    /// A good or bad answer of a version.
-    Evidence { service: ServiceId, version: VersionId, server: BackendServerId, is_bad: bool },
+    /// Evidence on a version from one answer.
+    Evidence {
+        service: ServiceId,
+        route: RouteId,
+        version: VersionId,
+        server: BackendServerId,
+        evidence: AnswerEvidence,
+    },
     /// A content became suspect because it was running when a server died.
     Suspect { content: Fingerprint },
     /// A content was quarantined after repeated server deaths.
@@ -314,6 +331,7 @@
             waiting_for_server_since: None,
             last_unreachable: None,
             awaiting_first_event_since: None,
+            times: AttemptTimes::default(),
             low_confidence_answer: None,
             service,
         };
@@ -358,6 +376,7 @@
         req.waiting_for_server_since = None;
         req.last_unreachable = None;
         self.first_event_wait_started(req, attempt, now);
+        req.times = AttemptTimes::sent(now);
         req.attempts += 1;
         req.tried_servers.push(attempt.server.clone());
     }
@@ -382,6 +401,7 @@
             return HeadVerdict::Drop(AttemptOutcome::Garbled);
         }
         self.backends.head_received(attempt, &req.parts, elapsed, now);
+        req.times.record_head(now);
         self.first_event_wait_ended(req, true, now);
         if !req.answer_started {
             self.sample_latency_pressure(req, attempt, elapsed, now);
@@ -397,8 +417,17 @@
     }
 
     /// Records the arrival of a stream's event.
-    pub fn event_received(&mut self, attempt: &Attempt, gap: Option<Duration>, now: Instant) {
+    pub fn event_received(
+        &mut self,
+        req: &mut InFlightRequest,
+        attempt: &Attempt,
+        gap: Option<Duration>,
+        now: Instant,
+    ) {
         self.backends.event_received(attempt, gap, now);
+        if let Some(pace) = req.times.record_event(now) {
+            self.notify_pace(req, attempt, pace, now);
+        }
     }
 
     /// Whether an attempt without a head should be abandoned for another one. An engine that shows activity in other
@@ -460,6 +489,9 @@
         now: Instant,
     ) {
         self.backends.attempt_ended(attempt, had_head, outcome, now);
+        if let Some(pace) = req.times.end(attempt, outcome, now) {
+            self.notify_pace(req, attempt, pace, now);
+        }
         self.first_event_wait_ended(req, false, now);
         let was_not_started =
             matches!(outcome, AttemptOutcome::Silent | AttemptOutcome::Full { .. });
@@ -475,11 +507,11 @@
                     let time = self.stream_times.entry(req.service.clone()).or_default();
                     time.sample(req.max_output_tokens, elapsed);
                 }
-                self.notify_evidence(attempt, false);
+                self.notify_evidence(req, attempt, AnswerEvidence::Ended { is_bad: false });
             }
             AttemptOutcome::Failed => {
                 req.record_execution(ExecutionStatus::Ran);
-                self.notify_evidence(attempt, true);
+                self.notify_evidence(req, attempt, AnswerEvidence::Ended { is_bad: true });
             }
             AttemptOutcome::Dropped => {
                 req.record_execution(ExecutionStatus::Ran);
@@ -640,11 +672,27 @@
         Step::Refuse(self.refuse(req, kind, now))
     }
 
-    fn notify_evidence(&mut self, attempt: &Attempt, is_bad: bool) {
-        let service = attempt.service.clone();
-        let version = attempt.version.clone();
-        let server = attempt.server.clone();
-        self.notifications.push(Notification::Evidence { service, version, server, is_bad });
+    /// A server that warms up is slower than its version.
+    fn notify_pace(&mut self, req: &InFlightRequest, attempt: &Attempt, pace: Pace, now: Instant) {
+        if self.backends.is_warm(attempt, now) {
+            let model = attempt.model.clone();
+            self.notify_evidence(req, attempt, AnswerEvidence::Pace { model, pace });
+        }
+    }
+
+    fn notify_evidence(
+        &mut self,
+        req: &InFlightRequest,
+        attempt: &Attempt,
+        evidence: AnswerEvidence,
+    ) {
+        self.notifications.push(Notification::Evidence {
+            service: attempt.service.clone(),
+            route: req.route.id.clone(),
+            version: attempt.version.clone(),
+            server: attempt.server.clone(),
+            evidence,
+        });
     }
 }
 
--- a/crates/route/src/in_flight.rs
+++ b/crates/route/src/in_flight.rs
@@ -10,6 +10,7 @@
 use foxtailhoist_model::ServiceId;
 use foxtailhoist_model::VersionId;
 
+use crate::attempt_times::AttemptTimes;
 use crate::backends::Generation;
 use crate::backends::choose::VersionFilter;
 use crate::routes::Route;
@@ -159,6 +160,7 @@
     pub(crate) last_unreachable: Option<Instant>,
     /// When the current attempt was sent, while it waits for its first event.
     pub(crate) awaiting_first_event_since: Option<Instant>,
+    pub(crate) times: AttemptTimes,
     pub(crate) low_confidence_answer: Option<LowConfidenceAnswer>,
 }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,6 +9,7 @@
 //! measurement can show their effect.
 
 mod active_request;
+mod attempt_times;
 pub mod backends;
 mod budget;
 mod config;
--- a/crates/route/tests/dispatch_attempts.rs
+++ b/crates/route/tests/dispatch_attempts.rs
@@ -208,7 +208,7 @@
     let started = harness.now;
     for _ in 0..20 {
         harness.advance(millis(300));
-        harness.dispatcher.event_received(&running, None, harness.now);
+        harness.dispatcher.event_received(&mut req, &running, None, harness.now);
         let waited = harness.now - started;
         let is_overdue = harness.dispatcher.is_head_overdue(&attempt, started, harness.now);
         assert!(!is_overdue, "abandoned after {waited:?} at an active engine");
--- a/crates/route/tests/dispatch_probes.rs
+++ b/crates/route/tests/dispatch_probes.rs
@@ -80,15 +80,15 @@
 #[case::active(false, true)]
 fn streams_of_a_live_server_are_not_abandoned(#[case] reached: bool, #[case] is_active: bool) {
     let mut harness = harness();
-    let streams = start_streams(&mut harness, 1);
-    let (req, attempt) = &streams[0];
+    let mut streams = start_streams(&mut harness, 1);
+    let (req, attempt) = &mut streams[0];
     let since = harness.now;
     harness.advance(millis(500));
     let probe = harness.dispatcher.take_probe(attempt, since, harness.now).expect("a probe");
     harness.dispatcher.probe_ended(&probe, reached, harness.now);
     harness.advance(millis(100));
     if is_active {
-        harness.dispatcher.event_received(attempt, None, harness.now);
+        harness.dispatcher.event_received(req, attempt, None, harness.now);
     }
     assert!(!harness.dispatcher.is_stalled(req, attempt, since, harness.now));
     assert!(!harness.dispatcher.is_head_overdue(attempt, since, harness.now));
