--- a/crates/rollout/tests/shift.rs
+++ b/crates/rollout/tests/shift.rs
@@ -8,6 +8,9 @@
 use foxtailhoist_rollout::shift::ShiftPhase;
 use foxtailhoist_rollout::shift::ShiftRule;
 use foxtailhoist_rollout::shift::Verdict;
+use foxtailhoist_rollout::shift::baseline::Baseline;
+use foxtailhoist_rollout::shift::baseline::Finding;
+use foxtailhoist_rollout::shift::baseline::Observation;
 use rstest::rstest;
 
 const NOW_MS: u64 = 1_000_000_000;
@@ -38,9 +41,10 @@
 fn a_version_that_too_little_is_known_of_stays_on_trial() {
     let start = Instant::now();
     let mut shift = Shift::new(order(15), start, NOW_MS);
+    let mut baseline = Baseline::default();
     for _ in 0..5 {
-        shift.observe("v1", &"old".to_owned(), false);
-        shift.observe("v2", &"new".to_owned(), false);
+        observe(&mut shift, &mut baseline, "v1", "old", false);
+        observe(&mut shift, &mut baseline, "v2", "new", false);
     }
     shift.update(in_progress(15));
     for seconds in 0..30 {
@@ -61,8 +65,9 @@
     let all = ShiftRule::Share { target: "v2".to_owned(), share: 1.0, is_trial: false };
     assert_eq!(shift.rule(late), all);
     // One server alone does not withdraw its version.
+    let mut baseline = Baseline::default();
     for _ in 0..40 {
-        shift.observe("v2", &"new-1".to_owned(), true);
+        observe(&mut shift, &mut baseline, "v2", "new-1", true);
     }
     assert_ne!(shift.verdict(), Verdict::Good);
     assert_eq!(shift.rule(late), all);
@@ -106,15 +111,16 @@
 #[case::a_third_fails(3)]
 fn a_bad_version_is_withdrawn_after_few_answers(#[case] every: u64) {
     let mut shift = Shift::new(order(24), Instant::now(), NOW_MS);
+    let mut baseline = Baseline::default();
     for _ in 0..100 {
-        shift.observe("v1", &"old".to_owned(), false);
+        observe(&mut shift, &mut baseline, "v1", "old", false);
     }
     let mut answers = 0;
     while !matches!(shift.rule(Instant::now()), ShiftRule::Except(_)) {
         answers += 1;
         assert!(answers <= 50, "still in use after {answers} answers");
         let server = format!("new-{}", answers % 4);
-        shift.observe("v2", &server, answers % every == 0);
+        observe(&mut shift, &mut baseline, "v2", &server, answers % every == 0);
     }
     let report = shift.due_report(true, Instant::now(), NOW_MS).expect("due");
     assert_eq!(report.phase, ShiftPhase::RolledBack);
@@ -123,10 +129,11 @@
 #[test]
 fn one_failing_server_does_not_withdraw_its_version() {
     let mut shift = Shift::new(order(24), Instant::now(), NOW_MS);
+    let mut baseline = Baseline::default();
     for _ in 0..40 {
-        shift.observe("v1", &"old".to_owned(), false);
-        shift.observe("v2", &"new-1".to_owned(), true);
-        shift.observe("v2", &"new-2".to_owned(), false);
+        observe(&mut shift, &mut baseline, "v1", "old", false);
+        observe(&mut shift, &mut baseline, "v2", "new-1", true);
+        observe(&mut shift, &mut baseline, "v2", "new-2", false);
     }
     assert!(!matches!(shift.rule(Instant::now()), ShiftRule::Except(_)));
 }
@@ -134,10 +141,11 @@
 #[test]
 fn failures_that_the_old_version_shares_cause_no_withdrawal() {
     let mut shift = Shift::new(order(24), Instant::now(), NOW_MS);
+    let mut baseline = Baseline::default();
     for number in 0..300 {
         let is_bad = number % 5 == 0;
-        shift.observe("v1", &"old".to_owned(), is_bad);
-        shift.observe("v2", &format!("new-{}", number % 3), is_bad);
+        observe(&mut shift, &mut baseline, "v1", "old", is_bad);
+        observe(&mut shift, &mut baseline, "v2", &format!("new-{}", number % 3), is_bad);
     }
     assert!(!matches!(shift.rule(Instant::now()), ShiftRule::Except(_)));
 }
@@ -174,9 +182,10 @@
 }
 
 fn observe_good(shift: &mut Shift) {
+    let mut baseline = Baseline::default();
     for number in 0..60 {
-        shift.observe("v1", &"old".to_owned(), false);
-        shift.observe("v2", &format!("new-{}", number % 4), false);
+        observe(shift, &mut baseline, "v1", "old", false);
+        observe(shift, &mut baseline, "v2", &format!("new-{}", number % 4), false);
     }
 }
 
@@ -184,6 +193,16 @@
     ShiftOrder { phase: Some(ShiftPhase::InProgress), started_ms: Some(NOW_MS), ..order(seconds) }
 }
 
+fn observe(shift: &mut Shift, baseline: &mut Baseline, version: &str, server: &str, is_bad: bool) {
+    let observation = Observation {
+        route: "chat".to_owned(),
+        version: version.to_owned(),
+        server: server.to_owned(),
+        finding: Finding::Ended { is_bad },
+    };
+    shift.observe(&observation, baseline, Instant::now());
+}
+
 fn order(seconds: u64) -> ShiftOrder {
     ShiftOrder {
         service: "llm".to_owned(),
--- a/crates/route/tests/dispatch_probes.rs
+++ b/crates/route/tests/dispatch_probes.rs
@@ -88,7 +88,7 @@
     harness.dispatcher.probe_ended(&probe, reached, harness.now);
     harness.advance(millis(100));
     if is_active {
-        harness.dispatcher.event_received(attempt, None, harness.now);
+        harness.dispatcher.event_received(req, attempt, None, harness.now);
     }
     assert!(!harness.dispatcher.is_stalled(req, attempt, since, harness.now));
     assert!(!harness.dispatcher.is_head_overdue(req, attempt, since, harness.now));
