--- a/crates/relay/tests/logs.rs
+++ b/crates/relay/tests/logs.rs
@@ -10,11 +10,14 @@
 use foxtailhoist_model::ErrorKind;
 use foxtailhoist_model::Ran;
 use foxtailhoist_model::Refusal;
+use foxtailhoist_model::StoreRevision;
 use foxtailhoist_relay::log_buffer::BUFFER_BYTES;
 use foxtailhoist_relay::log_buffer::LogBuffer;
 use foxtailhoist_relay::log_event::EventLog;
 use foxtailhoist_relay::log_event::LogEvent;
 use foxtailhoist_relay::wire::ObjectKind;
+use foxtailhoist_rollout::shift::Shift;
+use foxtailhoist_rollout::shift::ShiftOrder;
 use foxtailhoist_rollout::shift::ShiftPhase;
 use foxtailhoist_route::backends::RegistrationChange;
 
@@ -100,6 +103,15 @@
         phase: "waiting",
         elapsed: Duration::from_secs(2),
     };
+    let order = ShiftOrder {
+        service: "s".to_owned(),
+        target: "v".to_owned(),
+        duration: Duration::from_secs(10),
+        phase: None,
+        started_ms: None,
+        revision: StoreRevision::default(),
+    };
+    let shift = Shift::new(order, Instant::now(), 0);
     let lines = [
         (LogEvent::Started { host: "h", data_centre: "a" }, "started", "host"),
         (LogEvent::Stopping, "stopping", "event"),
@@ -126,7 +138,7 @@
             "status",
         ),
         (
-            LogEvent::ShiftWithdrawn { service: "s", target: "v", bad: 3, answers: 9 },
+            LogEvent::ShiftWithdrawn { service: "s", target: "v", shift: &shift },
             "shift_withdrawn",
             "bad",
         ),
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -17,6 +17,8 @@
 use foxtailhoist_model::DataCentreId;
 use foxtailhoist_model::ErrorKind;
 use foxtailhoist_model::Fingerprint;
+use foxtailhoist_model::ModelId;
+use foxtailhoist_model::Pace;
 use foxtailhoist_model::Refusal;
 use foxtailhoist_model::ServiceId;
 use foxtailhoist_model::VersionId;
@@ -27,6 +29,7 @@
 use self::refusal::RETRY_AFTER_MIN;
 use self::refusal::refusal;
 use self::refusal::refusal_for;
+use crate::attempt_times::AttemptTimes;
 use crate::backends::Backends;
 use crate::backends::Query;
 use crate::backends::choose::Choice;
@@ -48,6 +51,7 @@
 use crate::retry_window::RetryLimit;
 use crate::retry_window::RetryWindows;
 use crate::routes::Identity;
+use crate::routes::RouteId;
 use crate::routes::RoutingTable;
 use crate::stream_time::StreamTime;
 use crate::version_rule::Preference;
@@ -170,11 +174,24 @@
     Drop(AttemptOutcome),
 }
 
+/// What an answer tells about its version.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AnswerEvidence {
+    Ended { is_bad: bool },
+    Pace { model: Option<ModelId>, pace: Pace },
+}
+
 /// State-change event for other components and hosts.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Notification {
-    /// A good or bad answer of a version.
-    Evidence { service: ServiceId, version: VersionId, server: BackendServerId, is_bad: bool },
+    /// Evidence on a version from one answer.
+    Evidence {
+        service: ServiceId,
+        route: RouteId,
+        version: VersionId,
+        server: BackendServerId,
+        evidence: AnswerEvidence,
+    },
     /// A server stated in an answer that it is leaving.
     ServerLeaving { server: BackendServerId },
     /// A server asked for no requests for the stated time; `applied` is the time that it gets none.
@@ -343,6 +360,7 @@
             waiting_for_server_since: None,
             last_unreachable: None,
             awaiting_first_event_since: None,
+            times: AttemptTimes::default(),
             low_confidence_answer: None,
             service,
         };
@@ -384,6 +402,7 @@
         req.waiting_for_server_since = None;
         req.last_unreachable = None;
         self.first_event_wait_started(req, attempt, now);
+        req.times = AttemptTimes::sent(now);
         req.attempts += 1;
         req.version = Some(attempt.version.clone());
         req.tried_servers.push(attempt.server.clone());
@@ -410,12 +429,13 @@
             return HeadVerdict::Drop(AttemptOutcome::Garbled);
         }
         self.backends.head_received(attempt, &req.parts, elapsed, now);
+        req.times.record_head(now);
         self.first_event_wait_ended(req, true, now);
         if !req.answer_started {
             self.sample_latency_pressure(req, attempt, elapsed, now);
         }
         if !(200..300).contains(&head.status) {
-            return self.handle_error_status(req, attempt, head, now);
+            return self.handle_error_status(req, head, now);
         }
         if self.should_escalate(req, head, now) {
             return HeadVerdict::Drop(AttemptOutcome::Dropped);
@@ -426,8 +446,17 @@
     }
 
     /// Records the arrival of a stream's event.
-    pub fn event_received(&mut self, attempt: &Attempt, gap: Option<Duration>, now: Instant) {
+    pub fn event_received(
+        &mut self,
+        req: &mut InFlightRequest,
+        attempt: &Attempt,
+        gap: Option<Duration>,
+        now: Instant,
+    ) {
         self.backends.event_received(attempt, gap, now);
+        if let Some(pace) = req.times.record_event(now) {
+            self.notify_pace(req, attempt, pace, now);
+        }
     }
 
     /// Whether an attempt without a head should be abandoned for another one. An engine that shows activity in other
@@ -499,6 +528,9 @@
         now: Instant,
     ) {
         self.backends.attempt_ended(attempt, had_head, outcome, now);
+        if let Some(pace) = req.times.end(attempt, outcome, now) {
+            self.notify_pace(req, attempt, pace, now);
+        }
         self.first_event_wait_ended(req, false, now);
         let was_not_started =
             matches!(outcome, AttemptOutcome::Silent | AttemptOutcome::Full { .. });
@@ -514,11 +546,11 @@
                     let time = self.stream_times.entry(req.service.clone()).or_default();
                     time.sample(req.max_output_tokens, elapsed);
                 }
-                self.notify_evidence(attempt, false);
+                self.notify_evidence(req, attempt, AnswerEvidence::Ended { is_bad: false });
             }
             AttemptOutcome::Failed => {
                 req.record_execution(ExecutionStatus::Ran);
-                self.notify_evidence(attempt, true);
+                self.notify_evidence(req, attempt, AnswerEvidence::Ended { is_bad: true });
             }
             AttemptOutcome::Dropped => {
                 req.record_execution(ExecutionStatus::Ran);
@@ -598,7 +630,6 @@
     fn handle_error_status(
         &mut self,
         req: &mut InFlightRequest,
-        attempt: &Attempt,
         head: &AnswerHead,
         now: Instant,
     ) -> HeadVerdict {
@@ -612,9 +643,6 @@
             // reach the caller.
             return HeadVerdict::Drop(AttemptOutcome::Failed);
         }
-        if is_server_error {
-            self.notify_evidence(attempt, true);
-        }
         HeadVerdict::Deliver
     }
 
@@ -744,11 +772,27 @@
         Step::Refuse(refusal)
     }
 
-    fn notify_evidence(&mut self, attempt: &Attempt, is_bad: bool) {
-        let service = attempt.service.clone();
-        let version = attempt.version.clone();
-        let server = attempt.server.clone();
-        self.notifications.push(Notification::Evidence { service, version, server, is_bad });
+    /// A server that warms up is slower than its version.
+    fn notify_pace(&mut self, req: &InFlightRequest, attempt: &Attempt, pace: Pace, now: Instant) {
+        if self.backends.is_warm(attempt, now) {
+            let model = attempt.model.clone();
+            self.notify_evidence(req, attempt, AnswerEvidence::Pace { model, pace });
+        }
+    }
+
+    fn notify_evidence(
+        &mut self,
+        req: &InFlightRequest,
+        attempt: &Attempt,
+        evidence: AnswerEvidence,
+    ) {
+        self.notifications.push(Notification::Evidence {
+            service: attempt.service.clone(),
+            route: req.route.id.clone(),
+            version: attempt.version.clone(),
+            server: attempt.server.clone(),
+            evidence,
+        });
     }
 }
 
