Entry hosts share their evidence on a new version

A slow version of a plain service with three servers was not found at all: each host saw about seven of its answers.

While traffic shifts, hosts now pass their log likelihood ratios, by server, on to two others every 400 ms; an update is passed on for three rounds, and the latest one of a host replaces what it sent before. The ratios add up, so each host tests the sum over the fleet. Nothing is written to the store for it.

--- a/crates/peers/src/feeds.rs
+++ b/crates/peers/src/feeds.rs
@@ -118,6 +118,13 @@
         self.hosts.get(host)
     }
 
+    /// Peer addresses of all other hosts.
+    #[must_use]
+    pub fn other_addresses(&self) -> Vec<SocketAddr> {
+        let others = self.hosts.iter().filter(|(host, _)| **host != self.own);
+        others.map(|(_, entry)| entry.address).collect()
+    }
+
     /// Number of hosts in the fleet and in the own data centre, this host included.
     #[must_use]
     pub fn host_counts(&self) -> (usize, usize) {
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -18,6 +18,7 @@
 use foxtailhoist_rollout::shift::baseline::Baseline;
 use foxtailhoist_rollout::shift::baseline::Finding;
 use foxtailhoist_rollout::shift::baseline::Observation;
+use foxtailhoist_rollout::shift::shared::HostEvidence;
 use foxtailhoist_route::dispatch::AnswerEvidence;
 use foxtailhoist_route::dispatch::Dispatcher;
 use foxtailhoist_route::dispatch::Notification;
@@ -235,6 +236,22 @@
         }
     }
 
+    /// Adds peers' evidence on the target of a shift.
+    pub(crate) fn merge_evidence(&self, service: &str, target: &str, hosts: Vec<HostEvidence>) {
+        let mut shifts = self.shifts.borrow_mut();
+        let shift = shifts.get_mut(service).filter(|shift| shift.order().target == target);
+        let Some(shift) = shift else {
+            return;
+        };
+        let was_withdrawn = shift.is_withdrawn();
+        shift.merge(hosts, &self.cfg.host);
+        let is_new = !was_withdrawn && shift.is_withdrawn();
+        drop(shifts);
+        if is_new {
+            self.apply_shifts(Instant::now());
+        }
+    }
+
     /// Applies the current rules of all shifts to the dispatcher.
     pub(crate) fn apply_shifts(&self, now: Instant) {
         let shifts = self.shifts.borrow();
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -35,6 +35,8 @@
 use crate::conn::set_socket_options;
 use crate::core::Core;
 use crate::follow;
+use crate::gossip;
+use crate::gossip::EVIDENCE_PATH;
 use crate::log_event::LogEvent;
 use crate::mirror::Frame;
 use crate::store::StoreClient;
@@ -118,7 +120,7 @@
         spawn_local(async move {
             let service = service_fn(move |request: Request<Incoming>| {
                 let core = core.clone();
-                async move { Ok::<_, Infallible>(answer(&core, &request)) }
+                async move { Ok::<_, Infallible>(answer(&core, request).await) }
             });
             // A subscriber may disconnect at any time.
             let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
@@ -131,7 +133,12 @@
     http_body_util::combinators::UnsyncBoxBody<Bytes, Infallible>,
 >;
 
-fn answer(core: &Core, request: &Request<Incoming>) -> Response<FeedBody> {
+async fn answer(core: &Core, request: Request<Incoming>) -> Response<FeedBody> {
+    if request.uri().path() == EVIDENCE_PATH {
+        let mut response = Response::new(FeedBody::Left(Full::default()));
+        *response.status_mut() = gossip::receive(core, request.into_body()).await;
+        return response;
+    }
     if request.uri().path() != FEED_PATH {
         let mut response = Response::new(FeedBody::Left(Full::default()));
         *response.status_mut() = StatusCode::NOT_FOUND;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 mod duties;
 mod feed;
 mod follow;
+mod gossip;
 mod listen;
 pub mod log_buffer;
 pub mod log_event;
@@ -90,6 +91,7 @@
         }
         spawn_local(feed::run(core.clone(), core.cfg.is_first_start));
         spawn_local(feed::serve(core.clone(), peers));
+        spawn_local(gossip::run(core.clone()));
         spawn_local(duties::run_periodic(core.clone()));
         spawn_local(duties::report_suspects(core.clone()));
         spawn_local(listen::accept_callers(core.clone(), callers));
--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use foxtailhoist_model::EntryHostId;
 use foxtailhoist_model::ServiceId;
 use foxtailhoist_model::VersionId;
 use serde::Deserialize;
@@ -19,9 +20,12 @@
 use crate::shift::baseline::Observation;
 use crate::shift::evidence::Conclusion;
 use crate::shift::evidence::Evidence;
+use crate::shift::shared::HostEvidence;
+use crate::shift::shared::SharedEvidence;
 
 pub mod baseline;
 pub mod evidence;
+pub mod shared;
 
 /// Steps of a shift: fraction of the ordered duration at which the step starts, and share of the sessions from then on.
 /// Before the first step only requests without a session take part.
@@ -93,6 +97,7 @@
     target: OutcomeCount,
     others: OutcomeCount,
     evidence: Evidence,
+    shared: SharedEvidence,
     /// Why this host withdrew the target, if it did.
     conclusion: Option<Conclusion>,
 }
@@ -109,6 +114,7 @@
             target: OutcomeCount::default(),
             others: OutcomeCount::default(),
             evidence: Evidence::default(),
+            shared: SharedEvidence::default(),
             conclusion: None,
         }
     }
@@ -162,6 +168,34 @@
         }
     }
 
+    /// Adds peers' evidence; `host` is this host.
+    pub fn merge(&mut self, evidence: Vec<HostEvidence>, host: &EntryHostId) {
+        let mut is_new = false;
+        for evidence in evidence {
+            is_new |= evidence.host != *host && self.shared.merge(evidence);
+        }
+        if !is_new {
+            return;
+        }
+        let (failures, slowness) = self.shared.sums(host);
+        self.evidence.set_peers(failures, slowness);
+        if self.conclusion.is_none() {
+            self.conclusion = self.evidence.conclusion();
+        }
+    }
+
+    /// Evidence to pass on to a few peers in this round; none once the shift has ended.
+    pub fn news(&mut self, host: &EntryHostId, now_ms: u64) -> Vec<HostEvidence> {
+        if matches!(self.order.phase, Some(ShiftPhase::Completed | ShiftPhase::RolledBack)) {
+            return Vec::new();
+        }
+        let updated_ms = self.shared.next_update(host, now_ms);
+        if let Some(own) = self.evidence.take_news(host, updated_ms) {
+            self.shared.merge(own);
+        }
+        self.shared.take_news()
+    }
+
     #[must_use]
     pub fn is_withdrawn(&self) -> bool {
         self.conclusion.is_some()
--- a/crates/rollout/src/shift/baseline.rs
+++ b/crates/rollout/src/shift/baseline.rs
@@ -66,7 +66,7 @@
 /// Paces remembered for each kind of work.
 const PACE_WINDOW: usize = 20;
 /// Age from which on a pace says little about the present load.
-const PACE_MAX_AGE: Duration = Duration::from_secs(8);
+const PACE_MAX_AGE: Duration = Duration::from_secs(12);
 /// Fewest paces to compare with.
 const MIN_PACES: usize = 12;
 /// Factor by which a version may be slower.
@@ -103,11 +103,15 @@
         }
     }
 
-    /// Share of bad answers on a route.
+    /// Share of bad answers on a route, one standard error above the estimate.
     #[must_use]
     pub fn bad_share(&self, route: &str) -> f64 {
-        let share = self.outcomes.get(route).map_or(BAD_PRIOR.0, DecayingShare::share);
-        share.min(MAX_BAD_SHARE)
+        let (share, weight) = self
+            .outcomes
+            .get(route)
+            .map_or(BAD_PRIOR, |outcomes| (outcomes.share(), outcomes.weight()));
+        let standard_error = (share * (1.0 - share) / weight).sqrt();
+        (share + standard_error).min(MAX_BAD_SHARE)
     }
 
     /// Compares a pace with those of the same route, or of all routes if there are too few; `None` if it cannot be
--- a/crates/rollout/src/shift/evidence.rs
+++ b/crates/rollout/src/shift/evidence.rs
@@ -6,17 +6,22 @@
 use std::collections::BTreeMap;
 
 use foxtailhoist_model::BackendServerId;
+use foxtailhoist_model::EntryHostId;
 
 use crate::judge::sequential::ALTERNATIVE_COUNT;
 use crate::judge::sequential::MixtureTest;
 use crate::judge::sequential::OutcomeCount;
 use crate::shift::baseline::Band;
+use crate::shift::shared::HostEvidence;
+use crate::shift::shared::scaled;
 
 /// Evidence on one version.
 #[derive(Debug, Default)]
 pub struct Evidence {
     failures: RouteTests,
     slowness: RouteTests,
+    /// Whether something was added since the evidence was last sent to peers.
+    has_news: bool,
 }
 
 /// What was found worse.
@@ -40,6 +45,8 @@
 #[derive(Debug, Default)]
 struct RouteTests {
     all: PooledTest,
+    /// All routes at the other hosts.
+    peers: ServerTests,
     routes: BTreeMap<String, PooledTest>,
 }
 
@@ -52,8 +59,9 @@
     latest: ServerTests,
 }
 
-#[derive(Debug, Default)]
-struct ServerTests {
+/// One test with the part of each server.
+#[derive(Clone, Debug, Default)]
+pub struct ServerTests {
     servers: BTreeMap<BackendServerId, MixtureTest>,
     sum: MixtureTest,
 }
@@ -75,10 +83,12 @@
         let mut test = MixtureTest::default();
         test.add(OutcomeCount { bad: u64::from(is_bad), total: 1 }, reference);
         self.failures.add(route, server, &test);
+        self.has_news = true;
     }
 
     pub fn add_pace(&mut self, route: &str, server: &BackendServerId, band: Band) {
         self.slowness.add(route, server, &MixtureTest::from_log_ratios(band_ratios(band)));
+        self.has_news = true;
     }
 
     /// The first test that finds the version worse.
@@ -91,17 +101,33 @@
     /// Whether the answers are unlikely for a version that is clearly worse.
     #[must_use]
     pub fn is_good(&self) -> bool {
-        let failures = &self.failures.all.total.sum;
-        let slowness = &self.slowness.all.total;
-        let is_fast = slowness.servers.is_empty()
-            || slowness.sum.log_ratios()[RULED_OUT] <= GOOD_LOG_THRESHOLD;
+        let failures = self.failures.sum();
+        let slowness = self.slowness.sum();
+        let is_measured = slowness.log_ratios() != MixtureTest::default().log_ratios();
+        let is_fast = !is_measured || slowness.log_ratios()[RULED_OUT] <= GOOD_LOG_THRESHOLD;
         failures.log_ratios()[RULED_OUT] <= GOOD_LOG_THRESHOLD && is_fast
     }
 
-    /// Log evidence for failures and for slowness over all routes.
+    /// Log evidence for failures and for slowness over all routes and hosts.
     #[must_use]
     pub fn log_evidence(&self) -> (f64, f64) {
-        (self.failures.all.total.log_evidence(), self.slowness.all.total.log_evidence())
+        (self.failures.fleet().log_evidence(), self.slowness.fleet().log_evidence())
+    }
+
+    /// This host's evidence for its peers, if there is any since the last call.
+    pub fn take_news(&mut self, host: &EntryHostId, updated_ms: u64) -> Option<HostEvidence> {
+        std::mem::take(&mut self.has_news).then(|| HostEvidence {
+            host: host.clone(),
+            updated_ms,
+            failures: scaled(&self.failures.all.total),
+            slowness: scaled(&self.slowness.all.total),
+        })
+    }
+
+    /// Replaces the other hosts' sums.
+    pub fn set_peers(&mut self, failures: ServerTests, slowness: ServerTests) {
+        self.failures.peers = failures;
+        self.slowness.peers = slowness;
     }
 }
 
@@ -111,7 +137,31 @@
         self.routes.entry(route.to_owned()).or_default().add(server, increment);
     }
 
+    /// Sum over all routes and hosts.
+    fn sum(&self) -> MixtureTest {
+        self.all.total.sum.plus(&self.peers.sum)
+    }
+
+    fn fleet(&self) -> ServerTests {
+        self.all.total.plus(&self.peers)
+    }
+
+    /// The test over all routes and hosts, if it is conclusive.
+    fn conclusive_fleet(&self) -> Option<ServerTests> {
+        let may_be = self.sum().log_evidence() >= WITHDRAW_LOG_THRESHOLD;
+        may_be.then(|| self.fleet()).filter(|fleet| fleet.is_conclusive(WITHDRAW_LOG_THRESHOLD))
+    }
+
     fn conclusion(&self, cause: Cause) -> Option<Conclusion> {
+        if let Some(fleet) = self.conclusive_fleet() {
+            let log_evidence = fleet.log_evidence();
+            return Some(Conclusion {
+                cause,
+                route: None,
+                log_evidence,
+                servers: fleet.servers.len(),
+            });
+        }
         let route_threshold = WITHDRAW_LOG_THRESHOLD + (self.routes.len().max(1) as f64).ln();
         let all = std::iter::once((None, &self.all, WITHDRAW_LOG_THRESHOLD));
         let routes =
@@ -143,7 +193,19 @@
 }
 
 impl ServerTests {
-    fn add(&mut self, server: &BackendServerId, increment: &MixtureTest) {
+    pub fn servers(&self) -> impl Iterator<Item = (&BackendServerId, &MixtureTest)> {
+        self.servers.iter()
+    }
+
+    fn plus(&self, other: &ServerTests) -> ServerTests {
+        let mut sum = self.clone();
+        for (server, test) in &other.servers {
+            sum.add(server, test);
+        }
+        sum
+    }
+
+    pub fn add(&mut self, server: &BackendServerId, increment: &MixtureTest) {
         let own = self.servers.entry(server.clone()).or_default();
         *own = own.plus(increment);
         self.sum = self.sum.plus(increment);
