Close connections that are opened while a host stops

A stopping host that had nothing left to do stayed until the end of its grace period, and so came back late, whenever a caller had opened a connection during the stop and sent nothing on it.

The order to close idle connections was a notification, which reached only the connections that existed at that moment. It is now a state that later connections see, too. A connection that was opened or served less than half a second ago is kept for the rest of that time, since the next request may be on its way; before, it was closed at once.

`an_idle_connection_opened_during_a_stop_does_not_delay_it` failed before: the process ended 7.6 s after SIGTERM although its last stream had ended at 4.3 s.

`a_request_that_began_to_arrive_is_answered_by_a_stopping_host` passed before; it covers a head that arrives in parts.

--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -4,11 +4,16 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use foxtailhoist_route::in_flight::CallerRequestId;
 use foxtailhoist_route::routes::CallerLimits;
 
+/// Time for which a closing host keeps a connection that has just been opened or served: the caller's next request may
+/// be on its way.
+pub(crate) const CLOSING_IDLE: Duration = Duration::from_millis(500);
+
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConnPhase {
@@ -118,14 +123,17 @@
         self.enter(if is_idle { ConnPhase::Idle } else { ConnPhase::Head });
     }
 
-    /// Why the connection is to be closed, if a timeout of the caller has passed.
-    pub(crate) fn overdue(&self, limits: &CallerLimits) -> Option<CloseReason> {
+    /// Why the connection is to be closed, if a timeout has passed.
+    pub(crate) fn overdue(&self, limits: &CallerLimits, is_closing: bool) -> Option<CloseReason> {
         let (limit, reason) = match self.phase.get() {
+            ConnPhase::Idle if is_closing => {
+                (CLOSING_IDLE.min(limits.idle_timeout), CloseReason::Stopping)
+            }
             ConnPhase::Head => (limits.header_timeout, CloseReason::HeaderTimeout),
             ConnPhase::Idle => (limits.idle_timeout, CloseReason::IdleTimeout),
             ConnPhase::Body | ConnPhase::Waiting | ConnPhase::Answer => return None,
         };
-        (self.since.get().elapsed() > limit).then_some(reason)
+        (self.since.get().elapsed() >= limit).then_some(reason)
     }
 
     /// Records that bytes arrived.
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -110,7 +110,8 @@
     /// Open connections from callers.
     pub(crate) callers: CallerConns,
     pub(crate) all_closed: Notify,
-    pub(crate) closing: Notify,
+    /// Whether idle connections from callers are closed because the host is stopping.
+    pub(crate) closing: watch::Sender<bool>,
     /// Whether the grace period is over: requests that end from here on are cut by this host, not by their callers.
     pub(crate) closed: Cell<bool>,
 }
@@ -149,7 +150,7 @@
             resumed: Notify::new(),
             callers: CallerConns::default(),
             all_closed: Notify::new(),
-            closing: Notify::new(),
+            closing: watch::Sender::new(false),
             closed: Cell::new(false),
         })
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -134,7 +134,7 @@
         core.dispatcher.borrow_mut().stop(Instant::now() + grace);
         let finish = async {
             tokio::time::sleep(STOP_LINGER.min(grace)).await;
-            core.closing.notify_waiters();
+            core.closing.send_replace(true);
             while !core.callers.is_empty() {
                 core.all_closed.notified().await;
             }
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -24,6 +24,7 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
+use crate::caller_conn::CLOSING_IDLE;
 use crate::caller_conn::CallerConn;
 use crate::caller_conn::CloseReason;
 use crate::caller_conn::ConnPhase;
@@ -116,32 +117,30 @@
     let mut builder = http1::Builder::new();
     builder.header_read_timeout(None).half_close(false);
     let mut conn = std::pin::pin!(builder.serve_connection(io, service));
-    let mut is_closing = false;
+    let mut closing = core.closing.subscribe();
+    let mut is_closed = false;
     loop {
-        let closing = async {
-            if is_closing {
-                std::future::pending::<()>().await;
-            }
-            core.closing.notified().await;
-        };
-        let reason = tokio::select! {
+        let is_closing = *closing.borrow_and_update();
+        let interval = if is_closing { CLOSING_IDLE } else { TIMEOUT_POLL_INTERVAL };
+        tokio::select! {
             // Errors here are the caller's: it disconnected, or sent an invalid request and was answered 400.
             _ = conn.as_mut() => return,
-            () = closing => Some(CloseReason::Stopping),
-            () = tokio::time::sleep(TIMEOUT_POLL_INTERVAL) => state.overdue(&core.limits()),
-        };
-        let Some(reason) = reason else {
-            continue;
-        };
-        if reason == CloseReason::HeaderTimeout {
-            core.log_caller_closed(&state, reason);
-            return;
+            _ = closing.wait_for(|now| *now), if !is_closing => {}
+            () = tokio::time::sleep(interval) => {}
         }
-        if !is_closing {
-            core.metrics.caller_closed(reason.name());
+        let is_closing = *closing.borrow();
+        match state.overdue(&core.limits(), is_closing) {
+            Some(CloseReason::HeaderTimeout) => {
+                core.log_caller_closed(&state, CloseReason::HeaderTimeout);
+                return;
+            }
+            Some(reason) if !is_closed => {
+                core.metrics.caller_closed(reason.name());
+                is_closed = true;
+                conn.as_mut().graceful_shutdown();
+            }
+            _ => {}
         }
-        is_closing = true;
-        conn.as_mut().graceful_shutdown();
     }
 }
 
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -8,6 +8,7 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use reqwest::Client;
 use reqwest::Method;
@@ -33,6 +34,9 @@
 use standin::stream_head;
 use standin::streamed;
 
+/// Time after SIGTERM in which idle connections still take requests.
+const STOP_LINGER: Duration = Duration::from_secs(3);
+
 struct Harness {
     store: Store,
     engine: Engine,
@@ -231,3 +235,47 @@
     })
     .await;
 }
+
+/// Guards against a request whose head arrives in parts while the host closes its idle connections.
+#[tokio::test]
+async fn a_request_that_began_to_arrive_is_answered_by_a_stopping_host() {
+    on_one_thread(async || {
+        let harness = Harness::start("partial", "llm").await;
+        harness.until_stream_served().await;
+        let mut stream = TcpStream::connect(harness.callers()).await.expect("a connection");
+        let head = stream_head(&fresh_id());
+        let (first, second) = head.split_at(40);
+        harness.hosts.signal(0, Signal::TERM);
+        sleep(STOP_LINGER - Duration::from_millis(300)).await;
+        stream.write_all(first.as_bytes()).await.expect("written");
+        sleep(Duration::from_millis(600)).await;
+        let rest = format!("{second}\r\nprompt");
+        stream.write_all(rest.as_bytes()).await.expect("written");
+        let answer = read_until(&mut stream, "never").await;
+        assert!(answer.starts_with("HTTP/1.1 "), "{answer:?}");
+        assert!(answer.contains("connection: close"), "{answer:?}");
+        harness.hosts.close();
+    })
+    .await;
+}
+
+/// Guards against a stop that waits to the end of the grace period for a connection without a request.
+#[tokio::test]
+async fn an_idle_connection_opened_during_a_stop_does_not_delay_it() {
+    on_one_thread(async || {
+        let mut harness = Harness::start("idle", "llm").await;
+        harness.until_stream_served().await;
+        harness.engine.always(Behaviour::Slow);
+        let stopped_at = Instant::now();
+        harness.hosts.signal(0, Signal::TERM);
+        sleep(STOP_LINGER - Duration::from_millis(500)).await;
+        let answer = harness.chat(&fresh_id()).send().await.expect("a head");
+        sleep(Duration::from_millis(1_000)).await;
+        let _idle = TcpStream::connect(harness.callers()).await.expect("a connection");
+        answer.text().await.expect("a complete answer");
+        harness.hosts.wait(0).await;
+        assert!(stopped_at.elapsed() < Duration::from_secs(6), "{:?}", stopped_at.elapsed());
+        harness.hosts.close();
+    })
+    .await;
+}
