Read a request that has arrived before closing its idle connection

Callers whose request reached a host just before it closed its idle connections had their connection reset, though the request could have been served. A host that gets no processor time around that moment shows it.

The connection and the order to close it were polled in random order; and where a timer fires before the runtime has polled the sockets, the connection does not see its request however it is polled. A connection that is due to be closed is now polled once more after the runtime has polled the sockets, and stays open if a request began to arrive. The same holds for the idle and the header timeout.

--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -129,6 +129,15 @@
             () = tokio::time::sleep(interval) => {}
         }
         let is_closing = *closing.borrow();
+        if state.overdue(&core.limits(), is_closing).is_none() {
+            continue;
+        }
+        // A request may have arrived that is not read yet. Yielding lets the runtime poll the sockets first.
+        tokio::select! {
+            biased;
+            _ = conn.as_mut() => return,
+            () = tokio::task::yield_now() => {}
+        }
         match state.overdue(&core.limits(), is_closing) {
             Some(CloseReason::HeaderTimeout) => {
                 core.log_caller_closed(&state, CloseReason::HeaderTimeout);
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -279,3 +279,33 @@
     })
     .await;
 }
+
+/// Guards against idle connections that are closed without reading the request that has just arrived on them.
+#[tokio::test]
+async fn a_request_that_arrives_as_idle_connections_are_closed_is_answered() {
+    on_one_thread(async || {
+        const CALLERS: usize = 16;
+        let harness = Harness::start("crossing", "llm").await;
+        harness.until_stream_served().await;
+        let mut streams = Vec::new();
+        for _ in 0..CALLERS {
+            streams.push(TcpStream::connect(harness.callers()).await.expect("a connection"));
+        }
+        harness.hosts.signal(0, Signal::TERM);
+        // The host gets no processor time while the requests arrive and its linger ends.
+        sleep(STOP_LINGER - Duration::from_millis(400)).await;
+        harness.hosts.signal(0, Signal::STOP);
+        for stream in &mut streams {
+            let request = stream_head(&fresh_id()) + "\r\nprompt";
+            stream.write_all(request.as_bytes()).await.expect("written");
+        }
+        sleep(Duration::from_millis(600)).await;
+        harness.hosts.signal(0, Signal::CONT);
+        for mut stream in streams {
+            let answer = read_until(&mut stream, "never").await;
+            assert!(answer.starts_with("HTTP/1.1 "), "{answer:?}");
+        }
+        harness.hosts.close();
+    })
+    .await;
+}
