Log the age of a request that this host cuts

`caller_closed` had the time in the phase only, from which one cannot tell whether a cut request was admitted before or during the stop. It now has both.

--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -48,6 +48,8 @@
     since: Cell<Instant>,
     /// Whether bytes of a next request arrived before the end of the answer.
     has_early_bytes: Cell<bool>,
+    /// When the head of the request in progress was read.
+    request_since: Cell<Option<Instant>>,
     /// The request in progress, once its head has been read.
     request: RefCell<Option<CallerRequestId>>,
 }
@@ -90,6 +92,7 @@
             phase: Cell::new(ConnPhase::Idle),
             since: Cell::new(now),
             has_early_bytes: Cell::new(false),
+            request_since: Cell::new(None),
             request: RefCell::new(None),
         }
     }
@@ -107,6 +110,17 @@
         self.request.borrow().clone().unwrap_or_else(|| "-".to_owned())
     }
 
+    /// Time since the head of the request in progress was read.
+    pub(crate) fn request_age(&self) -> Option<Duration> {
+        self.request_since.get().map(|since| since.elapsed())
+    }
+
+    /// Records that the head of a request was read.
+    pub(crate) fn request_began(&self) {
+        self.request_since.set(Some(Instant::now()));
+        self.enter(ConnPhase::Body);
+    }
+
     pub(crate) fn set_request(&self, id: &CallerRequestId) {
         *self.request.borrow_mut() = Some(id.clone());
     }
@@ -119,6 +133,7 @@
     /// Records that the answer was sent: the connection is idle, unless a next request has begun to arrive.
     pub(crate) fn answer_ended(&self) {
         self.request.take();
+        self.request_since.set(None);
         let is_idle = !self.has_early_bytes.take();
         self.enter(if is_idle { ConnPhase::Idle } else { ConnPhase::Head });
     }
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -206,7 +206,8 @@
             request: &conn.request(),
             reason: reason.name(),
             phase: conn.phase().name(),
-            elapsed: conn.since().elapsed(),
+            in_phase: conn.since().elapsed(),
+            elapsed: conn.request_age(),
         });
     }
 
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -27,7 +27,6 @@
 use crate::caller_conn::CLOSING_IDLE;
 use crate::caller_conn::CallerConn;
 use crate::caller_conn::CloseReason;
-use crate::caller_conn::ConnPhase;
 use crate::conn::set_socket_options;
 use crate::core::Core;
 use crate::serve::serve;
@@ -110,7 +109,7 @@
         service_fn(move |request| {
             let core = core.clone();
             let state = state.clone();
-            state.enter(ConnPhase::Body);
+            state.request_began();
             async move { Ok::<_, Infallible>(serve(core, state, request).await) }
         })
     };
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -156,8 +156,9 @@
         request: &'a str,
         reason: &'a str,
         phase: &'a str,
-        /// Time in this phase.
-        elapsed: Duration,
+        in_phase: Duration,
+        /// Time since the request's head was read.
+        elapsed: Option<Duration>,
     },
     CallerLeft {
         req: &'a InFlightRequest,
@@ -356,10 +357,11 @@
                 left.as_millis(),
                 store_age.map_or_else(|| "-".to_owned(), |age| age.as_millis().to_string()),
             ),
-            LogEvent::CallerClosed { request, reason, phase, elapsed } => write!(
+            LogEvent::CallerClosed { request, reason, phase, in_phase, elapsed } => write!(
                 f,
-                "event=caller_closed request={request} reason={reason} phase={phase} ms={}",
-                elapsed.as_millis()
+                "event=caller_closed request={request} reason={reason} phase={phase} phase_ms={} ms={}",
+                in_phase.as_millis(),
+                elapsed.map_or_else(|| "-".to_owned(), |elapsed| elapsed.as_millis().to_string()),
             ),
             LogEvent::CallerLeft { req, elapsed } => write!(
                 f,
