Close a used connection behind its answer while stopping

Since connections that are opened during a stop are closed, a connection whose stream ended during the last part of a stop stayed open for half a second more.

Only a connection that has not carried a request is kept for the rest of its first half second; all others are closed at once, or behind the answer in progress.

`a_stopping_host_closes_a_connection_behind_its_answer` failed before: the connection was closed 802 ms after the end of the stream.

--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -10,8 +10,7 @@
 use foxtailhoist_route::in_flight::CallerRequestId;
 use foxtailhoist_route::routes::CallerLimits;
 
-/// Time for which a closing host keeps a connection that has just been opened or served: the caller's next request may
-/// be on its way.
+/// Time for which a closing host keeps a connection that has just been opened: its first request may be on its way.
 pub(crate) const CLOSING_IDLE: Duration = Duration::from_millis(500);
 
 /// What a connection is doing.
@@ -46,6 +45,8 @@
     phase: Cell<ConnPhase>,
     /// When the current phase began, or when the connection was last written to.
     since: Cell<Instant>,
+    /// Whether a request was read.
+    is_used: Cell<bool>,
     /// Whether bytes of a next request arrived before the end of the answer.
     has_early_bytes: Cell<bool>,
     /// When the head of the request in progress was read.
@@ -91,6 +92,7 @@
         CallerConn {
             phase: Cell::new(ConnPhase::Idle),
             since: Cell::new(now),
+            is_used: Cell::new(false),
             has_early_bytes: Cell::new(false),
             request_since: Cell::new(None),
             request: RefCell::new(None),
@@ -117,6 +119,7 @@
 
     /// Records that the head of a request was read.
     pub(crate) fn request_began(&self) {
+        self.is_used.set(true);
         self.request_since.set(Some(Instant::now()));
         self.enter(ConnPhase::Body);
     }
@@ -141,10 +144,12 @@
     /// Why the connection is to be closed, if a timeout has passed.
     pub(crate) fn overdue(&self, limits: &CallerLimits, is_closing: bool) -> Option<CloseReason> {
         let (limit, reason) = match self.phase.get() {
-            ConnPhase::Idle if is_closing => {
+            ConnPhase::Idle if is_closing && !self.is_used.get() => {
                 (CLOSING_IDLE.min(limits.idle_timeout), CloseReason::Stopping)
             }
             ConnPhase::Head => (limits.header_timeout, CloseReason::HeaderTimeout),
+            // A connection with a request in progress is closed behind its answer.
+            _ if is_closing => return Some(CloseReason::Stopping),
             ConnPhase::Idle => (limits.idle_timeout, CloseReason::IdleTimeout),
             ConnPhase::Body | ConnPhase::Waiting | ConnPhase::Answer => return None,
         };
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -309,3 +309,25 @@
     })
     .await;
 }
+
+/// Guards against a kept connection on which a stopping host takes one more request, only to refuse it.
+#[tokio::test]
+async fn a_stopping_host_closes_a_connection_behind_its_answer() {
+    on_one_thread(async || {
+        let harness = Harness::start("behind", "llm").await;
+        harness.until_stream_served().await;
+        harness.engine.always(Behaviour::VerySlow);
+        let mut stream = TcpStream::connect(harness.callers()).await.expect("a connection");
+        let request = stream_head(&fresh_id()) + "\r\nprompt";
+        stream.write_all(request.as_bytes()).await.expect("written");
+        read_until(&mut stream, "piece 1").await;
+        harness.hosts.signal(0, Signal::TERM);
+        let rest = read_until(&mut stream, "\r\n0\r\n\r\n").await;
+        assert!(rest.contains(&format!("piece {EVENTS}")), "cut after {rest:?}");
+        let ended = Instant::now();
+        assert_eq!(read_until(&mut stream, "never").await, "");
+        assert!(ended.elapsed() < Duration::from_millis(300), "{:?}", ended.elapsed());
+        harness.hosts.close();
+    })
+    .await;
+}
