--- a/crates/relay/src/caller_conn.rs
+++ b/crates/relay/src/caller_conn.rs
@@ -4,11 +4,15 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use foxtailhoist_route::in_flight::CallerRequestId;
 use foxtailhoist_route::routes::CallerLimits;
 
+/// Time for which a closing host keeps a connection that has just been opened: its first request may be on its way.
+pub(crate) const CLOSING_IDLE: Duration = Duration::from_millis(500);
+
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConnPhase {
@@ -41,8 +45,12 @@
     phase: Cell<ConnPhase>,
     /// When the current phase began, or when the connection was last written to.
     since: Cell<Instant>,
+    /// Whether a request was read.
+    is_used: Cell<bool>,
     /// Whether bytes of a next request arrived before the end of the answer.
     has_early_bytes: Cell<bool>,
+    /// When the head of the request in progress was read.
+    request_since: Cell<Option<Instant>>,
     /// The request in progress, once its head has been read.
     request: RefCell<Option<CallerRequestId>>,
 }
@@ -84,7 +92,9 @@
         CallerConn {
             phase: Cell::new(ConnPhase::Idle),
             since: Cell::new(now),
+            is_used: Cell::new(false),
             has_early_bytes: Cell::new(false),
+            request_since: Cell::new(None),
             request: RefCell::new(None),
         }
     }
@@ -102,6 +112,18 @@
         self.request.borrow().clone().unwrap_or_else(|| "-".to_owned())
     }
 
+    /// Time since the head of the request in progress was read.
+    pub(crate) fn request_age(&self) -> Option<Duration> {
+        self.request_since.get().map(|since| since.elapsed())
+    }
+
+    /// Records that the head of a request was read.
+    pub(crate) fn request_began(&self) {
+        self.is_used.set(true);
+        self.request_since.set(Some(Instant::now()));
+        self.enter(ConnPhase::Body);
+    }
+
     pub(crate) fn set_request(&self, id: &CallerRequestId) {
         *self.request.borrow_mut() = Some(id.clone());
     }
@@ -114,18 +136,24 @@
     /// Records that the answer was sent: the connection is idle, unless a next request has begun to arrive.
     pub(crate) fn answer_ended(&self) {
         self.request.take();
+        self.request_since.set(None);
         let is_idle = !self.has_early_bytes.take();
         self.enter(if is_idle { ConnPhase::Idle } else { ConnPhase::Head });
     }
 
-    /// Why the connection is to be closed, if a timeout of the caller has passed.
-    pub(crate) fn overdue(&self, limits: &CallerLimits) -> Option<CloseReason> {
+    /// Why the connection is to be closed, if a timeout has passed.
+    pub(crate) fn overdue(&self, limits: &CallerLimits, is_closing: bool) -> Option<CloseReason> {
         let (limit, reason) = match self.phase.get() {
+            ConnPhase::Idle if is_closing && !self.is_used.get() => {
+                (CLOSING_IDLE.min(limits.idle_timeout), CloseReason::Stopping)
+            }
             ConnPhase::Head => (limits.header_timeout, CloseReason::HeaderTimeout),
+            // A connection with a request in progress is closed behind its answer.
+            _ if is_closing => return Some(CloseReason::Stopping),
             ConnPhase::Idle => (limits.idle_timeout, CloseReason::IdleTimeout),
             ConnPhase::Body | ConnPhase::Waiting | ConnPhase::Answer => return None,
         };
-        (self.since.get().elapsed() > limit).then_some(reason)
+        (self.since.get().elapsed() >= limit).then_some(reason)
     }
 
     /// Records that bytes arrived.
--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -24,9 +24,9 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
+use crate::caller_conn::CLOSING_IDLE;
 use crate::caller_conn::CallerConn;
 use crate::caller_conn::CloseReason;
-use crate::caller_conn::ConnPhase;
 use crate::conn::CALLER_USER_TIMEOUT;
 use crate::conn::set_socket_options;
 use crate::core::Core;
@@ -110,39 +110,46 @@
         service_fn(move |request| {
             let core = core.clone();
             let state = state.clone();
-            state.enter(ConnPhase::Body);
+            state.request_began();
             async move { Ok::<_, Infallible>(serve(core, state, request).await) }
         })
     };
     let mut builder = http1::Builder::new();
     builder.header_read_timeout(None).half_close(false);
     let mut conn = std::pin::pin!(builder.serve_connection(io, service));
-    let mut is_closing = false;
+    let mut closing = core.closing.subscribe();
+    let mut is_closed = false;
     loop {
-        let closing = async {
-            if is_closing {
-                std::future::pending::<()>().await;
-            }
-            core.closing.notified().await;
-        };
-        let reason = tokio::select! {
+        let is_closing = *closing.borrow_and_update();
+        let interval = if is_closing { CLOSING_IDLE } else { TIMEOUT_POLL_INTERVAL };
+        tokio::select! {
             // Errors here are the caller's: it disconnected, or sent an invalid request and was answered 400.
             _ = conn.as_mut() => return,
-            () = closing => Some(CloseReason::Stopping),
-            () = tokio::time::sleep(TIMEOUT_POLL_INTERVAL) => state.overdue(&core.limits()),
-        };
-        let Some(reason) = reason else {
+            _ = closing.wait_for(|now| *now), if !is_closing => {}
+            () = tokio::time::sleep(interval) => {}
+        }
+        let is_closing = *closing.borrow();
+        if state.overdue(&core.limits(), is_closing).is_none() {
             continue;
-        };
-        if reason == CloseReason::HeaderTimeout {
-            core.log_caller_closed(&state, reason);
-            return;
         }
-        if !is_closing {
-            core.metrics.caller_closed(reason.name());
+        // A request may have arrived that is not read yet. Yielding lets the runtime poll the sockets first.
+        tokio::select! {
+            biased;
+            _ = conn.as_mut() => return,
+            () = tokio::task::yield_now() => {}
+        }
+        match state.overdue(&core.limits(), is_closing) {
+            Some(CloseReason::HeaderTimeout) => {
+                core.log_caller_closed(&state, CloseReason::HeaderTimeout);
+                return;
+            }
+            Some(reason) if !is_closed => {
+                core.metrics.caller_closed(reason.name());
+                is_closed = true;
+                conn.as_mut().graceful_shutdown();
+            }
+            _ => {}
         }
-        is_closing = true;
-        conn.as_mut().graceful_shutdown();
     }
 }
 
