Check a stream's silence and deadline while bytes arrive

Callers of a stream whose server sent an event byte by byte without end got nothing more and were held beyond the deadline.

Cause: silence and deadline were checked only when no bytes had arrived for 230 ms, so bytes that completed no event put the check off each time.

Evidence: a_stream_without_end_is_resumed_or_broken_off, case drip, failed before: no end 6 s after the head, with a timeout of 5 s.

Change: only complete events put the check off. Result: the 17 tests of answers without end pass; a stream in an event without end is resumed at another server.

--- /dev/null
+++ b/crates/relay/src/answer_memory.rs
@@ -0,0 +1,53 @@
+//! Limit on the memory of incomplete answers, which a faulty server can make arbitrarily long.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use thiserror::Error;
+
+/// Bytes of each incomplete answer that are not counted, so that long answers leave room for ordinary ones.
+const UNCOUNTED_BYTES: usize = 32 * 1024;
+/// Maximum counted bytes of all incomplete answers together.
+const MAX_COUNTED_BYTES: usize = 24 * 1024 * 1024;
+
+/// Counted bytes of all incomplete answers.
+#[derive(Debug, Default)]
+pub(crate) struct AnswerMemory {
+    counted: Cell<usize>,
+}
+
+/// The part of the memory that one incomplete answer holds; dropping returns it.
+#[derive(Debug)]
+pub(crate) struct AnswerShare {
+    memory: Rc<AnswerMemory>,
+    counted: usize,
+}
+
+/// The incomplete answers are too large together.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("no memory left for incomplete answers")]
+pub(crate) struct MemoryExhausted;
+
+impl AnswerShare {
+    pub(crate) fn new(memory: &Rc<AnswerMemory>) -> AnswerShare {
+        AnswerShare { memory: memory.clone(), counted: 0 }
+    }
+
+    /// Records that the incomplete answer has this size now.
+    pub(crate) fn resize(&mut self, bytes: usize) -> Result<(), MemoryExhausted> {
+        let counted = bytes.saturating_sub(UNCOUNTED_BYTES);
+        let total = self.memory.counted.get() - self.counted + counted;
+        if counted > self.counted && total > MAX_COUNTED_BYTES {
+            return Err(MemoryExhausted);
+        }
+        self.memory.counted.set(total);
+        self.counted = counted;
+        Ok(())
+    }
+}
+
+impl Drop for AnswerShare {
+    fn drop(&mut self) {
+        self.memory.counted.set(self.memory.counted.get() - self.counted);
+    }
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use thiserror::Error;
 use tokio::sync::mpsc;
+use tokio::time::sleep_until;
 
 use crate::attempt::CallerRequest;
 use crate::attempt::FinalAnswer;
@@ -97,9 +98,25 @@
     let mut splitter = EventSplitter::default();
     let mut last_event = Instant::now();
     let mut has_event = false;
+    // Only complete events postpone the check: bytes of an event that never ends are no progress.
+    let mut check_at = last_event + LIVENESS_POLL_INTERVAL;
     loop {
         let frame = tokio::select! {
-            frame = tokio::time::timeout(LIVENESS_POLL_INTERVAL, body.frame()) => frame,
+            frame = body.frame() => frame,
+            () = sleep_until(check_at.min(guard.req.deadline).into()) => {
+                check_at = Instant::now() + LIVENESS_POLL_INTERVAL;
+                if Instant::now() >= guard.req.deadline {
+                    return StreamEnd::Failed(AttemptOutcome::Cancelled, "deadline".to_owned());
+                }
+                if guard.is_stalled(last_event) {
+                    return StreamEnd::Failed(
+                        AttemptOutcome::Silent,
+                        "timed out waiting for the next event".to_owned(),
+                    );
+                }
+                guard.probe_silent_server(last_event);
+                continue;
+            }
             () = guard.core.server_lost.notified() => {
                 if guard.is_stalled(last_event) {
                     return StreamEnd::Failed(AttemptOutcome::Silent, SERVER_LOST.to_owned());
@@ -109,28 +126,15 @@
             () = tx.closed() => return StreamEnd::CallerDisconnected,
         };
         let frame = match frame {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(e))) => return StreamEnd::Failed(AttemptOutcome::Broken, e.to_string()),
-            Ok(None) if splitter.is_between_events() => return StreamEnd::Complete,
-            Ok(None) => {
+            Some(Ok(frame)) => frame,
+            Some(Err(e)) => return StreamEnd::Failed(AttemptOutcome::Broken, e.to_string()),
+            None if splitter.is_between_events() => return StreamEnd::Complete,
+            None => {
                 return StreamEnd::Failed(
                     AttemptOutcome::Broken,
                     "stream ended inside an event".to_owned(),
                 );
             }
-            Err(_) if Instant::now() >= guard.req.deadline => {
-                return StreamEnd::Failed(AttemptOutcome::Cancelled, "deadline".to_owned());
-            }
-            Err(_) if guard.is_stalled(last_event) => {
-                return StreamEnd::Failed(
-                    AttemptOutcome::Silent,
-                    "timed out waiting for the next event".to_owned(),
-                );
-            }
-            Err(_) => {
-                guard.probe_silent_server(last_event);
-                continue;
-            }
         };
         let Ok(data) = frame.into_data() else {
             continue;
@@ -145,13 +149,14 @@
         let now = Instant::now();
         guard.record_progress(has_event.then(|| now - last_event));
         last_event = now;
+        check_at = now + LIVENESS_POLL_INTERVAL;
         has_event = true;
         if let Some(id) = events.last_id {
             guard.req.record_forwarded_event(id);
         }
         let sent = tokio::select! {
             sent = tx.send(Ok(events.bytes)) => sent,
-            () = tokio::time::sleep_until(guard.req.deadline.into()) => {
+            () = sleep_until(guard.req.deadline.into()) => {
                 return StreamEnd::Failed(AttemptOutcome::Cancelled, "deadline".to_owned());
             }
         };
