Bound the memory of incomplete answers

Callers lost all requests of an entry host whose servers sent bodies without end: the process outgrew its memory.

Cause: each plain answer was collected up to 16 MB and each event up to 1 MB, whatever other answers held at the time; up to 16 chunks waited for a slow caller; the read buffer of a server's connection could grow to the library's 400 KB.

Change: incomplete answers share 12 MB, beyond 32 KB of each, and one is limited to 8 MB; one that finds no memory ends as garbled, so that its server's health shows it and another server is tried where allowed. Bodies are copied out of the read buffers, which are limited to 64 KB, as are heads; four chunks wait for a slow caller.

--- a/crates/relay/src/answer_memory.rs
+++ b/crates/relay/src/answer_memory.rs
@@ -7,8 +7,8 @@
 
 /// Bytes of each incomplete answer that are not counted, so that long answers leave room for ordinary ones.
 const UNCOUNTED_BYTES: usize = 32 * 1024;
-/// Maximum counted bytes of all incomplete answers together.
-const MAX_COUNTED_BYTES: usize = 24 * 1024 * 1024;
+/// Maximum counted bytes of all incomplete answers together; their buffers take up to twice as much.
+const MAX_COUNTED_BYTES: usize = 12 * 1024 * 1024;
 
 /// Counted bytes of all incomplete answers.
 #[derive(Debug, Default)]
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use foxtailhoist_model::Refusal;
 use foxtailhoist_route::dispatch::HeadVerdict;
 use foxtailhoist_route::dispatch::Step;
@@ -16,11 +17,11 @@
 use http::Uri;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
+use crate::answer_memory::AnswerShare;
 use crate::conn::Conn;
 use crate::conn::SERVER_CONNECT_TIMEOUT;
 use crate::conn::SendError;
@@ -30,7 +31,7 @@
 /// Log reason for an attempt abandoned because a probe could not reach its server.
 pub(crate) const SERVER_LOST: &str = "server is no longer reachable";
 /// Maximum body size of an answer that is not a stream.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
 /// A caller's request, as it is sent to each server tried.
 #[derive(Clone, Debug)]
@@ -108,14 +109,15 @@
         guard.end_attempt(AttemptOutcome::Failed, parts.status.as_str());
         return None;
     }
-    match read_body(body, attempt.deadline).await {
+    let answer_share = AnswerShare::new(&guard.core.answer_memory);
+    match read_body(body, answer_share, attempt.deadline).await {
         Ok(body) => {
             guard.core.pool.put(conn);
             Some(FinalAnswer::Plain(parts, body))
         }
-        Err(reason) => {
+        Err((outcome, reason)) => {
             conn.close();
-            guard.end_attempt(AttemptOutcome::Broken, &reason);
+            guard.end_attempt(outcome, &reason);
             None
         }
     }
@@ -224,12 +226,29 @@
     request
 }
 
-async fn read_body(body: Incoming, deadline: Instant) -> Result<Bytes, String> {
-    let collected =
-        timeout_at(deadline.into(), Limited::new(body, MAX_ANSWER_BYTES).collect()).await;
-    match collected {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) => Err(e.to_string()),
-        Err(_) => Err("deadline".to_owned()),
+/// Reads a complete body; fails with the attempt's outcome and the log reason.
+async fn read_body(
+    mut body: Incoming,
+    mut answer_share: AnswerShare,
+    deadline: Instant,
+) -> Result<Bytes, (AttemptOutcome, String)> {
+    // Collected frames would share read buffers many times their size.
+    let mut buf = BytesMut::new();
+    loop {
+        let frame = match timeout_at(deadline.into(), body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(e))) => return Err((AttemptOutcome::Broken, e.to_string())),
+            Ok(None) => return Ok(buf.freeze()),
+            Err(_) => return Err((AttemptOutcome::Broken, "deadline".to_owned())),
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let size = buf.len() + data.len();
+        if size > MAX_ANSWER_BYTES {
+            return Err((AttemptOutcome::Garbled, "answer too large".to_owned()));
+        }
+        answer_share.resize(size).map_err(|e| (AttemptOutcome::Garbled, e.to_string()))?;
+        buf.extend_from_slice(&data);
     }
 }
--- a/crates/relay/src/conn.rs
+++ b/crates/relay/src/conn.rs
@@ -43,6 +43,9 @@
 /// Maximum wait for a connection to become ready again after an answer.
 const READY_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Maximum size of a connection's read buffer, which also limits an answer's head.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+
 /// An HTTP/1 client connection.
 pub struct Conn {
     address: SocketAddr,
@@ -83,8 +86,11 @@
             .await
             .map_err(timed_out)??;
         set_socket_options(&stream)?;
-        let (sender, conn) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let (sender, conn) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
         // The sender reports connection errors, too.
         let task = tokio::task::spawn_local(async move {
             let _ = conn.await;
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -23,6 +23,7 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::answer_memory::AnswerMemory;
 use crate::conn::ConnPool;
 use crate::log_event::EventLog;
 use crate::log_event::LogEvent;
@@ -80,6 +81,7 @@
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) shifts: RefCell<BTreeMap<ServiceId, Shift>>,
     pub(crate) pool: Rc<ConnPool>,
+    pub(crate) answer_memory: Rc<AnswerMemory>,
     pub(crate) mirror: Mirror,
     pub(crate) feeds: RefCell<Feeds>,
     /// Whether this host watches the store itself.
@@ -130,6 +132,7 @@
             dispatcher: RefCell::new(dispatcher),
             shifts: RefCell::default(),
             pool: Rc::default(),
+            answer_memory: Rc::default(),
             log: EventLog::new(Instant::now()),
             metrics,
             stopping: Cell::new(false),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Shift`](foxtailhoist_rollout::shift::Shift) when a version takes traffic, and an implementation of [`Wire`]
 //! translates wire formats. Everything runs on one thread: an entry host has a fraction of a core.
 
+mod answer_memory;
 mod attempt;
 mod clock;
 mod conn;
--- a/crates/relay/src/sse.rs
+++ b/crates/relay/src/sse.rs
@@ -51,6 +51,12 @@
         Ok(Some(Events { last_id: last_id(&complete), bytes: complete }))
     }
 
+    /// Size of the partially buffered event.
+    #[must_use]
+    pub fn partial_bytes(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Whether no event is partially buffered.
     #[must_use]
     pub fn is_between_events(&self) -> bool {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -15,6 +15,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep_until;
 
+use crate::answer_memory::AnswerShare;
 use crate::attempt::CallerRequest;
 use crate::attempt::FinalAnswer;
 use crate::attempt::SERVER_LOST;
@@ -25,7 +26,7 @@
 use crate::sse::EventSplitter;
 
 /// Chunks buffered for a slow caller before backpressure stops reading from the server.
-const CHUNK_BUFFER: usize = 16;
+const CHUNK_BUFFER: usize = 4;
 
 /// Body of a streamed response.
 pub(crate) struct EventBody {
@@ -96,6 +97,7 @@
     tx: &ChunkSender,
 ) -> StreamEnd {
     let mut splitter = EventSplitter::default();
+    let mut answer_share = AnswerShare::new(&guard.core.answer_memory);
     let mut last_event = Instant::now();
     let mut has_event = false;
     // Only complete events postpone the check: bytes of an event that never ends are no progress.
@@ -140,12 +142,17 @@
             continue;
         };
         let events = match splitter.push(&data) {
-            Ok(Some(events)) => events,
-            Ok(None) => continue,
+            Ok(events) => events,
             Err(_) => {
                 return StreamEnd::Failed(AttemptOutcome::Garbled, "event too large".to_owned());
             }
         };
+        if let Err(e) = answer_share.resize(splitter.partial_bytes()) {
+            return StreamEnd::Failed(AttemptOutcome::Garbled, e.to_string());
+        }
+        let Some(events) = events else {
+            continue;
+        };
         let now = Instant::now();
         guard.record_progress(has_event.then(|| now - last_event));
         last_event = now;
--- a/tests/soak/hosts.rs
+++ b/tests/soak/hosts.rs
@@ -84,6 +84,16 @@
         std::fs::write(file, text.replace(old, new)).expect("the settings are written");
     }
 
+    /// Maximum resident memory of a process so far.
+    pub fn peak_memory_kb(&self, number: usize) -> u64 {
+        let child = self.hosts[number].child.as_ref().expect("a running process");
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.expect("the process has not exited");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+        let kb = peak.trim().strip_suffix(" kB").expect("a size in KB");
+        kb.parse().expect("a number")
+    }
+
     pub fn len(&self) -> usize {
         self.hosts.len()
     }
