Draw silent servers and answers without end in the soak

Sound servers that fall silent, pauses before and inside an answer, cut answers, extra bytes and answers without end are drawn too.

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -10,6 +10,7 @@
 use crate::proxy::ConnectionFault;
 use crate::standin::configuration;
 use crate::standin::engine::Behaviour;
+use crate::standin::engine::Endless;
 use crate::standin::store::StoreFaults;
 
 /// Upper bound of the time for which a host is suspended, in milliseconds.
@@ -25,6 +26,8 @@
     PauseHost,
     ReloadHost,
     Server(Behaviour),
+    /// A sound server sends nothing on any connection for a time.
+    ServerSilence(Duration),
     ServerConnection(ConnectionFault),
     ServerReset,
     StoreConnection(ConnectionFault),
@@ -41,7 +44,7 @@
 
 impl Fault {
     pub fn draw(rng: &mut ChaCha8Rng) -> Fault {
-        match rng.random_range(0..22) {
+        match rng.random_range(0..24) {
             0 => Fault::KillHost,
             1 => Fault::StopHost,
             2 => Fault::PauseHost,
@@ -56,6 +59,7 @@
             16 => Fault::Configure,
             17 => Fault::KillAllHosts,
             18 => Fault::StoreSlow(Duration::from_millis(rng.random_range(20..400))),
+            19 | 20 => Fault::ServerSilence(Duration::from_millis(rng.random_range(200..1_500))),
             _ => Fault::Repair,
         }
     }
@@ -90,6 +94,7 @@
             }
             Fault::ReloadHost => world.hosts.signal(host, Signal::HUP),
             Fault::Server(behaviour) => world.engines[server].0.always(behaviour),
+            Fault::ServerSilence(time) => world.engines[server].0.fall_silent(time),
             Fault::ServerConnection(fault) => world.engines[server].1.set(fault),
             Fault::ServerReset => world.engines[server].1.reset(),
             Fault::StoreConnection(fault) => world.store_proxy.set(fault),
@@ -121,7 +126,7 @@
 }
 
 fn behaviour(rng: &mut ChaCha8Rng) -> Behaviour {
-    match rng.random_range(0..10) {
+    match rng.random_range(0..15) {
         0 => Behaviour::Full,
         1 => Behaviour::Fail,
         2 => Behaviour::Close,
@@ -130,10 +135,30 @@
         5 => Behaviour::BreakAfter(rng.random_range(0..5)),
         6 => Behaviour::StallAfter(rng.random_range(0..5)),
         7 => Behaviour::Slow,
+        8 => Behaviour::SilentBefore(rng.random_range(100..1_500)),
+        9 => Behaviour::SilentInside(rng.random_range(100..1_500)),
+        10 => Behaviour::CutInside,
+        11 => Behaviour::ExtraAnswer,
+        12 => Behaviour::Endless(endless(rng)),
         _ => Behaviour::Answer,
     }
 }
 
+fn endless(rng: &mut ChaCha8Rng) -> Endless {
+    match rng.random_range(0..10) {
+        0 => Endless::HeadLines,
+        1 => Endless::HeadLine,
+        2 => Endless::Interim,
+        3 => Endless::ChunkedBody,
+        4 => Endless::UnframedBody,
+        5 => Endless::TinyChunks,
+        6 => Endless::Trailers,
+        7 => Endless::Event,
+        8 => Endless::EventDrip,
+        _ => Endless::Comments,
+    }
+}
+
 fn connection_fault(rng: &mut ChaCha8Rng) -> ConnectionFault {
     match rng.random_range(0..6) {
         0 => ConnectionFault::Delay(rng.random_range(20..300)),
