Keep a silent stream open until another server takes it over

Callers saw a stream break off at a sound server that was silent for a second when the servers it was then sent to were full.

Cause: the silent server's connection was closed before another server had accepted the request, and each rejection used up an attempt.

Change: the silent attempt is set aside while others are tried. It goes on if all of them are unreachable or did not run the request. It ends as soon as another server has answered or may have worked on the stream, and at most 250 ms after the request was sent, since two servers may not work on one stream.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -27,6 +27,7 @@
 use crate::conn::SendError;
 use crate::request_guard::LIVENESS_POLL_INTERVAL;
 use crate::request_guard::RequestGuard;
+use crate::stream::EventSource;
 
 /// Log reason for an attempt abandoned because a probe could not reach its server.
 pub(crate) const SERVER_LOST: &str = "server is no longer reachable";
@@ -78,6 +79,45 @@
     }
 }
 
+/// How a started stream goes on.
+pub(crate) enum Continuation {
+    /// Another server continues it.
+    Other(Incoming, Conn),
+    /// No other server took it over from the silent one.
+    Same(EventSource),
+    Refused,
+}
+
+/// Sends attempts until a server continues a started stream. An attempt that was set aside is resumed if no other is
+/// allowed in the meantime.
+pub(crate) async fn continue_stream(
+    guard: &mut RequestGuard,
+    caller: &CallerRequest,
+) -> Continuation {
+    loop {
+        let step = guard.next_step();
+        if !matches!(step, Step::Send(_))
+            && let Some(source) = guard.resume_set_aside()
+        {
+            return Continuation::Same(source);
+        }
+        match step {
+            Step::Refuse(_) => return Continuation::Refused,
+            Step::WaitUntil(at) => tokio::time::sleep_until(at.into()).await,
+            Step::Send(attempt) => match try_attempt(guard, caller, &attempt).await {
+                Some(FinalAnswer::Stream(_, body, conn)) => {
+                    guard.end_set_aside();
+                    return Continuation::Other(body, conn);
+                }
+                Some(FinalAnswer::Plain(..) | FinalAnswer::Refused(_)) => {
+                    return Continuation::Refused;
+                }
+                None => {}
+            },
+        }
+    }
+}
+
 /// Makes one attempt; returns `None` if it failed, after recording the failure.
 async fn try_attempt(
     guard: &mut RequestGuard,
@@ -203,6 +243,7 @@
                 }
             }
             () = guard.core.server_lost.notified() => {}
+            () = until(guard.set_aside_ends_at()) => guard.end_set_aside(),
         }
         if Instant::now() >= attempt.deadline || guard.is_head_overdue(started) {
             return Err(AttemptAbandoned);
@@ -210,6 +251,13 @@
     }
 }
 
+async fn until(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn connect(attempt: &Attempt) -> Result<Conn, String> {
     let left = attempt.deadline.saturating_duration_since(Instant::now());
     let timeout = SERVER_CONNECT_TIMEOUT.min(left);
--- a/crates/relay/src/request_guard.rs
+++ b/crates/relay/src/request_guard.rs
@@ -22,18 +22,34 @@
 use crate::conn::SERVER_CONNECT_TIMEOUT;
 use crate::core::Core;
 use crate::log_event::LogEvent;
+use crate::stream::EventSource;
 
 /// Interval between checks for server activity; two of them exceed the silence after which a server is probed.
 pub(crate) const LIVENESS_POLL_INTERVAL: Duration = Duration::from_millis(230);
 
+/// Maximum time for which a silent server's stream stays open after another server got the request: two servers may work
+/// on one stream only for a moment.
+const TAKE_OVER_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// A caller's request while it is served.
 pub(crate) struct RequestGuard {
     pub(crate) core: Rc<Core>,
     pub(crate) req: InFlightRequest,
     current: Option<CurrentAttempt>,
+    set_aside: Option<SetAside>,
     is_finished: bool,
 }
 
+/// A silent attempt whose stream goes on if no other server takes it over.
+struct SetAside {
+    current: CurrentAttempt,
+    source: EventSource,
+    /// Log reason if another server takes over.
+    reason: &'static str,
+    /// When the attempt ends at the latest, once the request was sent to another server.
+    ends_at: Option<Instant>,
+}
+
 /// The attempt in progress.
 struct CurrentAttempt {
     attempt: Box<Attempt>,
@@ -43,7 +59,7 @@
 
 impl RequestGuard {
     pub(crate) fn new(core: Rc<Core>, req: InFlightRequest) -> RequestGuard {
-        RequestGuard { core, req, current: None, is_finished: false }
+        RequestGuard { core, req, current: None, set_aside: None, is_finished: false }
     }
 
     /// Returns the next step; an attempt to send is already counted as started.
@@ -63,6 +79,35 @@
             let now = Instant::now();
             let mut dispatcher = self.core.dispatcher.borrow_mut();
             dispatcher.attempt_sent(&mut self.req, &current.attempt, now);
+            if let Some(set_aside) = &mut self.set_aside {
+                set_aside.ends_at.get_or_insert(now + TAKE_OVER_TIMEOUT);
+            }
+        }
+    }
+
+    /// Sets the current attempt aside while other servers are tried.
+    pub(crate) fn set_aside(&mut self, source: EventSource, reason: &'static str) {
+        let current = self.current.take();
+        self.set_aside = current.map(|current| SetAside { current, source, reason, ends_at: None });
+    }
+
+    /// Makes the attempt that was set aside the current one again, if it has not ended.
+    pub(crate) fn resume_set_aside(&mut self) -> Option<EventSource> {
+        let SetAside { current, source, .. } = self.set_aside.take()?;
+        self.current = Some(current);
+        Some(source)
+    }
+
+    /// When the attempt that was set aside ends at the latest.
+    pub(crate) fn set_aside_ends_at(&self) -> Option<Instant> {
+        self.set_aside.as_ref().and_then(|set_aside| set_aside.ends_at)
+    }
+
+    /// Ends the attempt that was set aside, if any.
+    pub(crate) fn end_set_aside(&mut self) {
+        if let Some(SetAside { current, source, reason, .. }) = self.set_aside.take() {
+            source.close();
+            self.end(current, AttemptOutcome::Silent, reason);
         }
     }
 
@@ -125,9 +170,20 @@
 
     /// Ends the current attempt, if any.
     pub(crate) fn end_attempt(&mut self, outcome: AttemptOutcome, reason: &str) {
-        let Some(current) = self.current.take() else {
-            return;
-        };
+        if let Some(current) = self.current.take() {
+            self.end(current, outcome, reason);
+        }
+        let is_not_run = matches!(
+            outcome,
+            AttemptOutcome::Unreachable | AttemptOutcome::Misdirected | AttemptOutcome::Full { .. }
+        );
+        if !is_not_run {
+            // Another server may have worked on the stream, so the silent one must not go on with it.
+            self.end_set_aside();
+        }
+    }
+
+    fn end(&mut self, current: CurrentAttempt, outcome: AttemptOutcome, reason: &str) {
         let now = Instant::now();
         let CurrentAttempt { attempt, started, head_received } = current;
         let core = &self.core;
@@ -202,6 +258,10 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
+        if let Some(SetAside { current, source, .. }) = self.set_aside.take() {
+            source.close();
+            self.end(current, AttemptOutcome::Cancelled, "caller disconnected");
+        }
         if self.is_finished {
             return;
         }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -17,9 +17,9 @@
 
 use crate::answer_memory::AnswerShare;
 use crate::attempt::CallerRequest;
-use crate::attempt::FinalAnswer;
+use crate::attempt::Continuation;
 use crate::attempt::SERVER_LOST;
-use crate::attempt::run_attempts;
+use crate::attempt::continue_stream;
 use crate::conn::Conn;
 use crate::request_guard::LIVENESS_POLL_INTERVAL;
 use crate::request_guard::RequestGuard;
@@ -46,9 +46,22 @@
     Complete,
     /// The attempt's outcome and the log reason.
     Failed(AttemptOutcome, String),
+    /// The server is silent, for this log reason, and another one may continue.
+    Stalled(&'static str),
     CallerDisconnected,
 }
 
+/// The events of one server's answer.
+pub(crate) struct EventSource {
+    body: Incoming,
+    conn: Conn,
+    splitter: EventSplitter,
+    answer_share: AnswerShare,
+    /// When the last event, or else the head, arrived.
+    last_event: Instant,
+    has_event: bool,
+}
+
 /// Starts forwarding a stream; its events come out of the returned body.
 pub(crate) fn forward(
     mut guard: RequestGuard,
@@ -59,27 +72,28 @@
 ) -> EventBody {
     let (tx, rx) = mpsc::channel(CHUNK_BUFFER);
     tokio::task::spawn_local(async move {
-        let mut source = (body, conn);
+        let mut source = EventSource::new(&guard, body, conn);
         loop {
-            let (body, conn) = source;
-            match forward_events(&mut guard, body, &tx).await {
+            match forward_events(&mut guard, &mut source, &tx).await {
                 StreamEnd::Complete => {
-                    guard.core.pool.put(conn);
+                    guard.core.pool.put(source.conn);
                     return guard.finish_answered(status, AttemptOutcome::Whole);
                 }
-                StreamEnd::CallerDisconnected => return conn.close(),
+                StreamEnd::CallerDisconnected => return source.close(),
                 StreamEnd::Failed(outcome, reason) => {
-                    conn.close();
+                    source.close();
                     guard.end_attempt(outcome, &reason);
                 }
+                StreamEnd::Stalled(reason) => guard.set_aside(source, reason),
             }
-            let answer = tokio::select! {
-                answer = run_attempts(&mut guard, &caller) => answer,
+            let continuation = tokio::select! {
+                continuation = continue_stream(&mut guard, &caller) => continuation,
                 () = tx.closed() => return,
             };
-            match answer {
-                FinalAnswer::Stream(_, body, conn) => source = (body, conn),
-                FinalAnswer::Plain(..) | FinalAnswer::Refused(_) => {
+            match continuation {
+                Continuation::Other(body, conn) => source = EventSource::new(&guard, body, conn),
+                Continuation::Same(same) => source = same,
+                Continuation::Refused => {
                     // Fails only if the caller has already disconnected.
                     let _ = tx.send(Err(StreamBroken)).await;
                     return guard.finish_stream_broken();
@@ -93,15 +107,12 @@
 /// Forwards events from one server until its stream ends or fails, or the caller disconnects.
 async fn forward_events(
     guard: &mut RequestGuard,
-    mut body: Incoming,
+    source: &mut EventSource,
     tx: &ChunkSender,
 ) -> StreamEnd {
-    let mut splitter = EventSplitter::default();
-    let mut answer_share = AnswerShare::new(&guard.core.answer_memory);
-    let mut last_event = Instant::now();
-    let mut has_event = false;
+    let EventSource { body, splitter, answer_share, last_event, has_event, .. } = source;
     // Only complete events postpone the check: bytes of an event that never ends are no progress.
-    let mut check_at = last_event + LIVENESS_POLL_INTERVAL;
+    let mut check_at = Instant::now() + LIVENESS_POLL_INTERVAL;
     loop {
         let frame = tokio::select! {
             frame = body.frame() => frame,
@@ -110,18 +121,15 @@
                 if Instant::now() >= guard.req.deadline {
                     return StreamEnd::Failed(AttemptOutcome::Cancelled, "deadline".to_owned());
                 }
-                if guard.is_stalled(last_event) {
-                    return StreamEnd::Failed(
-                        AttemptOutcome::Silent,
-                        "timed out waiting for the next event".to_owned(),
-                    );
+                if guard.is_stalled(*last_event) {
+                    return StreamEnd::Stalled("timed out waiting for the next event");
                 }
-                guard.probe_silent_server(last_event);
+                guard.probe_silent_server(*last_event);
                 continue;
             }
             () = guard.core.server_lost.notified() => {
-                if guard.is_stalled(last_event) {
-                    return StreamEnd::Failed(AttemptOutcome::Silent, SERVER_LOST.to_owned());
+                if guard.is_stalled(*last_event) {
+                    return StreamEnd::Stalled(SERVER_LOST);
                 }
                 continue;
             }
@@ -154,10 +162,10 @@
             continue;
         };
         let now = Instant::now();
-        guard.record_progress(has_event.then(|| now - last_event));
-        last_event = now;
+        guard.record_progress(has_event.then(|| now - *last_event));
+        *last_event = now;
         check_at = now + LIVENESS_POLL_INTERVAL;
-        has_event = true;
+        *has_event = true;
         if let Some(id) = events.last_id {
             guard.req.record_forwarded_event(id);
         }
@@ -173,6 +181,24 @@
     }
 }
 
+impl EventSource {
+    fn new(guard: &RequestGuard, body: Incoming, conn: Conn) -> EventSource {
+        EventSource {
+            body,
+            conn,
+            splitter: EventSplitter::default(),
+            answer_share: AnswerShare::new(&guard.core.answer_memory),
+            last_event: Instant::now(),
+            has_event: false,
+        }
+    }
+
+    /// Closes the connection at once.
+    pub(crate) fn close(self) {
+        self.conn.close();
+    }
+}
+
 impl Body for EventBody {
     type Data = Bytes;
     type Error = StreamBroken;
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -475,7 +475,9 @@
         now: Instant,
     ) {
         self.backends.attempt_ended(attempt, had_head, outcome, now);
-        self.first_event_wait_ended(req, false, now);
+        if !had_head {
+            self.first_event_wait_ended(req, false, now);
+        }
         let was_not_started =
             matches!(outcome, AttemptOutcome::Silent | AttemptOutcome::Full { .. });
         if was_not_started && !had_head {
