--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use foxtailhoist_model::Refusal;
 use foxtailhoist_route::dispatch::HeadVerdict;
 use foxtailhoist_route::dispatch::Step;
@@ -16,21 +17,22 @@
 use http::Uri;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
+use crate::answer_memory::AnswerShare;
 use crate::conn::Conn;
 use crate::conn::SERVER_CONNECT_TIMEOUT;
 use crate::conn::SendError;
 use crate::request_guard::LIVENESS_POLL_INTERVAL;
 use crate::request_guard::RequestGuard;
+use crate::stream::EventSource;
 
 /// Log reason for an attempt abandoned because a probe could not reach its server.
 pub(crate) const SERVER_LOST: &str = "server is no longer reachable";
 /// Maximum body size of an answer that is not a stream.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
 /// A caller's request, as it is sent to each server tried.
 #[derive(Clone, Debug)]
@@ -77,6 +79,47 @@
     }
 }
 
+/// How a started stream goes on.
+pub(crate) enum Continuation {
+    /// Another server continues it.
+    Other(Incoming, Conn),
+    /// No other server took it over from the silent one.
+    Same(EventSource),
+    /// No attempt is left, for this reason.
+    Refused(&'static str),
+}
+
+/// Sends attempts until a server continues a started stream. An attempt that was set aside is resumed if no other is
+/// allowed in the meantime.
+pub(crate) async fn continue_stream(
+    guard: &mut RequestGuard,
+    caller: &CallerRequest,
+) -> Continuation {
+    loop {
+        let step = guard.next_step();
+        if !matches!(step, Step::Send(_))
+            && let Some(source) = guard.resume_set_aside()
+        {
+            return Continuation::Same(source);
+        }
+        match step {
+            Step::Refuse(refusal) => return Continuation::Refused(refusal.kind.name()),
+            Step::WaitUntil(at) => tokio::time::sleep_until(at.into()).await,
+            Step::Send(attempt) => match try_attempt(guard, caller, &attempt).await {
+                Some(FinalAnswer::Stream(_, body, conn)) => {
+                    guard.end_set_aside();
+                    return Continuation::Other(body, conn);
+                }
+                Some(FinalAnswer::Plain(..)) => return Continuation::Refused("plain_answer"),
+                Some(FinalAnswer::Refused(refusal)) => {
+                    return Continuation::Refused(refusal.kind.name());
+                }
+                None => {}
+            },
+        }
+    }
+}
+
 /// Makes one attempt; returns `None` if it failed, after recording the failure.
 async fn try_attempt(
     guard: &mut RequestGuard,
@@ -108,14 +151,15 @@
         guard.end_attempt(AttemptOutcome::Failed, parts.status.as_str());
         return None;
     }
-    match read_body(body, attempt.deadline).await {
+    let answer_share = AnswerShare::new(&guard.core.answer_memory);
+    match read_body(body, answer_share, attempt.deadline).await {
         Ok(body) => {
             guard.core.pool.put(conn);
             Some(FinalAnswer::Plain(parts, body))
         }
-        Err(reason) => {
+        Err((outcome, reason)) => {
             conn.close();
-            guard.end_attempt(AttemptOutcome::Broken, &reason);
+            guard.end_attempt(outcome, &reason);
             None
         }
     }
@@ -201,6 +245,7 @@
                 }
             }
             () = guard.core.server_lost.notified() => {}
+            () = until(guard.set_aside_ends_at()) => guard.end_set_aside(),
         }
         if Instant::now() >= attempt.deadline || guard.is_head_overdue(started) {
             return Err(AttemptAbandoned);
@@ -208,6 +253,13 @@
     }
 }
 
+async fn until(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn connect(attempt: &Attempt) -> Result<Conn, String> {
     let left = attempt.deadline.saturating_duration_since(Instant::now());
     let timeout = SERVER_CONNECT_TIMEOUT.min(left);
@@ -224,12 +276,29 @@
     request
 }
 
-async fn read_body(body: Incoming, deadline: Instant) -> Result<Bytes, String> {
-    let collected =
-        timeout_at(deadline.into(), Limited::new(body, MAX_ANSWER_BYTES).collect()).await;
-    match collected {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) => Err(e.to_string()),
-        Err(_) => Err("deadline".to_owned()),
+/// Reads a complete body; fails with the attempt's outcome and the log reason.
+async fn read_body(
+    mut body: Incoming,
+    mut answer_share: AnswerShare,
+    deadline: Instant,
+) -> Result<Bytes, (AttemptOutcome, String)> {
+    // Collected frames would share read buffers many times their size.
+    let mut buf = BytesMut::new();
+    loop {
+        let frame = match timeout_at(deadline.into(), body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(e))) => return Err((AttemptOutcome::Broken, e.to_string())),
+            Ok(None) => return Ok(buf.freeze()),
+            Err(_) => return Err((AttemptOutcome::Broken, "deadline".to_owned())),
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let size = buf.len() + data.len();
+        if size > MAX_ANSWER_BYTES {
+            return Err((AttemptOutcome::Garbled, "answer too large".to_owned()));
+        }
+        answer_share.resize(size).map_err(|e| (AttemptOutcome::Garbled, e.to_string()))?;
+        buf.extend_from_slice(&data);
     }
 }
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -31,6 +31,7 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::answer_memory::AnswerMemory;
 use crate::caller_conn::CallerConn;
 use crate::caller_conn::CallerConns;
 use crate::caller_conn::CloseReason;
@@ -105,6 +106,7 @@
     /// Answers of the versions in use.
     baselines: RefCell<BTreeMap<ServiceId, Baseline>>,
     pub(crate) pool: Rc<ConnPool>,
+    pub(crate) answer_memory: Rc<AnswerMemory>,
     pub(crate) mirror: Mirror,
     pub(crate) feeds: RefCell<Feeds>,
     /// Whether this host watches the store itself.
@@ -165,6 +167,7 @@
             suspended_shifts: RefCell::default(),
             baselines: RefCell::default(),
             pool: Rc::default(),
+            answer_memory: Rc::default(),
             log: EventLog::new(Instant::now()),
             metrics,
             stopping: Cell::new(false),
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -531,7 +531,9 @@
         if let Some(pace) = req.times.end(attempt, outcome, now) {
             self.notify_pace(req, attempt, pace, now);
         }
-        self.first_event_wait_ended(req, false, now);
+        if !had_head {
+            self.first_event_wait_ended(req, false, now);
+        }
         let was_not_started =
             matches!(outcome, AttemptOutcome::Silent | AttemptOutcome::Full { .. });
         if was_not_started && !had_head {
