--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -307,7 +307,15 @@
     let updates: Vec<Record> = records
         .into_iter()
         .filter(|record| last.get(&record.name) == Some(&record.revision))
-        .filter_map(|record| core.mirror.update(kind, record))
+        .filter_map(|record| {
+            let version = record.configuration_version();
+            let update = core.mirror.update(kind, record)?;
+            let in_force = update.configuration_version().filter(|kept| Some(*kept) > version);
+            if let (Some(version), Some(in_force)) = (version, in_force) {
+                core.log.write(&LogEvent::ConfigurationIgnored { version, in_force });
+            }
+            Some(update)
+        })
         .collect();
     for record in &updates {
         apply_record(core, kind, record.clone());
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -175,6 +175,13 @@
         matches!(self.content, Content::Deleted { .. })
     }
 
+    pub(crate) fn configuration_version(&self) -> Option<u64> {
+        match &self.content {
+            Content::Configuration(table) => Some(table.version),
+            _ => None,
+        }
+    }
+
     /// Merges news of the object into this record; returns `None` if nothing changes.
     fn merge(&self, news: Record) -> Option<Record> {
         let is_newer = news.revision > self.revision;
--- a/crates/relay/tests/logs.rs
+++ b/crates/relay/tests/logs.rs
@@ -87,6 +87,8 @@
         (LogEvent::Woke { gap: Duration::from_secs(3) }, "woke", "gap_ms"),
         (LogEvent::StoreLost { kind, reason: "no answer: x" }, "store_lost", "reason"),
         (LogEvent::StoreRegained { kind, away: Duration::ZERO }, "store_regained", "away_ms"),
+        (LogEvent::StoreEra { known: 1, era: 2 }, "store_era", "known"),
+        (LogEvent::RecordsIgnored { kind, records: 3, era: 1 }, "records_ignored", "era"),
         (LogEvent::Unreadable { kind, name: "n 1", reason: "r" }, "object_unreadable", "name"),
         (LogEvent::Configured { version: 3, routes: 4 }, "configured", "version"),
         (
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,8 +2,8 @@
 //!
 //! A seed determines the faults: hosts that are killed, stopped, paused and reloaded by signals; connections to
 //! servers and to the store that a proxy delays, refuses, resets or stalls in one or both directions; servers that
-//! fail; a store that is down, slow or discards its history. Callers check every answer during the faults and after
-//! all are repaired; at the end, the answers are compared with what the servers ran.
+//! fail; a store that is down, slow, discards its history or comes back from a copy. Callers check every answer during
+//! the faults and after all are repaired; at the end, the answers are compared with what the servers ran.
 //!
 //! `SOAK_SEEDS=7,8,9 SOAK_SECONDS=30 cargo test --test soak` runs the given seeds; `SOAK_SEEDS=fresh:20` runs 20
 //! random ones.
@@ -26,6 +26,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
 use tokio::time::Instant;
 
 use callers::Callers;
@@ -38,6 +39,7 @@
 use standin::is_ready;
 use standin::on_one_thread;
 use standin::registration_at;
+use standin::store::Copy;
 use standin::store::Store;
 
 /// Seeds that CI runs. Every seed that ever failed is kept here with its cause.
@@ -57,11 +59,15 @@
 const CALLERS: usize = 6;
 /// Upper bound of the pause between two faults, in milliseconds.
 const MAX_FAULT_PAUSE_MS: u64 = 700;
+/// Probability of a restore of the store after each other fault.
+const RESTORE_PROBABILITY: f64 = 0.15;
 
 /// The stand-ins, proxies and entry hosts of a run.
 pub struct World {
     pub store: Store,
     pub store_proxy: Proxy,
+    /// Copy from which the store is restored next.
+    pub copy: Copy,
     pub engines: Vec<(Engine, Proxy)>,
     pub hosts: Hosts,
 }
@@ -82,11 +88,17 @@
         .map(|number| tokio::task::spawn_local(callers.clone().run(number as u64)))
         .collect();
     let end = Instant::now() + Duration::from_secs(seconds());
+    // Drawn separately, so that the other faults of a seed stay the same.
+    let mut restores = ChaCha8Rng::seed_from_u64(!seed);
     let mut version = 1;
     while Instant::now() < end {
         let fault = Fault::draw(&mut rng);
         println!("soak seed={seed} fault={fault:?}");
         fault.inject(&mut world, &mut version, &mut rng).await;
+        if restores.random_bool(RESTORE_PROBABILITY) {
+            println!("soak seed={seed} fault={:?}", Fault::RestoreStore);
+            Fault::RestoreStore.inject(&mut world, &mut version, &mut restores).await;
+        }
         let pause = Duration::from_millis(rng.random_range(50..MAX_FAULT_PAUSE_MS));
         tokio::time::sleep(pause).await;
     }
@@ -105,21 +117,27 @@
 }
 
 impl World {
+    pub fn registrations(&self) -> Vec<(&'static str, String, Value)> {
+        registrations(&self.engines)
+    }
+
     async fn start(seed: u64) -> World {
         let store = Store::start().await;
         store.put("config", "main", configuration(1));
         let store_proxy = Proxy::start(store.address).await;
         let mut engines = Vec::new();
         for number in 0..2 * SERVERS {
-            let service = if number < SERVERS { "llm" } else { "desk" };
             let id = format!("i-{number}");
             let engine = Engine::start(&id).await;
             let proxy = Proxy::start(engine.address).await;
-            store.put("servers", &id, registration_at(&engine, proxy.address, service, "ready"));
             engines.push((engine, proxy));
         }
+        for (kind, name, spec) in registrations(&engines) {
+            store.put(kind, &name, spec);
+        }
         let hosts = Hosts::start(HOSTS, store_proxy.address, &format!("soak-{seed}"));
-        let world = World { store, store_proxy, engines, hosts };
+        let copy = store.copy();
+        let world = World { store, store_proxy, copy, engines, hosts };
         let client = reqwest::Client::new();
         for address in world.hosts.readiness() {
             eventually(async || is_ready(&client, address).await).await;
@@ -128,6 +146,17 @@
     }
 }
 
+/// Registrations of servers as kind, name and content.
+fn registrations(engines: &[(Engine, Proxy)]) -> Vec<(&'static str, String, Value)> {
+    let numbered = engines.iter().enumerate();
+    let registrations = numbered.map(|(number, (engine, proxy))| {
+        let service = if number < SERVERS { "llm" } else { "desk" };
+        let spec = registration_at(engine, proxy.address, service, "ready");
+        ("servers", format!("i-{number}"), spec)
+    });
+    registrations.collect()
+}
+
 fn seeds() -> Vec<u64> {
     let Ok(text) = std::env::var("SOAK_SEEDS") else {
         return SEEDS.to_vec();
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -5,6 +5,8 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 use crate::World;
 use crate::proxy::ConnectionFault;
@@ -12,6 +14,10 @@
 use crate::standin::engine::Behaviour;
 use crate::standin::store::StoreFaults;
 
+/// Upper bound of the time for which a store that is restored is away, in milliseconds.
+const MAX_AWAY_MS: u64 = 900;
+/// Maximum delay until what a restored store lacks is written again, in milliseconds.
+const MAX_REWRITE_DELAY_MS: u64 = 1_800;
 /// Upper bound of the time for which a host is suspended, in milliseconds.
 const MAX_SUSPENSION_MS: u64 = 1_500;
 
@@ -33,6 +39,8 @@
     StoreSlow(Duration),
     /// The store discards its history.
     Compact,
+    /// The store goes away and comes back from a copy; what it lacks is written again after a while.
+    RestoreStore,
     /// Stores a new version of the configuration.
     Configure,
     /// Ends all faults of the store, the proxies and the servers.
@@ -84,8 +92,7 @@
             }
             Fault::PauseHost => {
                 world.hosts.signal(host, Signal::STOP);
-                tokio::time::sleep(Duration::from_millis(rng.random_range(100..MAX_SUSPENSION_MS)))
-                    .await;
+                sleep(Duration::from_millis(rng.random_range(100..MAX_SUSPENSION_MS))).await;
                 world.hosts.signal(host, Signal::CONT);
             }
             Fault::ReloadHost => world.hosts.signal(host, Signal::HUP),
@@ -101,7 +108,10 @@
                 world.store.set_faults(StoreFaults { slow, ..StoreFaults::default() });
             }
             Fault::Compact => world.store.compact(),
+            Fault::RestoreStore => restore_store(world, *version, rng).await,
             Fault::Configure => {
+                // The first restore comes back from the time before this version.
+                world.copy = world.store.copy();
                 *version += 1;
                 world.store.put("config", "main", configuration(*version));
             }
@@ -120,6 +130,31 @@
     }
 }
 
+async fn restore_store(world: &mut World, version: u64, rng: &mut ChaCha8Rng) {
+    world.store.set_faults(StoreFaults { down: true, ..StoreFaults::default() });
+    sleep(Duration::from_millis(rng.random_range(0..MAX_AWAY_MS))).await;
+    world.store.restore(world.copy.clone());
+    world.store.set_faults(StoreFaults::default());
+    world.copy = world.store.copy();
+    let mut wanted = vec![("config", "main".to_owned(), configuration(version))];
+    wanted.extend(world.registrations());
+    for (kind, name, spec) in wanted {
+        let store = world.store.clone();
+        let delay = Duration::from_millis(rng.random_range(0..MAX_REWRITE_DELAY_MS));
+        spawn_local(async move {
+            sleep(delay).await;
+            let present = store.object(kind, &name).map(|object| object["Spec"].clone());
+            // The operator may have stored a later version in the meantime.
+            let is_older = present
+                .as_ref()
+                .is_some_and(|present| present["Version"].as_u64() > spec["Version"].as_u64());
+            if !is_older && present.as_ref() != Some(&spec) {
+                store.put(kind, &name, spec);
+            }
+        });
+    }
+}
+
 fn behaviour(rng: &mut ChaCha8Rng) -> Behaviour {
     match rng.random_range(0..10) {
         0 => Behaviour::Full,
