Test of restores: count all versions that came into force at once

The check took one version a round and drew the number of rounds, so a host that had taken two at once could be counted short. The check now goes on to the version in force; it is otherwise the same.

--- a/tests/restores.rs
+++ b/tests/restores.rs
@@ -257,12 +257,12 @@
                 let seen = self.seen[host];
                 let status = self.harness.get(host, &format!("/v{seen}/1")).await.0;
                 assert_ne!(status, 404, "host {host} went back from version {seen}");
-                if seen < self.version {
-                    let next = seen + 1;
+                for next in seen + 1..=self.version {
                     let status = self.harness.get(host, &format!("/v{next}/1")).await.0;
-                    if status != 404 {
-                        self.seen[host] = next;
+                    if status == 404 {
+                        break;
                     }
+                    self.seen[host] = next;
                 }
             }
             for left in &mut self.left {
