--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -17,6 +17,11 @@
 use foxtailhoist_peers::feeds::Feeds;
 use foxtailhoist_rollout::shift::Shift;
 use foxtailhoist_rollout::shift::ShiftRule;
+use foxtailhoist_rollout::shift::baseline::Baseline;
+use foxtailhoist_rollout::shift::baseline::Finding;
+use foxtailhoist_rollout::shift::baseline::Observation;
+use foxtailhoist_rollout::shift::shared::HostEvidence;
+use foxtailhoist_route::dispatch::AnswerEvidence;
 use foxtailhoist_route::dispatch::Dispatcher;
 use foxtailhoist_route::dispatch::Notification;
 use foxtailhoist_route::routes::CallerLimits;
@@ -26,6 +31,9 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::caller_conn::CallerConn;
+use crate::caller_conn::CallerConns;
+use crate::caller_conn::CloseReason;
 use crate::conn::ConnPool;
 use crate::log_event::EventLog;
 use crate::log_event::LogEvent;
@@ -94,6 +102,8 @@
     pub(crate) shifts: RefCell<BTreeMap<ServiceId, Shift>>,
     /// Shifts whose orders a restored store lacks, while an earlier order is in force.
     pub(crate) suspended_shifts: RefCell<BTreeMap<ServiceId, Shift>>,
+    /// Answers of the versions in use.
+    baselines: RefCell<BTreeMap<ServiceId, Baseline>>,
     pub(crate) pool: Rc<ConnPool>,
     pub(crate) mirror: Mirror,
     pub(crate) feeds: RefCell<Feeds>,
@@ -124,10 +134,12 @@
     pub(crate) server_lost: Notify,
     /// Signalled when the process resumed after a suspension: known state may be stale and is fetched again.
     pub(crate) resumed: Notify,
-    /// Number of open connections from callers.
-    pub(crate) connections: Cell<usize>,
+    /// Open connections from callers.
+    pub(crate) callers: CallerConns,
     pub(crate) all_closed: Notify,
     pub(crate) closing: Notify,
+    /// Whether the grace period is over: requests that end from here on are cut by this host, not by their callers.
+    pub(crate) closed: Cell<bool>,
 }
 
 impl Core {
@@ -150,6 +162,7 @@
             dispatcher: RefCell::new(dispatcher),
             shifts: RefCell::default(),
             suspended_shifts: RefCell::default(),
+            baselines: RefCell::default(),
             pool: Rc::default(),
             log: EventLog::new(Instant::now()),
             metrics,
@@ -166,9 +179,10 @@
             store_timed_out: Notify::new(),
             server_lost: Notify::new(),
             resumed: Notify::new(),
-            connections: Cell::new(0),
+            callers: CallerConns::default(),
             all_closed: Notify::new(),
             closing: Notify::new(),
+            closed: Cell::new(false),
         })
     }
 
@@ -216,6 +230,17 @@
         dispatcher.table().map_or_else(CallerLimits::default, |table| table.limits)
     }
 
+    /// Logs and counts that this host closes a connection while a request is in progress on it.
+    pub(crate) fn log_caller_closed(&self, conn: &CallerConn, reason: CloseReason) {
+        self.metrics.caller_closed(reason.name());
+        self.log.write(&LogEvent::CallerClosed {
+            request: &conn.request(),
+            reason: reason.name(),
+            phase: conn.phase().name(),
+            elapsed: conn.since().elapsed(),
+        });
+    }
+
     pub(crate) fn store_era(&self) -> StoreEra {
         self.store_era.get()
     }
@@ -248,11 +273,18 @@
         let notifications = self.dispatcher.borrow_mut().take_notifications();
         for notification in notifications {
             match notification {
-                Notification::Evidence { service, version, server, is_bad } => {
-                    let mut shifts = self.shifts.borrow_mut();
-                    if let Some(shift) = shifts.get_mut(&service) {
-                        shift.observe(&version, &server, is_bad);
-                    }
+                Notification::Evidence { service, route, version, server, evidence } => {
+                    let finding = match evidence {
+                        AnswerEvidence::Ended { is_bad } => Finding::Ended { is_bad },
+                        AnswerEvidence::Pace { model, pace } => Finding::Pace { model, pace },
+                    };
+                    self.observe(&service, &Observation { route, version, server, finding });
+                }
+                Notification::ServerLeaving { server } => {
+                    self.log.write(&LogEvent::ServerLeaving { id: &server });
+                }
+                Notification::ServerPaused { server, stated, applied } => {
+                    self.log.write(&LogEvent::ServerPaused { id: &server, stated, applied });
                 }
                 Notification::Suspect { content } => self.report_suspect(content, 1),
                 Notification::Quarantined { content } => self.report_suspect(content, 2),
@@ -260,22 +292,50 @@
         }
     }
 
+    /// Adds a finding to the service's baseline or, about the target of a shift, to the shift.
+    fn observe(&self, service: &ServiceId, observation: &Observation) {
+        let now = Instant::now();
+        let mut baselines = self.baselines.borrow_mut();
+        let baseline = baselines.entry(service.clone()).or_default();
+        let mut shifts = self.shifts.borrow_mut();
+        let Some(shift) = shifts.get_mut(service) else {
+            return baseline.record(observation, now);
+        };
+        let was_withdrawn = shift.is_withdrawn();
+        shift.observe(observation, baseline, now);
+        let is_new = !was_withdrawn && shift.is_withdrawn();
+        drop(shifts);
+        if is_new {
+            self.apply_shifts(now);
+        }
+    }
+
+    /// Adds peers' evidence on the target of a shift.
+    pub(crate) fn merge_evidence(&self, service: &str, target: &str, hosts: Vec<HostEvidence>) {
+        let mut shifts = self.shifts.borrow_mut();
+        let shift = shifts.get_mut(service).filter(|shift| shift.order().target == target);
+        let Some(shift) = shift else {
+            return;
+        };
+        let was_withdrawn = shift.is_withdrawn();
+        shift.merge(hosts, &self.cfg.host);
+        let is_new = !was_withdrawn && shift.is_withdrawn();
+        drop(shifts);
+        if is_new {
+            self.apply_shifts(Instant::now());
+        }
+    }
+
     /// Applies the current rules of all shifts to the dispatcher.
     pub(crate) fn apply_shifts(&self, now: Instant) {
-        let shifts = self.shifts.borrow();
+        let mut shifts = self.shifts.borrow_mut();
         let mut dispatcher = self.dispatcher.borrow_mut();
-        for (service, shift) in shifts.iter() {
+        for (service, shift) in shifts.iter_mut() {
             let rule = match shift.rule(now) {
                 ShiftRule::Share { target, share, is_trial } => {
                     VersionRule::Shift { target, share, is_trial }
                 }
-                ShiftRule::Only(target) => {
-                    if dispatcher.backends().has_version(service, &target) {
-                        VersionRule::Only(target)
-                    } else {
-                        VersionRule::Any
-                    }
-                }
+                ShiftRule::Only(target) => VersionRule::Only(target),
                 ShiftRule::Except(target) => VersionRule::Except(target),
             };
             dispatcher.set_version_rule(service.clone(), rule);
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -11,6 +11,7 @@
 use foxtailhoist_model::Refusal;
 use foxtailhoist_model::StoreEra;
 use foxtailhoist_model::stable_hash;
+use foxtailhoist_rollout::shift::Shift;
 use foxtailhoist_rollout::shift::ShiftPhase;
 use foxtailhoist_route::backends::RegistrationChange;
 use foxtailhoist_route::in_flight::Attempt;
@@ -36,7 +37,10 @@
     },
     Stopping,
     Stopped {
+        /// Open connections from callers.
         open: usize,
+        /// Those with a request in progress.
+        cut: usize,
     },
     /// Settings were reloaded; those named take effect only after a restart.
     Reloaded {
@@ -86,6 +90,16 @@
         id: &'a str,
         change: RegistrationChange,
     },
+    /// A server stated in an answer that it is leaving.
+    ServerLeaving {
+        id: &'a str,
+    },
+    /// A server asked for no requests for the stated time.
+    ServerPaused {
+        id: &'a str,
+        stated: Duration,
+        applied: Duration,
+    },
     /// A probe could not connect to a silent server.
     ServerLost {
         id: &'a str,
@@ -105,8 +119,7 @@
     ShiftWithdrawn {
         service: &'a str,
         target: &'a str,
-        bad: u64,
-        answers: u64,
+        shift: &'a Shift,
     },
     Suspect {
         content: u64,
@@ -149,6 +162,23 @@
     /// A started stream could not be completed.
     StreamBroken {
         req: &'a InFlightRequest,
+        /// Name of the refusal behind it, or `plain_answer` if the last server sent no stream.
+        reason: &'a str,
+        /// Outcome of the last attempt that was made.
+        last_outcome: Option<AttemptOutcome>,
+        elapsed: Duration,
+        /// Time left until the deadline.
+        left: Duration,
+        stopping: bool,
+        /// Time since the known state last matched the store.
+        store_age: Option<Duration>,
+    },
+    /// This host closed a connection while a request was in progress on it.
+    CallerClosed {
+        request: &'a str,
+        reason: &'a str,
+        phase: &'a str,
+        /// Time in this phase.
         elapsed: Duration,
     },
     CallerLeft {
@@ -229,7 +259,9 @@
                 write!(f, "event=started host={host} data_centre={data_centre}")
             }
             LogEvent::Stopping => write!(f, "event=stopping"),
-            LogEvent::Stopped { open } => write!(f, "event=stopped open_connections={open}"),
+            LogEvent::Stopped { open, cut } => {
+                write!(f, "event=stopped open_connections={open} cut={cut}")
+            }
             LogEvent::Reloaded { needs_restart } => {
                 write!(f, "event=reloaded needs_restart={:?}", needs_restart.join(","))
             }
@@ -260,6 +292,13 @@
                 write!(f, "event=configuration_ignored version={version} in_force={in_force}")
             }
             LogEvent::Server { id, change } => write!(f, "event=server id={id} change={change:?}"),
+            LogEvent::ServerLeaving { id } => write!(f, "event=server_leaving id={id}"),
+            LogEvent::ServerPaused { id, stated, applied } => write!(
+                f,
+                "event=server_paused id={id} stated_ms={} applied_ms={}",
+                stated.as_millis(),
+                applied.as_millis()
+            ),
             LogEvent::ServerLost { id, silence } => {
                 write!(f, "event=server_lost id={id} silent_ms={}", silence.as_millis())
             }
@@ -269,10 +308,27 @@
             LogEvent::ShiftReported { service, phase, status } => {
                 write!(f, "event=shift_reported service={service} phase={phase:?} status={status}")
             }
-            LogEvent::ShiftWithdrawn { service, target, bad, answers } => write!(
-                f,
-                "event=shift_withdrawn service={service} target={target} bad={bad} answers={answers}"
-            ),
+            LogEvent::ShiftWithdrawn { service, target, shift } => {
+                let (target_count, others) = shift.counts();
+                let (failures, slowness) = shift.evidence().log_evidence();
+                write!(
+                    f,
+                    "event=shift_withdrawn service={service} target={target} bad={} answers={} \
+                     other_bad={} other_answers={} log_failures={failures:.1} log_slowness={slowness:.1}",
+                    target_count.bad, target_count.total, others.bad, others.total,
+                )?;
+                let Some(conclusion) = shift.conclusion() else {
+                    return Ok(());
+                };
+                write!(
+                    f,
+                    " cause={:?} route={} servers={} log_evidence={:.1}",
+                    conclusion.cause,
+                    conclusion.route.as_deref().unwrap_or("all"),
+                    conclusion.servers,
+                    conclusion.log_evidence,
+                )
+            }
             LogEvent::Suspect { content, deaths } => {
                 write!(f, "event=suspect content={content:016x} deaths={deaths}")
             }
@@ -330,13 +386,31 @@
                 }
                 write!(f, " ms={}", elapsed.as_millis())
             }
-            LogEvent::StreamBroken { req, elapsed } => write!(
+            LogEvent::StreamBroken {
+                req,
+                reason,
+                last_outcome,
+                elapsed,
+                left,
+                stopping,
+                store_age,
+            } => write!(
                 f,
-                "event=stream_broken request={} route={} attempts={} last_event={} ms={}",
+                "event=stream_broken request={} route={} configuration={} attempts={} last_event={} reason={reason} \
+                 last_outcome={} ms={} left_ms={} stopping={stopping} store_age_ms={}",
                 req.id,
                 req.route.id,
+                req.table_version,
                 req.attempts,
                 req.last_event().map_or_else(|| "-".to_owned(), |id| id.to_string()),
+                last_outcome.map_or("-", AttemptOutcome::name),
+                elapsed.as_millis(),
+                left.as_millis(),
+                store_age.map_or_else(|| "-".to_owned(), |age| age.as_millis().to_string()),
+            ),
+            LogEvent::CallerClosed { request, reason, phase, elapsed } => write!(
+                f,
+                "event=caller_closed request={request} reason={reason} phase={phase} ms={}",
                 elapsed.as_millis()
             ),
             LogEvent::CallerLeft { req, elapsed } => write!(
--- a/crates/relay/tests/logs.rs
+++ b/crates/relay/tests/logs.rs
@@ -10,11 +10,14 @@
 use foxtailhoist_model::ErrorKind;
 use foxtailhoist_model::Ran;
 use foxtailhoist_model::Refusal;
+use foxtailhoist_model::StoreRevision;
 use foxtailhoist_relay::log_buffer::BUFFER_BYTES;
 use foxtailhoist_relay::log_buffer::LogBuffer;
 use foxtailhoist_relay::log_event::EventLog;
 use foxtailhoist_relay::log_event::LogEvent;
 use foxtailhoist_relay::wire::ObjectKind;
+use foxtailhoist_rollout::shift::Shift;
+use foxtailhoist_rollout::shift::ShiftOrder;
 use foxtailhoist_rollout::shift::ShiftPhase;
 use foxtailhoist_route::backends::RegistrationChange;
 
@@ -57,6 +60,23 @@
     }
 }
 
+/// Guards against lines of the last moments of a process that are never written.
+#[test]
+fn a_flush_writes_pending_lines_at_once_and_gives_up_on_a_stalled_reader() {
+    let (release, stalled) = mpsc::channel();
+    let (out, written) = mpsc::channel();
+    let buffer = LogBuffer::start(Box::new(StalledWriter { release: stalled, out }));
+    release.send(()).expect("the thread lives");
+    buffer.push(b"last line");
+    buffer.flush();
+    let text: Vec<u8> = written.try_iter().flatten().collect();
+    assert!(String::from_utf8_lossy(&text).contains("last line"));
+    let start = Instant::now();
+    buffer.push(b"stuck");
+    buffer.flush();
+    assert!(start.elapsed() < Duration::from_secs(1));
+}
+
 #[test]
 fn lines_above_the_rate_limit_are_counted_until_tokens_are_refilled() {
     let start = Instant::now();
@@ -77,10 +97,26 @@
         message: "first event expected in 6000 ms".to_owned(),
         retry_after: Some(Duration::from_millis(500)),
     };
+    let caller_closed = LogEvent::CallerClosed {
+        request: "r",
+        reason: "grace_over",
+        phase: "waiting",
+        elapsed: Duration::from_secs(2),
+    };
+    let order = ShiftOrder {
+        service: "s".to_owned(),
+        target: "v".to_owned(),
+        duration: Duration::from_secs(10),
+        phase: None,
+        started_ms: None,
+        revision: StoreRevision::default(),
+    };
+    let shift = Shift::new(order, Instant::now(), 0);
     let lines = [
         (LogEvent::Started { host: "h", data_centre: "a" }, "started", "host"),
         (LogEvent::Stopping, "stopping", "event"),
-        (LogEvent::Stopped { open: 2 }, "stopped", "open_connections"),
+        (LogEvent::Stopped { open: 2, cut: 1 }, "stopped", "open_connections"),
+        (LogEvent::Stopped { open: 2, cut: 1 }, "stopped", "cut"),
         (LogEvent::Reloaded { needs_restart: &["store"] }, "reloaded", "event"),
         (LogEvent::ReloadRefused { reason: "a = b" }, "reload_refused", "reason"),
         (LogEvent::Ready(true), "ready", "value"),
@@ -104,7 +140,7 @@
             "status",
         ),
         (
-            LogEvent::ShiftWithdrawn { service: "s", target: "v", bad: 3, answers: 9 },
+            LogEvent::ShiftWithdrawn { service: "s", target: "v", shift: &shift },
             "shift_withdrawn",
             "bad",
         ),
@@ -132,6 +168,17 @@
             "server_lost",
             "silent_ms",
         ),
+        (LogEvent::ServerLeaving { id: "i" }, "server_leaving", "id"),
+        (
+            LogEvent::ServerPaused {
+                id: "i",
+                stated: Duration::MAX,
+                applied: Duration::from_secs(300),
+            },
+            "server_paused",
+            "applied_ms",
+        ),
+        (caller_closed, "caller_closed", "reason"),
         (LogEvent::Dropped { lines: 5 }, "log_dropped", "lines"),
     ];
     for (event, name, field) in lines {
--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -1,42 +1,50 @@
 //! Shift of a service's traffic to a new version before a deadline, without coordination between hosts.
 //!
 //! Operators order a shift. Every host follows the same schedule from the start of the order: a trial with requests
-//! that have no session, then growing shares of the sessions, then all traffic, and finally the completion report.
+//! that have no session, then growing shares of the sessions, then all traffic, and finally the completion report. The
+//! trial goes on, even past the deadline, until enough answers tell whether the version is good.
 //! Each host tests the version on the answers that it sees itself; the first host that finds it bad withdraws it for
 //! all. The order and its outcome are in the store, so a host that starts during a shift resumes from there.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
-use foxtailhoist_model::BackendServerId;
+use foxtailhoist_model::EntryHostId;
 use foxtailhoist_model::ServiceId;
 use foxtailhoist_model::StoreRevision;
 use foxtailhoist_model::VersionId;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::judge::sequential::MixtureTest;
 use crate::judge::sequential::OutcomeCount;
+use crate::shift::baseline::Baseline;
+use crate::shift::baseline::Finding;
+use crate::shift::baseline::Observation;
+use crate::shift::evidence::Conclusion;
+use crate::shift::evidence::Evidence;
+use crate::shift::shared::HostEvidence;
+use crate::shift::shared::SharedEvidence;
+
+pub mod baseline;
+pub mod evidence;
+pub mod shared;
 
 /// Steps of a shift: fraction of the ordered duration at which the step starts, and share of the sessions from then on.
-/// Before the first step only requests without a session take part.
+/// Before the first step, and while too little is known of the target, only requests without a session take part.
 const STEPS: [(f64, f64); 4] = [(0.52, 0.06), (0.59, 0.2), (0.66, 0.45), (0.72, 1.0)];
-/// Share of the requests without a session that take part before the first step.
-const TRIAL_SHARE: f64 = 0.06;
+/// Share of the requests without a session that take part while too little is known of the target; the exposure limit
+/// of the dispatcher bounds them.
+const TRIAL_SHARE: f64 = 1.0;
+/// Share of the requests without a session that take part once the target seems good, until the first step.
+const CONFIRMATION_SHARE: f64 = 0.06;
 /// Fraction of the ordered duration at which completion is reported, so that requests on the old version can end.
 const COMPLETION_FRACTION: f64 = 0.86;
-/// Log evidence against the version at which it is withdrawn; about ln 100, for a false alarm rate of 1 %.
-const WITHDRAW_LOG_THRESHOLD: f64 = 4.6;
-/// Fewest bad answers before a version is withdrawn.
-const MIN_BAD_ANSWERS: u64 = 3;
-/// Fewest servers with bad answers before a version is withdrawn.
-const MIN_BAD_SERVERS: usize = 2;
-/// Prior for the old version's share of bad answers: number of answers, and number of bad ones among them.
-const REFERENCE_PRIOR: (f64, f64) = (25.0, 0.5);
-/// Upper bound of the old version's share of bad answers that the target is compared with.
-const MAX_REFERENCE_SHARE: f64 = 0.5;
-
+/// Fraction of the ordered duration for which the target takes all traffic before completion is reported.
+const SETTLING_FRACTION: f64 = 0.14;
+/// The same for a target that is found good late.
+const MIN_SETTLING_FRACTION: f64 = 0.05;
+/// Fraction of the ordered duration by which completion is reported if the shorter settling time allows it.
+const LATE_COMPLETION_FRACTION: f64 = 0.94;
 /// Phase of an ordered shift in the store, in the order in which one may replace another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum ShiftPhase {
@@ -75,12 +83,23 @@
 pub enum ShiftRule {
     /// The target takes a share of the sessions; during the trial, existing sessions stay where they are.
     Share { target: VersionId, share: f64, is_trial: bool },
-    /// Only the target.
+    /// Only the target, which replaced all others.
     Only(VersionId),
     /// Any version but the target.
     Except(VersionId),
 }
 
+/// What the answers so far tell about the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Too few answers.
+    Unknown,
+    /// No worse than the other versions, within the tolerance.
+    Good,
+    /// Worse than the other versions.
+    Bad,
+}
+
 /// Progress of one ordered shift on this host.
 #[derive(Debug)]
 pub struct Shift {
@@ -90,9 +109,14 @@
     started: Instant,
     target: OutcomeCount,
     others: OutcomeCount,
-    bad_servers: BTreeSet<BackendServerId>,
-    test: MixtureTest,
-    is_withdrawn: bool,
+    evidence: Evidence,
+    shared: SharedEvidence,
+    /// Why this host withdrew the target, if it did.
+    conclusion: Option<Conclusion>,
+    /// Whether sessions have moved to the target; they stay there unless it is withdrawn.
+    has_moved: bool,
+    /// When the target first took all traffic.
+    all_moved_at: Option<Instant>,
 }
 
 impl Shift {
@@ -107,9 +131,11 @@
             order,
             target: OutcomeCount::default(),
             others: OutcomeCount::default(),
-            bad_servers: BTreeSet::new(),
-            test: MixtureTest::default(),
-            is_withdrawn: false,
+            evidence: Evidence::default(),
+            shared: SharedEvidence::default(),
+            conclusion: None,
+            has_moved: false,
+            all_moved_at: None,
         }
     }
 
@@ -140,44 +166,120 @@
         order.revision.era > self.order.revision.era
     }
 
-    /// Counts an answer from one of the service's servers.
-    pub fn observe(&mut self, version: &str, server: &BackendServerId, is_bad: bool) {
-        let count = OutcomeCount { bad: u64::from(is_bad), total: 1 };
-        if version != self.order.target {
-            self.others = self.others.plus(count);
+    /// Adds a finding about an answer of one of the service's servers. The baseline holds the other versions' answers,
+    /// and the target's once the shift is complete.
+    pub fn observe(&mut self, observation: &Observation, baseline: &mut Baseline, now: Instant) {
+        let is_target = observation.version == self.order.target;
+        if let Finding::Ended { is_bad } = observation.finding {
+            let count = OutcomeCount { bad: u64::from(is_bad), total: 1 };
+            let counted = if is_target { &mut self.target } else { &mut self.others };
+            *counted = counted.plus(count);
+        }
+        if !is_target || self.order.phase == Some(ShiftPhase::Completed) {
+            baseline.record(observation, now);
             return;
         }
-        self.target = self.target.plus(count);
-        let (answers, bad) = REFERENCE_PRIOR;
-        let reference = (self.others.bad as f64 + bad) / (self.others.total as f64 + answers);
-        self.test.add(count, reference.min(MAX_REFERENCE_SHARE));
-        if is_bad {
-            self.bad_servers.insert(server.clone());
+        let Observation { route, server, finding, .. } = observation;
+        match finding {
+            Finding::Ended { is_bad } => {
+                self.evidence.add_end(route, server, *is_bad, baseline.bad_share(route));
+            }
+            Finding::Pace { model, pace } => {
+                if let Some(band) = baseline.band(route, model.as_ref(), *pace, now) {
+                    self.evidence.add_pace(route, server, band);
+                }
+            }
+        }
+        if self.conclusion.is_none() {
+            self.conclusion = self.evidence.conclusion();
         }
-        let has_min_evidence =
-            self.target.bad >= MIN_BAD_ANSWERS && self.bad_servers.len() >= MIN_BAD_SERVERS;
-        if has_min_evidence && self.test.log_evidence() >= WITHDRAW_LOG_THRESHOLD {
-            self.is_withdrawn = true;
+    }
+
+    /// Adds peers' evidence; `host` is this host.
+    pub fn merge(&mut self, evidence: Vec<HostEvidence>, host: &EntryHostId) {
+        let mut is_new = false;
+        for evidence in evidence {
+            is_new |= evidence.host != *host && self.shared.merge(evidence);
+        }
+        if !is_new {
+            return;
+        }
+        let (failures, slowness) = self.shared.sums(host);
+        self.evidence.set_peers(failures, slowness);
+        if self.conclusion.is_none() {
+            self.conclusion = self.evidence.conclusion();
+        }
+    }
+
+    /// Evidence to pass on to a few peers in this round; none once the shift has ended.
+    pub fn news(&mut self, host: &EntryHostId, now_ms: u64) -> Vec<HostEvidence> {
+        if matches!(self.order.phase, Some(ShiftPhase::Completed | ShiftPhase::RolledBack)) {
+            return Vec::new();
+        }
+        let updated_ms = self.shared.next_update(host, now_ms);
+        if let Some(own) = self.evidence.take_news(host, updated_ms) {
+            self.shared.merge(own);
+        }
+        self.shared.take_news()
+    }
+
+    #[must_use]
+    pub fn is_withdrawn(&self) -> bool {
+        self.conclusion.is_some()
+    }
+
+    /// Why this host withdrew the target, if it did.
+    #[must_use]
+    pub fn conclusion(&self) -> Option<&Conclusion> {
+        self.conclusion.as_ref()
+    }
+
+    #[must_use]
+    pub fn evidence(&self) -> &Evidence {
+        &self.evidence
+    }
+
+    #[must_use]
+    pub fn verdict(&self) -> Verdict {
+        if self.is_withdrawn() {
+            Verdict::Bad
+        } else if self.evidence.is_good() {
+            Verdict::Good
+        } else {
+            Verdict::Unknown
         }
     }
 
     /// Which versions may take new work.
     #[must_use]
-    pub fn rule(&self, now: Instant) -> ShiftRule {
+    pub fn rule(&mut self, now: Instant) -> ShiftRule {
         let target = self.order.target.clone();
         match self.order.phase {
             Some(ShiftPhase::RolledBack) => return ShiftRule::Except(target),
             Some(ShiftPhase::Completed) => return ShiftRule::Only(target),
             Some(ShiftPhase::InProgress) | None => {}
         }
-        if self.is_withdrawn {
-            return ShiftRule::Except(target);
-        }
+        let verdict = self.verdict();
         let elapsed_fraction = self.elapsed_fraction(now);
-        match STEPS.iter().rev().find(|(start, _)| elapsed_fraction >= *start) {
-            None => ShiftRule::Share { target, share: TRIAL_SHARE, is_trial: true },
-            Some((_, share)) if *share >= 1.0 => ShiftRule::Only(target),
-            Some((_, share)) => ShiftRule::Share { target, share: *share, is_trial: false },
+        let step = STEPS.iter().rev().find(|(start, _)| elapsed_fraction >= *start);
+        match (verdict, step) {
+            (Verdict::Bad, _) => ShiftRule::Except(target),
+            (Verdict::Unknown, Some((_, share))) if self.has_moved => {
+                ShiftRule::Share { target, share: *share, is_trial: false }
+            }
+            (Verdict::Unknown, _) => {
+                ShiftRule::Share { target, share: TRIAL_SHARE, is_trial: true }
+            }
+            (Verdict::Good, None) => {
+                ShiftRule::Share { target, share: CONFIRMATION_SHARE, is_trial: true }
+            }
+            (Verdict::Good, Some((_, share))) => {
+                self.has_moved = true;
+                if *share >= 1.0 {
+                    self.all_moved_at.get_or_insert(now);
+                }
+                ShiftRule::Share { target, share: *share, is_trial: false }
+            }
         }
     }
 
@@ -187,10 +289,11 @@
         let phase = match self.order.phase {
             _ if self.stored > Some(ShiftPhase::InProgress) => return None,
             Some(ended @ (ShiftPhase::Completed | ShiftPhase::RolledBack)) => ended,
-            _ if self.is_withdrawn => ShiftPhase::RolledBack,
+            _ if self.is_withdrawn() => ShiftPhase::RolledBack,
             _ if self.stored.is_none() => ShiftPhase::InProgress,
             None | Some(ShiftPhase::InProgress) => {
-                if self.elapsed_fraction(now) < COMPLETION_FRACTION || !has_target {
+                let may_complete = has_target && self.verdict() == Verdict::Good;
+                if !may_complete || !self.has_settled(now) {
                     return None;
                 }
                 ShiftPhase::Completed
@@ -213,6 +316,21 @@
         (self.target, self.others)
     }
 
+    /// Whether the target has taken all traffic for long enough that requests on other versions have ended.
+    fn has_settled(&self, now: Instant) -> bool {
+        let Some(moved_at) = self.all_moved_at else {
+            return false;
+        };
+        let elapsed = self.elapsed_fraction(now);
+        let settled = elapsed - self.elapsed_fraction(moved_at);
+        let needed = if elapsed < LATE_COMPLETION_FRACTION {
+            SETTLING_FRACTION
+        } else {
+            MIN_SETTLING_FRACTION
+        };
+        elapsed >= COMPLETION_FRACTION && settled >= needed
+    }
+
     fn elapsed_fraction(&self, now: Instant) -> f64 {
         let elapsed = now.saturating_duration_since(self.started).as_secs_f64();
         elapsed / self.order.duration.as_secs_f64().max(0.001)
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,12 +9,14 @@
 //! measurement can show their effect.
 
 mod active_request;
+mod attempt_times;
 pub mod backends;
 mod budget;
 mod config;
 mod destination;
 pub mod dispatch;
 pub mod event;
+pub mod exposure;
 pub mod in_flight;
 mod latency_pressure;
 mod lifecycle;
--- a/crates/route/tests/fleet/mod.rs
+++ b/crates/route/tests/fleet/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use foxtailhoist_model::Fingerprint;
 use foxtailhoist_model::Presence;
 use foxtailhoist_model::Refusal;
 use foxtailhoist_route::backends::Registration;
@@ -15,6 +16,7 @@
 use foxtailhoist_route::dispatch::Dispatcher;
 use foxtailhoist_route::dispatch::HeadVerdict;
 use foxtailhoist_route::dispatch::Step;
+use foxtailhoist_route::exposure::ExposureLimit;
 use foxtailhoist_route::in_flight::Arrival;
 use foxtailhoist_route::in_flight::Attempt;
 use foxtailhoist_route::in_flight::AttemptOutcome;
@@ -68,6 +70,7 @@
             window: Duration::from_secs(10),
             host_share: 0.2,
         },
+        exposure: ExposureLimit { share: 0.12, tolerance: 24.0 },
         confidence_floors: vec![70, 50],
     }
 }
@@ -165,6 +168,11 @@
         }
     }
 
+    /// Fingerprint of the last arrival.
+    pub fn last_fingerprint(&self) -> Fingerprint {
+        self.next_id
+    }
+
     pub fn admit(&mut self, arrival: Arrival) -> Result<InFlightRequest, Refusal> {
         self.dispatcher.admit(arrival, self.now)
     }
