Keep a weak answer where a stopping host could not finish a larger model's

The cascade did not look at the time of exit. It now asks the same question as the admission, whether a stream that starts now ends in time, and keeps the weak answer otherwise.

`a_stopping_host_keeps_a_weak_answer_unless_a_larger_model_can_finish` failed before: the answer was dropped 4.5 s before the exit.

--- a/crates/route/src/dispatch/cascade.rs
+++ b/crates/route/src/dispatch/cascade.rs
@@ -56,7 +56,8 @@
         let is_affordable = f64::from(confidence) < f64::from(*floor) * part
             && req.attempts < req.route.max_attempts
             && req.route.repeatability.allows_retry()
-            && self.retries.has_retry_allowance(&req.service, RETRY_RESERVE, now);
+            && self.retries.has_retry_allowance(&req.service, RETRY_RESERVE, now)
+            && self.can_finish_stream(&req.service, req.max_output_tokens, now);
         if !is_affordable {
             req.low_confidence_answer =
                 Some(LowConfidenceAnswer { confidence, floor: *floor, floor_part: part });
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -279,13 +279,12 @@
         };
         let caller_timeout = [arrival.caller_timeout, route.timeout].into_iter().flatten().min();
         let deadline = now + caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
-        let expected_end = if route.repeatability.is_stream() {
-            let time = self.stream_times.get(&service).copied().unwrap_or_default();
-            now + time.bound(arrival.max_output_tokens)
+        let can_finish = if route.repeatability.is_stream() {
+            self.can_finish_stream(&service, arrival.max_output_tokens, now)
         } else {
-            deadline
+            self.ends_at.is_none_or(|ends_at| deadline <= ends_at)
         };
-        if self.ends_at.is_some_and(|ends_at| ends_at < expected_end) {
+        if !can_finish {
             return Err(refusal(ErrorKind::Stopping, Some(RETRY_AFTER_MIN)));
         }
         let rule = self.version_rules.get(&service).unwrap_or(&VersionRule::Any);
@@ -321,6 +320,14 @@
         Ok(req)
     }
 
+    /// Whether a stream that starts now is expected to end before the process exits.
+    fn can_finish_stream(&self, service: &ServiceId, tokens: u64, now: Instant) -> bool {
+        self.ends_at.is_none_or(|ends_at| {
+            let time = self.stream_times.get(service).copied().unwrap_or_default();
+            now + time.bound(tokens) <= ends_at
+        })
+    }
+
     /// Returns the next step for a request without an attempt in flight.
     pub fn next_step(&mut self, req: &mut InFlightRequest, now: Instant) -> Step {
         let left = req.deadline.saturating_duration_since(now);
--- a/crates/route/src/in_flight.rs
+++ b/crates/route/src/in_flight.rs
@@ -162,8 +162,8 @@
     pub(crate) low_confidence_answer: Option<LowConfidenceAnswer>,
 }
 
-/// A low-confidence answer of a small model that was kept because of latency pressure, or because no further attempt
-/// was allowed.
+/// A low-confidence answer of a small model that was kept because of latency pressure, because no further attempt was
+/// allowed, or because the host exits too soon for one.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LowConfidenceAnswer {
     pub confidence: u8,
--- a/crates/route/tests/dispatch_stop.rs
+++ b/crates/route/tests/dispatch_stop.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use foxtailhoist_model::ErrorKind;
+use foxtailhoist_route::dispatch::AnswerHead;
 use foxtailhoist_route::dispatch::HeadVerdict;
 use foxtailhoist_route::in_flight::AttemptOutcome;
 use rstest::rstest;
@@ -70,3 +71,23 @@
     arrival.max_output_tokens = LONG;
     assert!(harness.admit(arrival).is_err(), "a stream of nine seconds was admitted");
 }
+
+/// Guards against streams that a stopping host starts again at a larger model and then cuts.
+#[rstest]
+#[case::before_the_exit(7_600, HeadVerdict::Drop(AttemptOutcome::Dropped))]
+#[case::near_the_exit(4_500, HeadVerdict::Deliver)]
+fn a_stopping_host_keeps_a_weak_answer_unless_a_larger_model_can_finish(
+    #[case] left_ms: u64,
+    #[case] verdict: HeadVerdict,
+) {
+    let mut harness = warmed_up_harness(millis(5));
+    let mut arrival = harness.arrival("/chat/1");
+    arrival.max_output_tokens = LONG;
+    let mut req = harness.admit(arrival).expect("admitted");
+    let attempt = harness.send(&mut req);
+    harness.dispatcher.stop(harness.now + millis(left_ms));
+    let weak = AnswerHead { confidence: Some(1), ..good_head() };
+    assert_eq!(harness.head(&mut req, &attempt, weak), verdict);
+    let is_kept = verdict == HeadVerdict::Deliver;
+    assert_eq!(req.low_confidence_answer().is_some(), is_kept);
+}
