--- a/crates/route/src/dispatch/cascade.rs
+++ b/crates/route/src/dispatch/cascade.rs
@@ -55,6 +55,7 @@
             .map_or(1.0, |pressure| pressure.floor_part(now));
         let is_affordable = f64::from(confidence) < f64::from(*floor) * part
             && req.route.repeatability.allows_retry()
+            && self.can_finish_stream(&req.service, req.max_output_tokens, now)
             && self.plan_attempt(req, RETRY_RESERVE, now).is_ok();
         if !is_affordable {
             req.low_confidence_answer =
