Let callers pause their reading for longer than 2.5 s

A caller that did not read its answer for more than 2.5 s while more of it was due had its connection reset in the middle of a sound answer.

`TCP_USER_TIMEOUT` was the same on callers' connections as on those to servers. It ends a connection not only if the peer is dead but also if the peer acknowledges the probes and keeps its window closed. Callers' connections now have 15 s, the default idle timeout.

`a_caller_that_pauses_its_reading_gets_the_whole_answer` failed before: the connection was reset in a pause of 6 s.

--- a/crates/relay/src/listen.rs
+++ b/crates/relay/src/listen.rs
@@ -17,6 +17,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -35,6 +36,9 @@
 const BACKLOG: u32 = 1024;
 /// Interval between checks of a connection's timeouts.
 const TIMEOUT_POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// `TCP_USER_TIMEOUT` of callers' connections. It also ends connections whose peer is alive but does not read, so it is as
+/// long as the default idle timeout.
+const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(15);
 /// Delay after a failed accept, such as when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -97,7 +101,10 @@
 }
 
 async fn serve_caller(core: Rc<Core>, stream: TcpStream) {
-    if let Err(e) = set_socket_options(&stream) {
+    let user_timeout = Some(CALLER_USER_TIMEOUT);
+    let options = set_socket_options(&stream)
+        .and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(user_timeout));
+    if let Err(e) = options {
         log::warn!("event=socket_options_refused reason={:?}", e.to_string());
     }
     let state = Rc::new(CallerConn::new(Instant::now()));
--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -24,6 +24,7 @@
 use standin::engine::Behaviour;
 use standin::engine::EVENTS;
 use standin::engine::Engine;
+use standin::engine::LARGE_BYTES;
 use standin::eventually;
 use standin::fresh_id;
 use standin::is_ready;
@@ -331,3 +332,24 @@
     })
     .await;
 }
+
+/// Guards against answers that are cut because their caller stops reading for a while.
+#[tokio::test]
+async fn a_caller_that_pauses_its_reading_gets_the_whole_answer() {
+    on_one_thread(async || {
+        let harness = Harness::start("pause", "desk").await;
+        harness.until_served("/look/1").await;
+        harness.engine.always(Behaviour::Large);
+        let answer = harness.request(Method::GET, "/look/1", &fresh_id()).send().await;
+        let mut answer = answer.expect("a head");
+        answer.chunk().await.expect("a first chunk");
+        sleep(Duration::from_secs(6)).await;
+        let mut bytes = 0;
+        while let Some(chunk) = answer.chunk().await.expect("the next chunk") {
+            bytes += chunk.len();
+        }
+        assert!(bytes > LARGE_BYTES / 2, "{bytes}");
+        harness.hosts.close();
+    })
+    .await;
+}
