Blame a server that is silent on a new connection

Callers' requests went on to a server that did not answer: it was not paused.

Cause: a pooled connection that had closed was replaced by a new one, but the attempt still counted as one on a pooled connection, whose silence is blamed on the connection. A new connection that failed at once was replaced again without end.

Change: an attempt on a new connection is no longer one on a pooled connection.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -166,7 +166,7 @@
 async fn send(guard: &mut RequestGuard, caller: &CallerRequest, attempt: &Attempt) -> SendOutcome {
     let core = guard.core.clone();
     let pooled = if attempt.fresh_connection { None } else { core.pool.take(attempt.address) };
-    let is_reused = pooled.is_some();
+    let mut is_reused = pooled.is_some();
     let mut conn = match pooled {
         Some(conn) => conn,
         None => match connect(attempt).await {
@@ -183,7 +183,10 @@
                 return SendOutcome::Head(Box::new((response, conn)), started.elapsed());
             }
             Ok(Err(SendError::NotSent(_))) if is_reused => match connect(attempt).await {
-                Ok(fresh) => conn = fresh,
+                Ok(fresh) => {
+                    conn = fresh;
+                    is_reused = false;
+                }
                 Err(reason) => return SendOutcome::Failed(AttemptOutcome::Unreachable, reason),
             },
             Ok(Err(SendError::NotSent(reason))) => {
