Trials: sessions take part in the second half of a shift

From 0.52 of the time on, 0.24 of the sessions take part in the trial, which reaches the exposure limit about at the deadline, so no session has to go back; the steps that follow start from that share. A session stays on the target when a server there took no more requests. A trial in the first half has the same share of requests without a session, on as many of the servers.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -250,6 +250,9 @@
                 ShiftRule::Share { target, share, is_trial } => {
                     VersionRule::Shift { target, share, is_trial }
                 }
+                ShiftRule::SessionTrial { target, share } => {
+                    VersionRule::SessionTrial { target, share }
+                }
                 ShiftRule::Only(target) => VersionRule::Only(target),
                 ShiftRule::Except(target) => VersionRule::Except(target),
             };
--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -25,11 +25,11 @@
 pub mod evidence;
 
 /// Steps of a shift: fraction of the ordered duration at which the step starts, and share of the sessions from then on.
-/// Before the first step, and while too little is known of the target, only requests without a session take part.
-const STEPS: [(f64, f64); 4] = [(0.52, 0.06), (0.59, 0.2), (0.66, 0.45), (0.72, 1.0)];
-/// Share of the requests without a session that take part while too little is known of the target; the exposure limit
-/// of the dispatcher bounds them.
-const TRIAL_SHARE: f64 = 1.0;
+/// Before the first step only requests without a session take part, and none while too little is known of the target.
+const STEPS: [(f64, f64); 3] = [(0.52, TRIAL_SHARE), (0.62, 0.5), (0.72, 1.0)];
+/// Share of the requests, and from the first step on of the sessions, that take part in a trial. A trial in the second
+/// half of a shift reaches the exposure limit about at its end, so that no session has to go back.
+const TRIAL_SHARE: f64 = 0.24;
 /// Share of the requests without a session that take part once the target seems good, until the first step.
 const CONFIRMATION_SHARE: f64 = 0.06;
 /// Fraction of the ordered duration at which completion is reported, so that requests on the old version can end.
@@ -78,6 +78,8 @@
 pub enum ShiftRule {
     /// The target takes a share of the sessions; during the trial, existing sessions stay where they are.
     Share { target: VersionId, share: f64, is_trial: bool },
+    /// The target takes a share of the sessions too, within the exposure limit.
+    SessionTrial { target: VersionId, share: f64 },
     /// Only the target, which replaced all others.
     Only(VersionId),
     /// Any version but the target.
@@ -222,9 +224,10 @@
             (Verdict::Unknown, Some((_, share))) if self.has_moved => {
                 ShiftRule::Share { target, share: *share, is_trial: false }
             }
-            (Verdict::Unknown, _) => {
+            (Verdict::Unknown, None) => {
                 ShiftRule::Share { target, share: TRIAL_SHARE, is_trial: true }
             }
+            (Verdict::Unknown, Some(_)) => ShiftRule::SessionTrial { target, share: TRIAL_SHARE },
             (Verdict::Good, None) => {
                 ShiftRule::Share { target, share: CONFIRMATION_SHARE, is_trial: true }
             }
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -576,7 +576,8 @@
                 }
                 self.server_died(&attempt.server, now);
             }
-            AttemptOutcome::Misdirected | AttemptOutcome::Full { .. } => {}
+            // The version has done nothing with the request, so it is not known to be worse.
+            AttemptOutcome::Misdirected | AttemptOutcome::Full { .. } => req.version = None,
         }
     }
 
@@ -650,7 +651,7 @@
         for preference in &self.preferences(req) {
             match self.choose_preferred(req, preference, now) {
                 Err(NoServer::Unserved) => {}
-                Err(NoServer::AllBusy) if preference.is_trial => {}
+                Err(NoServer::AllBusy) if preference.is_optional => {}
                 other => return other,
             }
         }
@@ -662,11 +663,15 @@
         let request = VersionRequest {
             session: req.session,
             request_hash: req.request_hash,
+            attempts: req.attempts,
             previous: req.version.as_ref(),
         };
         let versions = self.versions.get(&req.service);
         versions.map_or_else(
-            || vec![Preference { versions: VersionFilter::Any, is_trial: false }],
+            || {
+                let versions = VersionFilter::Any;
+                vec![Preference { versions, trial_share: None, is_optional: false }]
+            },
             |versions| versions.preferences(&request, self.cfg.exposure, self.host_count),
         )
     }
@@ -687,7 +692,7 @@
         preference: &Preference,
         now: Instant,
     ) -> Result<Choice, NoServer> {
-        let trial_share = preference.is_trial.then_some(self.cfg.exposure.share);
+        let trial_share = preference.trial_share;
         let query = Query { trial_share, ..query(req, &preference.versions) };
         let may_reuse_tried =
             req.last_unreachable.is_none_or(|at| now >= at + SERVER_POLL_INTERVAL);
@@ -751,7 +756,7 @@
         let paused_until = self
             .preferences(req)
             .iter()
-            .filter(|preference| !preference.is_trial)
+            .filter(|preference| !preference.is_optional)
             .map(|preference| query(req, &preference.versions))
             .find(|query| self.backends.is_served(query))
             .and_then(|query| self.backends.all_paused_until(&query, now));
--- a/crates/route/src/in_flight.rs
+++ b/crates/route/src/in_flight.rs
@@ -140,7 +140,7 @@
     pub(crate) requested_model: Option<ModelId>,
     /// Index into the route's models.
     pub(crate) model_index: usize,
-    /// Version of the last attempt that was sent.
+    /// Version of the last attempt that may have run.
     pub(crate) version: Option<VersionId>,
     pub(crate) session: Option<u64>,
     /// Uniformly distributed hash of the request id; replaces the session hash where there is none.
--- a/crates/route/src/version_rule.rs
+++ b/crates/route/src/version_rule.rs
@@ -3,7 +3,8 @@
 //! A request runs on the new version if the hash of its session, mapped to the range from 0 to 1, is below the share.
 //! All hosts agree on that without communication, and a growing share moves each session once. During the trial phase
 //! of a shift, sessions stay on the old version and only requests without a session take part: several hosts serve a
-//! session at once, so no host knows whether a session is new.
+//! session at once, so no host knows whether a session is new. Where nearly all requests have sessions, the trial goes on
+//! with a share of these in the second half of the shift.
 //!
 //! Servers and orders are read from the store separately, so servers of a version may be known before its order. They
 //! get no work while a version in use has servers.
@@ -38,6 +39,9 @@
         /// Sessions and retries stay on the old version, and the exposure limit applies.
         is_trial: bool,
     },
+    /// A share of the requests and sessions goes to a new version, as far as the exposure limit allows; retries stay on
+    /// the old one.
+    SessionTrial { target: VersionId, share: f64 },
 }
 
 /// What decides the version of a request's next attempt.
@@ -46,7 +50,9 @@
     pub(crate) session: Option<u64>,
     /// Uniformly distributed; replaces the session where there is none.
     pub(crate) request_hash: u64,
-    /// Version of the previous attempt.
+    /// Attempts sent before.
+    pub(crate) attempts: u32,
+    /// Version of the last attempt that may have run.
     pub(crate) previous: Option<&'a VersionId>,
 }
 
@@ -54,8 +60,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Preference {
     pub(crate) versions: VersionFilter,
-    /// Whether the attempt is part of a trial.
-    pub(crate) is_trial: bool,
+    /// Fraction of the servers that a trial uses; `None` outside a trial.
+    pub(crate) trial_share: Option<f64>,
+    /// Whether the next preference applies, too, if all servers are busy.
+    pub(crate) is_optional: bool,
 }
 
 /// Versions of one service, as known from servers and orders.
@@ -87,11 +95,9 @@
                 self.withdrawn.extend(self.in_use.iter().filter(|old| *old != version).cloned());
                 self.in_use = BTreeSet::from([version.clone()]);
             }
-            VersionRule::Shift { target, .. } => {
+            VersionRule::Shift { target, .. } | VersionRule::SessionTrial { target, .. } => {
                 self.withdrawn.remove(target);
-                let is_same =
-                    matches!(&self.rule, VersionRule::Shift { target: old, .. } if old == target);
-                if !is_same {
+                if self.target() != Some(target) {
                     self.exposure = Some(Exposure::new(target.clone(), self.has_requests));
                 }
             }
@@ -141,14 +147,25 @@
         limit: ExposureLimit,
         hosts: usize,
     ) -> Vec<Preference> {
-        let target = self.target_for(request, limit, hosts).map(|target| Preference {
-            versions: VersionFilter::OneOf(BTreeSet::from([target.clone()])),
-            is_trial: matches!(self.rule, VersionRule::Shift { is_trial: true, .. }),
-        });
+        let mut preferences = Vec::new();
+        if let Some(target) = self.target_for(request, limit, hosts) {
+            let versions = VersionFilter::OneOf(BTreeSet::from([target.clone()]));
+            if let Some(share) = self.trial_share() {
+                let trial_share = Some(share);
+                let versions = versions.clone();
+                preferences.push(Preference { versions, trial_share, is_optional: true });
+            }
+            // A session that has moved to the target does not go back because a few servers are busy.
+            if self.trial_share().is_none() || request.session.is_some() {
+                let is_optional = self.trial_share().is_some();
+                preferences.push(Preference { versions, trial_share: None, is_optional });
+            }
+        }
         let in_use = VersionFilter::OneOf(self.in_use.clone());
-        let others = [in_use, VersionFilter::Except(self.withdrawn.clone())];
-        let others = others.map(|versions| Preference { versions, is_trial: false });
-        target.into_iter().chain(others).collect()
+        for versions in [in_use, VersionFilter::Except(self.withdrawn.clone())] {
+            preferences.push(Preference { versions, trial_share: None, is_optional: false });
+        }
+        preferences
     }
 
     /// The shift's target, if the next attempt belongs there.
@@ -158,30 +175,52 @@
         limit: ExposureLimit,
         hosts: usize,
     ) -> Option<&VersionId> {
-        let VersionRule::Shift { target, share, is_trial } = &self.rule else {
-            return None;
+        let (target, share) = match &self.rule {
+            VersionRule::Shift { is_trial: true, .. } if request.session.is_some() => return None,
+            VersionRule::Shift { target, share, .. }
+            | VersionRule::SessionTrial { target, share } => (target, *share),
+            VersionRule::Any | VersionRule::Except(_) | VersionRule::Only(_) => return None,
         };
-        if *is_trial && (request.session.is_some() || request.previous.is_some()) {
-            return None;
-        }
-        let exposure = self.exposure.as_ref();
-        if *is_trial && !exposure.is_some_and(|exposure| exposure.allows_attempt(limit, hosts)) {
-            return None;
+        if self.trial_share().is_some() {
+            let is_allowed = self
+                .exposure
+                .as_ref()
+                .is_some_and(|exposure| exposure.allows_attempt(limit, hosts));
+            // A session that has moved is worth another attempt if a server took no more requests.
+            let max_attempts = u32::from(request.session.is_some());
+            let is_retry = request.previous.is_some() || request.attempts > max_attempts;
+            if is_retry || !is_allowed {
+                return None;
+            }
         }
         if let Some(previous) = request.previous
             && self.in_use.contains(previous)
-            && *share < 1.0
+            && share < 1.0
         {
             return None;
         }
         let stays = request.previous == Some(target);
         let hash = request.session.unwrap_or(request.request_hash);
-        (stays || hash_fraction(target, hash) < *share).then_some(target)
+        (stays || hash_fraction(target, hash) < share).then_some(target)
+    }
+
+    /// Share of the requests that take part in the trial, if there is one.
+    fn trial_share(&self) -> Option<f64> {
+        match &self.rule {
+            VersionRule::Shift { share, is_trial: true, .. }
+            | VersionRule::SessionTrial { share, .. } => Some(*share),
+            VersionRule::Shift { .. }
+            | VersionRule::Any
+            | VersionRule::Except(_)
+            | VersionRule::Only(_) => None,
+        }
     }
 
     fn target(&self) -> Option<&VersionId> {
         match &self.rule {
-            VersionRule::Shift { target, .. } => Some(target),
+            VersionRule::Shift { target, .. } | VersionRule::SessionTrial { target, .. } => {
+                Some(target)
+            }
             VersionRule::Any | VersionRule::Except(_) | VersionRule::Only(_) => None,
         }
     }
