--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -11,7 +11,9 @@
 
 use foxtailhoist_model::DataCentreId;
 use foxtailhoist_model::EntryHostId;
+use foxtailhoist_model::Fingerprint;
 use foxtailhoist_model::ServiceId;
+use foxtailhoist_model::StoreEra;
 use foxtailhoist_peers::feeds::Feeds;
 use foxtailhoist_rollout::shift::Shift;
 use foxtailhoist_rollout::shift::ShiftRule;
@@ -25,9 +27,13 @@
 use foxtailhoist_route::routes::CallerLimits;
 use foxtailhoist_route::start_up::StartUp;
 use foxtailhoist_route::version_rule::VersionRule;
+use http::HeaderMap;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::caller_conn::CallerConn;
+use crate::caller_conn::CallerConns;
+use crate::caller_conn::CloseReason;
 use crate::conn::ConnPool;
 use crate::log_event::EventLog;
 use crate::log_event::LogEvent;
@@ -78,6 +84,16 @@
     }
 }
 
+/// A suspected content to report.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SuspectReport {
+    pub(crate) content: Fingerprint,
+    /// Number of server deaths observed.
+    pub(crate) deaths: u32,
+    /// Whether the deaths were reported before and are only put back after a restore of the store.
+    pub(crate) is_known: bool,
+}
+
 /// Shared state.
 pub(crate) struct Core {
     pub(crate) cfg: RelayConfig,
@@ -86,6 +102,8 @@
     pub(crate) shifts: RefCell<BTreeMap<ServiceId, Shift>>,
     /// Answers of the versions in use.
     baselines: RefCell<BTreeMap<ServiceId, Baseline>>,
+    /// Shifts whose orders a restored store lacks, while an earlier order is in force.
+    pub(crate) suspended_shifts: RefCell<BTreeMap<ServiceId, Shift>>,
     pub(crate) pool: Rc<ConnPool>,
     pub(crate) mirror: Mirror,
     pub(crate) feeds: RefCell<Feeds>,
@@ -102,19 +120,26 @@
     kind_listed: Notify,
     start_up: StartUp,
     was_ready: Cell<bool>,
-    /// Suspected contents to report, with the number of server deaths observed.
-    pub(crate) suspects: RefCell<Vec<(u64, u32)>>,
+    /// Suspected contents to report.
+    pub(crate) suspects: RefCell<Vec<SuspectReport>>,
     pub(crate) suspects_changed: Notify,
+    /// Highest era of the store seen so far.
+    store_era: Cell<StoreEra>,
+    /// Signalled when the store turns out to have been restored from a copy.
+    pub(crate) store_restored: Notify,
+    has_unreadable_era: Cell<bool>,
     /// Signalled when a watch of the store timed out.
     pub(crate) store_timed_out: Notify,
     /// Signalled when a probe found a backend server unreachable.
     pub(crate) server_lost: Notify,
     /// Signalled when the process resumed after a suspension: known state may be stale and is fetched again.
     pub(crate) resumed: Notify,
-    /// Number of open connections from callers.
-    pub(crate) connections: Cell<usize>,
+    /// Open connections from callers.
+    pub(crate) callers: CallerConns,
     pub(crate) all_closed: Notify,
     pub(crate) closing: Notify,
+    /// Whether the grace period is over: requests that end from here on are cut by this host, not by their callers.
+    pub(crate) closed: Cell<bool>,
 }
 
 impl Core {
@@ -137,6 +162,7 @@
             dispatcher: RefCell::new(dispatcher),
             shifts: RefCell::default(),
             baselines: RefCell::default(),
+            suspended_shifts: RefCell::default(),
             pool: Rc::default(),
             log: EventLog::new(Instant::now()),
             metrics,
@@ -147,12 +173,16 @@
             was_ready: Cell::new(false),
             suspects: RefCell::default(),
             suspects_changed: Notify::new(),
+            store_era: Cell::default(),
+            store_restored: Notify::new(),
+            has_unreadable_era: Cell::default(),
             store_timed_out: Notify::new(),
             server_lost: Notify::new(),
             resumed: Notify::new(),
-            connections: Cell::new(0),
+            callers: CallerConns::default(),
             all_closed: Notify::new(),
             closing: Notify::new(),
+            closed: Cell::new(false),
         })
     }
 
@@ -200,6 +230,44 @@
         dispatcher.table().map_or_else(CallerLimits::default, |table| table.limits)
     }
 
+    /// Logs and counts that this host closes a connection while a request is in progress on it.
+    pub(crate) fn log_caller_closed(&self, conn: &CallerConn, reason: CloseReason) {
+        self.metrics.caller_closed(reason.name());
+        self.log.write(&LogEvent::CallerClosed {
+            request: &conn.request(),
+            reason: reason.name(),
+            phase: conn.phase().name(),
+            elapsed: conn.since().elapsed(),
+        });
+    }
+
+    pub(crate) fn store_era(&self) -> StoreEra {
+        self.store_era.get()
+    }
+
+    /// Reads the era from the headers of a store's answer. An unreadable one is ignored, as if not stated.
+    pub(crate) fn read_store_era(&self, headers: &HeaderMap) -> Option<StoreEra> {
+        match self.wire.decode_era(headers) {
+            Ok(era) => era.inspect(|era| self.note_store_era(*era)),
+            Err(e) => {
+                if !self.has_unreadable_era.replace(true) {
+                    log::warn!("event=store_era_unreadable reason={:?}", e.0);
+                }
+                None
+            }
+        }
+    }
+
+    /// Records that the store has reached an era.
+    pub(crate) fn note_store_era(&self, era: StoreEra) {
+        let known = self.store_era.get();
+        if era > known {
+            self.store_era.set(era);
+            self.log.write(&LogEvent::StoreEra { known, era });
+            self.store_restored.notify_waiters();
+        }
+    }
+
     /// Handles the dispatcher's pending notifications: evidence for shifts, and suspected content to report.
     pub(crate) fn handle_notifications(&self) {
         let notifications = self.dispatcher.borrow_mut().take_notifications();
@@ -212,6 +280,12 @@
                     };
                     self.observe(&service, &Observation { route, version, server, finding });
                 }
+                Notification::ServerLeaving { server } => {
+                    self.log.write(&LogEvent::ServerLeaving { id: &server });
+                }
+                Notification::ServerPaused { server, stated, applied } => {
+                    self.log.write(&LogEvent::ServerPaused { id: &server, stated, applied });
+                }
                 Notification::Suspect { content } => self.report_suspect(content, 1),
                 Notification::Quarantined { content } => self.report_suspect(content, 2),
             }
@@ -254,20 +328,14 @@
 
     /// Applies the current rules of all shifts to the dispatcher.
     pub(crate) fn apply_shifts(&self, now: Instant) {
-        let shifts = self.shifts.borrow();
+        let mut shifts = self.shifts.borrow_mut();
         let mut dispatcher = self.dispatcher.borrow_mut();
-        for (service, shift) in shifts.iter() {
+        for (service, shift) in shifts.iter_mut() {
             let rule = match shift.rule(now) {
                 ShiftRule::Share { target, share, is_trial } => {
                     VersionRule::Shift { target, share, is_trial }
                 }
-                ShiftRule::Only(target) => {
-                    if dispatcher.backends().has_version(service, &target) {
-                        VersionRule::Only(target)
-                    } else {
-                        VersionRule::Any
-                    }
-                }
+                ShiftRule::Only(target) => VersionRule::Only(target),
                 ShiftRule::Except(target) => VersionRule::Except(target),
             };
             dispatcher.set_version_rule(service.clone(), rule);
@@ -276,7 +344,7 @@
 
     fn report_suspect(&self, content: u64, deaths: u32) {
         self.log.write(&LogEvent::Suspect { content, deaths });
-        self.suspects.borrow_mut().push((content, deaths));
+        self.suspects.borrow_mut().push(SuspectReport { content, deaths, is_known: false });
         self.suspects_changed.notify_one();
     }
 }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,6 +1,9 @@
 //! Serves one request of a caller: reads it, admits it, obtains an answer and returns it.
 
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,6 +19,9 @@
 use http::StatusCode;
 use http::Version;
 use http::header;
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
 use http_body_util::BodyExt;
 use http_body_util::Either;
 use http_body_util::Full;
@@ -26,11 +32,14 @@
 use crate::attempt::CallerRequest;
 use crate::attempt::FinalAnswer;
 use crate::attempt::run_attempts;
+use crate::caller_conn::CallerConn;
+use crate::caller_conn::ConnPhase;
 use crate::core::Core;
 use crate::log_event::LogEvent;
 use crate::request_guard::RequestGuard;
 use crate::stream;
 use crate::stream::EventBody;
+use crate::stream::StreamBroken;
 
 /// Maximum time for a request's body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -48,27 +57,38 @@
     "upgrade",
 ];
 
-/// Body of a response to a caller.
-pub(crate) type AnswerBody = Either<Full<Bytes>, EventBody>;
+type FinalBody = Either<Full<Bytes>, EventBody>;
+
+/// Body of a response to a caller; its connection becomes idle when the body is dropped.
+pub(crate) struct AnswerBody {
+    body: FinalBody,
+    conn: Rc<CallerConn>,
+}
 
 /// Serves one request; closes the connection afterwards where required.
-pub(crate) async fn serve(core: Rc<Core>, request: Request<Incoming>) -> Response<AnswerBody> {
+pub(crate) async fn serve(
+    core: Rc<Core>,
+    conn: Rc<CallerConn>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
     let (head, body) = request.into_parts();
     // Nothing is read from the connection after a chunked body, which prevents request smuggling where two readers
     // interpret the framing differently.
     let must_close = head.headers.contains_key(header::TRANSFER_ENCODING);
-    let mut answer = answer(&core, head, body).await;
+    let mut answer = answer(&core, &conn, head, body).await;
     if must_close || core.stopping.get() {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    answer
+    conn.enter(ConnPhase::Answer);
+    answer.map(|body| AnswerBody { body, conn })
 }
 
 async fn answer(
     core: &Rc<Core>,
+    conn: &CallerConn,
     head: http::request::Parts,
     body: Incoming,
-) -> Response<AnswerBody> {
+) -> Response<FinalBody> {
     let arrived = Instant::now();
     if is_ambiguous(&head) {
         return refuse(core, "-", ErrorKind::BadRequest, "ambiguous framing", arrived);
@@ -79,10 +99,12 @@
             return refuse(core, "-", ErrorKind::BadRequest, &malformed.0, arrived);
         }
     };
+    conn.set_request(&arrival.id);
     let body = match read_body(body, core.limits().body_bytes).await {
         Ok(body) => body,
         Err(kind) => return refuse(core, &arrival.id, kind, "", arrived),
     };
+    conn.enter(ConnPhase::Waiting);
     arrival.fingerprint = stable_hash(FINGERPRINT_SEED, &[arrival.path.as_bytes(), &body]);
     let id = arrival.id.clone();
     core.wait_for_routes(arrived, arrival.caller_timeout).await;
@@ -160,7 +182,7 @@
     copy
 }
 
-fn response(parts: &http::response::Parts, body: AnswerBody) -> Response<AnswerBody> {
+fn response(parts: &http::response::Parts, body: FinalBody) -> Response<FinalBody> {
     let mut response = Response::new(body);
     *response.status_mut() = parts.status;
     *response.headers_mut() = end_to_end(&parts.headers);
@@ -168,12 +190,7 @@
 }
 
 /// Logs, counts and answers a request that was not admitted.
-fn not_admitted(
-    core: &Core,
-    id: &str,
-    refusal: &Refusal,
-    arrived: Instant,
-) -> Response<AnswerBody> {
+fn not_admitted(core: &Core, id: &str, refusal: &Refusal, arrived: Instant) -> Response<FinalBody> {
     core.metrics.request(refusal.kind.name());
     core.log.write(&LogEvent::Refused { id, req: None, refusal, elapsed: arrived.elapsed() });
     refusal_response(core, refusal)
@@ -186,7 +203,7 @@
     kind: ErrorKind,
     message: &str,
     arrived: Instant,
-) -> Response<AnswerBody> {
+) -> Response<FinalBody> {
     let refusal =
         Refusal { kind, ran: kind.response().ran, message: message.to_owned(), retry_after: None };
     let mut response = not_admitted(core, id, &refusal, arrived);
@@ -195,7 +212,7 @@
     response
 }
 
-fn refusal_response(core: &Core, refusal: &Refusal) -> Response<AnswerBody> {
+fn refusal_response(core: &Core, refusal: &Refusal) -> Response<FinalBody> {
     let (status, headers) = core.wire.encode_refusal(refusal);
     let text = format!("{}: {}\n", refusal.kind.name(), refusal.message);
     let mut response = Response::new(Either::Left(Full::new(Bytes::from(text))));
@@ -204,3 +221,34 @@
     *response.headers_mut() = headers;
     response
 }
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = StreamBroken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamBroken>>> {
+        match &mut self.body {
+            Either::Left(whole) => Pin::new(whole)
+                .poll_frame(cx)
+                .map(|frame| frame.map(|frame| frame.map_err(|never| match never {}))),
+            Either::Right(events) => Pin::new(events).poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        self.conn.answer_ended();
+    }
+}
--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -1,7 +1,8 @@
 //! Shift of a service's traffic to a new version before a deadline, without coordination between hosts.
 //!
 //! Operators order a shift. Every host follows the same schedule from the start of the order: a trial with requests
-//! that have no session, then growing shares of the sessions, then all traffic, and finally the completion report.
+//! that have no session, then growing shares of the sessions, then all traffic, and finally the completion report. The
+//! trial goes on, even past the deadline, until enough answers tell whether the version is good.
 //! Each host tests the version on the answers that it sees itself; the first host that finds it bad withdraws it for
 //! all. The order and its outcome are in the store, so a host that starts during a shift resumes from there.
 
@@ -10,6 +11,7 @@
 
 use foxtailhoist_model::EntryHostId;
 use foxtailhoist_model::ServiceId;
+use foxtailhoist_model::StoreRevision;
 use foxtailhoist_model::VersionId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -28,14 +30,24 @@
 pub mod shared;
 
 /// Steps of a shift: fraction of the ordered duration at which the step starts, and share of the sessions from then on.
-/// Before the first step only requests without a session take part.
+/// Before the first step, and while too little is known of the target, only requests without a session take part.
 const STEPS: [(f64, f64); 4] = [(0.52, 0.06), (0.59, 0.2), (0.66, 0.45), (0.72, 1.0)];
-/// Share of the requests without a session that take part before the first step.
-const TRIAL_SHARE: f64 = 0.06;
+/// Share of the requests without a session that take part while too little is known of the target; the exposure limit
+/// of the dispatcher bounds them.
+const TRIAL_SHARE: f64 = 1.0;
+/// Share of the requests without a session that take part once the target seems good, until the first step.
+const CONFIRMATION_SHARE: f64 = 0.06;
 /// Fraction of the ordered duration at which completion is reported, so that requests on the old version can end.
 const COMPLETION_FRACTION: f64 = 0.86;
-/// Phase of an ordered shift in the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Fraction of the ordered duration for which the target takes all traffic before completion is reported.
+const SETTLING_FRACTION: f64 = 0.14;
+/// The same for a target that is found good late.
+const MIN_SETTLING_FRACTION: f64 = 0.05;
+/// Fraction of the ordered duration by which completion is reported if the shorter settling time allows it.
+const LATE_COMPLETION_FRACTION: f64 = 0.94;
+
+/// Phase of an ordered shift in the store, in the order in which one may replace another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum ShiftPhase {
     InProgress,
     Completed,
@@ -54,7 +66,7 @@
     /// Start in Unix milliseconds, set by the first report.
     pub started_ms: Option<u64>,
     /// Revision of the order's object in the store; reports are conditional on it.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// Report to write on condition that the order's object is unchanged.
@@ -64,7 +76,7 @@
     pub target: VersionId,
     pub phase: ShiftPhase,
     pub started_ms: u64,
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// Versions that may take new work at a point of the schedule.
@@ -72,7 +84,7 @@
 pub enum ShiftRule {
     /// The target takes a share of the sessions; during the trial, existing sessions stay where they are.
     Share { target: VersionId, share: f64, is_trial: bool },
-    /// Only the target.
+    /// Only the target, which replaced all others.
     Only(VersionId),
     /// Any version but the target.
     Except(VersionId),
@@ -93,6 +105,8 @@
 #[derive(Debug)]
 pub struct Shift {
     order: ShiftOrder,
+    /// Phase that the store's object states; after a restore of the store, earlier than that of `order`.
+    stored: Option<ShiftPhase>,
     started: Instant,
     target: OutcomeCount,
     others: OutcomeCount,
@@ -100,6 +114,10 @@
     shared: SharedEvidence,
     /// Why this host withdrew the target, if it did.
     conclusion: Option<Conclusion>,
+    /// Whether sessions have moved to the target; they stay there unless it is withdrawn.
+    has_moved: bool,
+    /// When the target first took all traffic.
+    all_moved_at: Option<Instant>,
 }
 
 impl Shift {
@@ -110,12 +128,15 @@
         let elapsed = Duration::from_millis(elapsed_ms).min(order.duration);
         Shift {
             started: now.checked_sub(elapsed).unwrap_or(now),
+            stored: order.phase,
             order,
             target: OutcomeCount::default(),
             others: OutcomeCount::default(),
             evidence: Evidence::default(),
             shared: SharedEvidence::default(),
             conclusion: None,
+            has_moved: false,
+            all_moved_at: None,
         }
     }
 
@@ -124,19 +145,26 @@
         &self.order
     }
 
-    /// Applies a store update of the order's object.
+    /// Applies a store update of the order's object. The phase never goes back, even if that in the store does.
     pub fn update(&mut self, order: ShiftOrder) {
-        self.order = order;
+        self.stored = order.phase;
+        let phase = self.order.phase.max(order.phase);
+        let started_ms = self.order.started_ms.or(order.started_ms);
+        self.order = ShiftOrder { phase, started_ms, ..order };
     }
 
     /// Whether `order` is this order at a later revision rather than a new order.
     #[must_use]
     pub fn is_same_order(&self, order: &ShiftOrder) -> bool {
-        let ended =
-            matches!(self.order.phase, Some(ShiftPhase::Completed | ShiftPhase::RolledBack));
-        self.order.target == order.target
-            && self.order.duration == order.duration
-            && !(ended && order.phase.is_none())
+        let ended = matches!(self.stored, Some(ShiftPhase::Completed | ShiftPhase::RolledBack));
+        let is_repeated = ended && order.phase.is_none() && !self.is_restored(order);
+        self.order.target == order.target && self.order.duration == order.duration && !is_repeated
+    }
+
+    /// Whether the store was restored from a copy since the last update, so that `order` may lack what was reported.
+    #[must_use]
+    pub fn is_restored(&self, order: &ShiftOrder) -> bool {
+        order.revision.era > self.order.revision.era
     }
 
     /// Adds a finding about an answer of one of the service's servers. The baseline holds the other versions' answers,
@@ -225,21 +253,34 @@
 
     /// Which versions may take new work.
     #[must_use]
-    pub fn rule(&self, now: Instant) -> ShiftRule {
+    pub fn rule(&mut self, now: Instant) -> ShiftRule {
         let target = self.order.target.clone();
         match self.order.phase {
             Some(ShiftPhase::RolledBack) => return ShiftRule::Except(target),
             Some(ShiftPhase::Completed) => return ShiftRule::Only(target),
             Some(ShiftPhase::InProgress) | None => {}
         }
-        if self.is_withdrawn() {
-            return ShiftRule::Except(target);
-        }
+        let verdict = self.verdict();
         let elapsed_fraction = self.elapsed_fraction(now);
-        match STEPS.iter().rev().find(|(start, _)| elapsed_fraction >= *start) {
-            None => ShiftRule::Share { target, share: TRIAL_SHARE, is_trial: true },
-            Some((_, share)) if *share >= 1.0 => ShiftRule::Only(target),
-            Some((_, share)) => ShiftRule::Share { target, share: *share, is_trial: false },
+        let step = STEPS.iter().rev().find(|(start, _)| elapsed_fraction >= *start);
+        match (verdict, step) {
+            (Verdict::Bad, _) => ShiftRule::Except(target),
+            (Verdict::Unknown, Some((_, share))) if self.has_moved => {
+                ShiftRule::Share { target, share: *share, is_trial: false }
+            }
+            (Verdict::Unknown, _) => {
+                ShiftRule::Share { target, share: TRIAL_SHARE, is_trial: true }
+            }
+            (Verdict::Good, None) => {
+                ShiftRule::Share { target, share: CONFIRMATION_SHARE, is_trial: true }
+            }
+            (Verdict::Good, Some((_, share))) => {
+                self.has_moved = true;
+                if *share >= 1.0 {
+                    self.all_moved_at.get_or_insert(now);
+                }
+                ShiftRule::Share { target, share: *share, is_trial: false }
+            }
         }
     }
 
@@ -247,11 +288,13 @@
     #[must_use]
     pub fn due_report(&self, has_target: bool, now: Instant, now_ms: u64) -> Option<ShiftReport> {
         let phase = match self.order.phase {
-            Some(ShiftPhase::Completed | ShiftPhase::RolledBack) => return None,
+            _ if self.stored > Some(ShiftPhase::InProgress) => return None,
+            Some(ended @ (ShiftPhase::Completed | ShiftPhase::RolledBack)) => ended,
             _ if self.is_withdrawn() => ShiftPhase::RolledBack,
-            None => ShiftPhase::InProgress,
-            Some(ShiftPhase::InProgress) => {
-                if self.elapsed_fraction(now) < COMPLETION_FRACTION || !has_target {
+            _ if self.stored.is_none() => ShiftPhase::InProgress,
+            None | Some(ShiftPhase::InProgress) => {
+                let may_complete = has_target && self.verdict() == Verdict::Good;
+                if !may_complete || !self.has_settled(now) {
                     return None;
                 }
                 ShiftPhase::Completed
@@ -274,6 +317,21 @@
         (self.target, self.others)
     }
 
+    /// Whether the target has taken all traffic for long enough that requests on other versions have ended.
+    fn has_settled(&self, now: Instant) -> bool {
+        let Some(moved_at) = self.all_moved_at else {
+            return false;
+        };
+        let elapsed = self.elapsed_fraction(now);
+        let settled = elapsed - self.elapsed_fraction(moved_at);
+        let needed = if elapsed < LATE_COMPLETION_FRACTION {
+            SETTLING_FRACTION
+        } else {
+            MIN_SETTLING_FRACTION
+        };
+        elapsed >= COMPLETION_FRACTION && settled >= needed
+    }
+
     fn elapsed_fraction(&self, now: Instant) -> f64 {
         let elapsed = now.saturating_duration_since(self.started).as_secs_f64();
         elapsed / self.order.duration.as_secs_f64().max(0.001)
--- a/crates/rollout/tests/shift_evidence.rs
+++ b/crates/rollout/tests/shift_evidence.rs
@@ -5,6 +5,7 @@
 
 use foxtailhoist_model::Pace;
 use foxtailhoist_model::PaceKind;
+use foxtailhoist_model::StoreRevision;
 use foxtailhoist_rollout::shift::Shift;
 use foxtailhoist_rollout::shift::ShiftOrder;
 use foxtailhoist_rollout::shift::Verdict;
@@ -62,7 +63,7 @@
             duration: Duration::from_secs(24),
             phase: None,
             started_ms: None,
-            revision: 1,
+            revision: StoreRevision { era: 0, number: 1 },
         };
         let rng = ChaCha8Rng::seed_from_u64(seed);
         let shift = Shift::new(order, now, 0);
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -37,6 +37,8 @@
 use crate::backends::choose::VersionFilter;
 use crate::backends::probe::PROBE_AFTER;
 use crate::backends::probe::Probe;
+use crate::exposure::Exposure;
+use crate::exposure::ExposureLimit;
 use crate::in_flight::Arrival;
 use crate::in_flight::Attempt;
 use crate::in_flight::AttemptOutcome;
@@ -52,6 +54,9 @@
 use crate::routes::RouteId;
 use crate::routes::RoutingTable;
 use crate::stream_time::StreamTime;
+use crate::version_rule::Preference;
+use crate::version_rule::ServiceVersions;
+use crate::version_rule::VersionRequest;
 use crate::version_rule::VersionRule;
 
 /// Timeout for a caller without a deadline on a route without a timeout.
@@ -64,6 +69,8 @@
 const RESUME_WAIT_MAX: Duration = Duration::from_millis(1_500);
 /// Poll interval while waiting for an available server.
 const SERVER_POLL_INTERVAL: Duration = Duration::from_millis(40);
+/// Maximum time for which a server gets no requests because it asked for none.
+const SERVER_PAUSE_MAX: Duration = Duration::from_secs(300);
 /// Minimum time left until the deadline for another attempt.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 /// Timeout for the answer's head while another attempt is left, as a multiple of the mean time.
@@ -91,6 +98,7 @@
 pub struct DispatchConfig {
     pub data_centre: DataCentreId,
     pub retries: RetryLimit,
+    pub exposure: ExposureLimit,
     /// Confidence, from 0 to 100, below which a small model's answer is replaced by a larger model's. Indexed by the
     /// route's priority; the last floor applies to all less urgent ones. If empty, every answer is accepted.
     pub confidence_floors: Vec<u8>,
@@ -103,7 +111,9 @@
     table: Option<Arc<RoutingTable>>,
     backends: Backends,
     retries: RetryWindows,
-    version_rules: BTreeMap<ServiceId, VersionRule>,
+    versions: BTreeMap<ServiceId, ServiceVersions>,
+    /// Entry hosts of the fleet.
+    host_count: usize,
     latency_pressures: BTreeMap<ServiceId, LatencyPressure>,
     stream_times: BTreeMap<ServiceId, StreamTime>,
     queue_delays: BTreeMap<QueueDelayKey, QueueDelay>,
@@ -127,6 +137,18 @@
     Refuse(Refusal),
 }
 
+/// Why no attempt is made now.
+#[derive(Clone, Copy, Debug)]
+enum NoAttempt {
+    /// The deadline has passed or is too near.
+    Expired,
+    /// The request may not be sent again, or the limit on attempts or retries is reached.
+    Exhausted,
+    /// The request's content is quarantined.
+    Quarantined,
+    NoServer(NoServer),
+}
+
 /// Head of an answer, as parsed.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct AnswerHead {
@@ -135,7 +157,9 @@
     pub echoes_request_id: bool,
     /// Whether the server states that it did not run the request.
     pub not_run: bool,
-    /// Time after which a full server accepts requests again.
+    /// Whether the server states that it is leaving.
+    pub is_leaving: bool,
+    /// Time for which a server that rejected the request wants no other.
     pub retry_after: Option<Duration>,
     /// The model's confidence in its answer, from 0 to 100.
     pub confidence: Option<u8>,
@@ -168,6 +192,10 @@
         server: BackendServerId,
         evidence: AnswerEvidence,
     },
+    /// A server stated in an answer that it is leaving.
+    ServerLeaving { server: BackendServerId },
+    /// A server asked for no requests for the stated time; `applied` is the time that it gets none.
+    ServerPaused { server: BackendServerId, stated: Duration, applied: Duration },
     /// A content became suspect because it was running when a server died.
     Suspect { content: Fingerprint },
     /// A content was quarantined after repeated server deaths.
@@ -183,7 +211,8 @@
             retries: RetryWindows::new(cfg.retries),
             cfg,
             table: None,
-            version_rules: BTreeMap::new(),
+            versions: BTreeMap::new(),
+            host_count: 1,
             latency_pressures: BTreeMap::new(),
             stream_times: BTreeMap::new(),
             queue_delays: BTreeMap::new(),
@@ -232,13 +261,15 @@
     /// Sets the number of entry hosts in the fleet and in this data centre, which determine this host's share of
     /// fleet-wide limits and the estimated load from other hosts.
     pub fn set_host_counts(&mut self, fleet: usize, local: usize) {
+        self.host_count = fleet;
         self.retries.set_host_count(fleet);
         self.backends.set_host_count(local);
     }
 
     /// Sets which versions of a service accept new work.
     pub fn set_version_rule(&mut self, service: ServiceId, rule: VersionRule) {
-        self.version_rules.insert(service, rule);
+        let live = self.backends.live_versions(&service);
+        self.versions.entry(service).or_default().set_rule(rule, &live);
     }
 
     /// Records another host's report that a server died while it ran the content.
@@ -305,8 +336,6 @@
         if self.ends_at.is_some_and(|ends_at| ends_at < expected_end) {
             return Err(refusal(ErrorKind::Stopping, Some(RETRY_AFTER_MIN)));
         }
-        let rule = self.version_rules.get(&service).unwrap_or(&VersionRule::Any);
-        let versions = rule.filter(arrival.session, request_hash);
         let req = InFlightRequest {
             id: arrival.id,
             route: route.clone(),
@@ -321,7 +350,7 @@
             attempts: 0,
             requested_model: arrival.model,
             model_index: 0,
-            versions,
+            version: None,
             session: arrival.session,
             request_hash,
             fingerprint: arrival.fingerprint,
@@ -341,27 +370,23 @@
 
     /// Returns the next step for a request without an attempt in flight.
     pub fn next_step(&mut self, req: &mut InFlightRequest, now: Instant) -> Step {
-        let left = req.deadline.saturating_duration_since(now);
-        if left < MIN_TIME_LEFT {
-            return Step::Refuse(self.refuse_expired(req));
-        }
-        if !req.may_be_sent() || req.attempts >= req.route.max_attempts.max(1) {
-            return Step::Refuse(self.refuse_exhausted(req, now));
-        }
-        if self.poison.is_quarantined(req.fingerprint, now) {
-            return Step::Refuse(refusal_for(ErrorKind::Quarantined, req));
-        }
-        let choice = match self.choose(req, now) {
+        self.update_versions(&req.service);
+        let choice = match self.plan_attempt(req, 0.0, now) {
             Ok(choice) => choice,
-            Err(reason) => return self.wait_or_refuse(req, reason, now),
+            Err(NoAttempt::Expired) => return Step::Refuse(self.refuse_expired(req)),
+            Err(NoAttempt::Exhausted) => return Step::Refuse(self.refuse_exhausted(req, now)),
+            Err(NoAttempt::Quarantined) => {
+                return Step::Refuse(refusal_for(ErrorKind::Quarantined, req));
+            }
+            Err(NoAttempt::NoServer(reason)) => return self.wait_or_refuse(req, reason, now),
         };
-        if req.attempts > 0 && !self.retries.has_retry_allowance(&req.service, 0.0, now) {
-            return Step::Refuse(self.refuse_exhausted(req, now));
-        }
         let Some(attempt) = self.new_attempt(req, &choice, now) else {
             return Step::Refuse(self.refuse_exhausted(req, now));
         };
         self.backends.attempt_started(&attempt);
+        if let Some(exposure) = self.exposure_mut(&req.service) {
+            exposure.record_attempt(&attempt.version);
+        }
         Step::Send(Box::new(attempt))
     }
 
@@ -369,6 +394,7 @@
     /// Attempts at unreachable servers are not counted.
     pub fn attempt_sent(&mut self, req: &mut InFlightRequest, attempt: &Attempt, now: Instant) {
         if req.attempts == 0 {
+            self.versions.entry(req.service.clone()).or_default().record_request();
             self.retries.record_first_attempt(&req.service, now);
         } else {
             self.retries.record_retry(&req.service, now);
@@ -378,6 +404,7 @@
         self.first_event_wait_started(req, attempt, now);
         req.times = AttemptTimes::sent(now);
         req.attempts += 1;
+        req.version = Some(attempt.version.clone());
         req.tried_servers.push(attempt.server.clone());
     }
 
@@ -393,6 +420,7 @@
         if head.status == 421 {
             return HeadVerdict::Drop(AttemptOutcome::Misdirected);
         }
+        self.apply_server_statements(attempt, head, now);
         if head.not_run {
             let retry_after = head.retry_after.unwrap_or(RETRY_AFTER_MIN).min(RETRY_AFTER_MAX);
             return HeadVerdict::Drop(AttemptOutcome::Full { retry_after });
@@ -412,7 +440,8 @@
         if self.should_escalate(req, head, now) {
             return HeadVerdict::Drop(AttemptOutcome::Dropped);
         }
-        req.answer_started = true;
+        // A plain answer is passed on once its body is complete.
+        req.answer_started = req.route.repeatability.is_stream();
         HeadVerdict::Deliver
     }
 
@@ -433,39 +462,49 @@
     /// Whether an attempt without a head should be abandoned for another one. An engine that shows activity in other
     /// answers has a queue: a retry would only move the request to the end of another queue.
     #[must_use]
-    pub fn is_head_overdue(&self, attempt: &Attempt, started: Instant, now: Instant) -> bool {
+    pub fn is_head_overdue(
+        &self,
+        req: &mut InFlightRequest,
+        attempt: &Attempt,
+        started: Instant,
+        now: Instant,
+    ) -> bool {
         let waited = now.saturating_duration_since(started);
         let is_alive = self
             .backends
             .last_activity(attempt)
             .is_some_and(|at| now.saturating_duration_since(at) < attempt.server_silence_timeout);
         let is_queued = attempt.model.is_some() && is_alive && waited < ENGINE_HEAD_WAIT_MAX;
-        let is_unreachable = attempt.has_retry_left && self.backends.is_unreachable(attempt);
-        is_unreachable || (waited >= attempt.head_timeout && !is_queued)
+        let is_unreachable = self.backends.is_unreachable(attempt);
+        if !is_unreachable && (waited < attempt.head_timeout || is_queued) {
+            return false;
+        }
+        let replacement = self.replacement(req, now);
+        replacement.is_some_and(|choice| !is_unreachable || choice.server != attempt.server)
     }
 
-    /// Whether a stream without an event since `since` should be resumed by another attempt. The last attempt is never
-    /// abandoned, since a silent server may still continue.
+    /// Whether a stream without an event since `since` should be resumed by another attempt. An attempt is not abandoned
+    /// without a replacement, since a silent server may still continue.
     #[must_use]
     pub fn is_stalled(
         &self,
-        req: &InFlightRequest,
+        req: &mut InFlightRequest,
         attempt: &Attempt,
         since: Instant,
         now: Instant,
     ) -> bool {
-        if !self.can_retry(req, now) {
-            return false;
-        }
         let silence = now.saturating_duration_since(since);
         let server_silence = self
             .backends
             .last_activity(attempt)
             .map_or(silence, |at| now.saturating_duration_since(at));
         let is_unreachable = silence >= PROBE_AFTER && self.backends.is_unreachable(attempt);
-        is_unreachable
-            || silence >= STREAM_SILENCE_TIMEOUT
-            || server_silence >= attempt.server_silence_timeout
+        let is_server_silent = is_unreachable || server_silence >= attempt.server_silence_timeout;
+        if !is_server_silent && silence < STREAM_SILENCE_TIMEOUT {
+            return false;
+        }
+        let replacement = self.replacement(req, now);
+        replacement.is_some_and(|choice| !is_server_silent || choice.server != attempt.server)
     }
 
     /// Returns the probe to make if the attempt's server has been silent for [`PROBE_AFTER`]; `since` is the start of
@@ -532,20 +571,60 @@
                 req.tried_servers.push(attempt.server.clone());
                 req.waiting_for_server_since.get_or_insert(now);
                 req.last_unreachable = Some(now);
+                if let Some(exposure) = self.exposure_mut(&req.service) {
+                    exposure.cancel_attempt(&attempt.version);
+                }
                 self.server_died(&attempt.server, now);
             }
             AttemptOutcome::Misdirected | AttemptOutcome::Full { .. } => {}
         }
     }
 
-    /// Whether the request would get another attempt if the current one failed now.
-    #[must_use]
-    pub fn can_retry(&self, req: &InFlightRequest, now: Instant) -> bool {
-        let left = req.deadline.saturating_duration_since(now);
-        req.route.repeatability.allows_retry()
-            && req.attempts < req.route.max_attempts
-            && left >= MIN_TIME_LEFT
-            && self.backends.has_available_server(&req.service)
+    /// The server that the request would be sent to next if its current attempt failed now.
+    fn replacement(&self, req: &mut InFlightRequest, now: Instant) -> Option<Choice> {
+        let allows_retry = req.route.repeatability.allows_retry();
+        allows_retry.then(|| self.plan_attempt(req, 0.0, now).ok()).flatten()
+    }
+
+    /// Chooses the server of the next attempt. `reserve` is the part of the retry allowance, from 0 to 1, that is kept
+    /// for more important retries.
+    fn plan_attempt(
+        &self,
+        req: &mut InFlightRequest,
+        reserve: f64,
+        now: Instant,
+    ) -> Result<Choice, NoAttempt> {
+        if req.deadline.saturating_duration_since(now) < MIN_TIME_LEFT {
+            return Err(NoAttempt::Expired);
+        }
+        if !req.may_be_sent() || req.attempts >= req.route.max_attempts.max(1) {
+            return Err(NoAttempt::Exhausted);
+        }
+        if self.poison.is_quarantined(req.fingerprint, now) {
+            return Err(NoAttempt::Quarantined);
+        }
+        let choice = self.choose(req, now).map_err(NoAttempt::NoServer)?;
+        if req.attempts > 0 && !self.retries.has_retry_allowance(&req.service, reserve, now) {
+            return Err(NoAttempt::Exhausted);
+        }
+        Ok(choice)
+    }
+
+    /// Applies what a server states of itself in the head of an answer, whatever the answer is.
+    fn apply_server_statements(&mut self, attempt: &Attempt, head: &AnswerHead, now: Instant) {
+        let server = &attempt.server;
+        if head.is_leaving && self.backends.mark_leaving(attempt) {
+            self.notifications.push(Notification::ServerLeaving { server: server.clone() });
+        }
+        if head.status == 503
+            && let Some(stated) = head.retry_after
+        {
+            let applied = stated.min(SERVER_PAUSE_MAX);
+            if self.backends.pause_server(attempt, applied, now) {
+                let server = server.clone();
+                self.notifications.push(Notification::ServerPaused { server, stated, applied });
+            }
+        }
     }
 
     fn handle_error_status(
@@ -556,7 +635,7 @@
     ) -> HeadVerdict {
         let is_server_error = head.status >= 500;
         let implies_not_run = matches!(head.status, 408 | 429 | 503);
-        if is_server_error && self.can_retry(req, now) {
+        if is_server_error && self.replacement(req, now).is_some() {
             return HeadVerdict::Drop(AttemptOutcome::Failed);
         }
         if implies_not_run {
@@ -564,53 +643,61 @@
             // reach the caller.
             return HeadVerdict::Drop(AttemptOutcome::Failed);
         }
-        req.answer_started = true;
         HeadVerdict::Deliver
     }
 
-    fn choose(&self, req: &mut InFlightRequest, now: Instant) -> Result<Choice, NoServer> {
-        if req.versions == VersionFilter::Any {
-            // A traffic shift may have started since the request was admitted.
-            req.versions = self.allowed_versions(req);
-        }
-        match self.choose_allowed(req, now) {
-            Err(NoServer::Unserved) => {
-                // The allowed versions have no server left: apply the current rule, or allow any version if that rule
-                // requires the same one.
-                let current = self.allowed_versions(req);
-                let is_target_unavailable =
-                    current == req.versions && matches!(current, VersionFilter::Only(_));
-                req.versions = if is_target_unavailable { VersionFilter::Any } else { current };
-                self.choose_allowed(req, now)
+    fn choose(&self, req: &InFlightRequest, now: Instant) -> Result<Choice, NoServer> {
+        for preference in &self.preferences(req) {
+            match self.choose_preferred(req, preference, now) {
+                Err(NoServer::Unserved) => {}
+                Err(NoServer::AllBusy) if preference.is_trial => {}
+                other => return other,
             }
-            other => other,
         }
+        Err(NoServer::Unserved)
     }
 
-    /// Versions that the current rule allows for the request.
-    fn allowed_versions(&self, req: &InFlightRequest) -> VersionFilter {
-        let rule = self.version_rules.get(&req.service).unwrap_or(&VersionRule::Any);
-        rule.filter(req.session, req.request_hash)
+    /// Versions that the request's next attempt may run on, in order of preference.
+    fn preferences(&self, req: &InFlightRequest) -> Vec<Preference> {
+        let request = VersionRequest {
+            session: req.session,
+            request_hash: req.request_hash,
+            previous: req.version.as_ref(),
+        };
+        let versions = self.versions.get(&req.service);
+        versions.map_or_else(
+            || vec![Preference { versions: VersionFilter::Any, is_trial: false }],
+            |versions| versions.preferences(&request, self.cfg.exposure, self.host_count),
+        )
     }
 
-    fn choose_allowed(&self, req: &InFlightRequest, now: Instant) -> Result<Choice, NoServer> {
-        let model = req.model().cloned();
-        let query = Query {
-            service: &req.service,
-            versions: &req.versions,
-            model: model.as_deref(),
-            parts: &req.parts,
-            prompt_tokens: req.prompt_tokens,
-            retryable: req.route.repeatability.allows_retry(),
-            avoid: &req.tried_servers,
-        };
+    /// Takes note of versions that came or went since the last request.
+    fn update_versions(&mut self, service: &ServiceId) {
+        let versions = self.versions.entry(service.clone()).or_default();
+        versions.update_in_use(&self.backends.live_versions(service));
+    }
+
+    fn exposure_mut(&mut self, service: &str) -> Option<&mut Exposure> {
+        self.versions.get_mut(service).and_then(ServiceVersions::exposure_mut)
+    }
+
+    fn choose_preferred(
+        &self,
+        req: &InFlightRequest,
+        preference: &Preference,
+        now: Instant,
+    ) -> Result<Choice, NoServer> {
+        let trial_share = preference.is_trial.then_some(self.cfg.exposure.share);
+        let query = Query { trial_share, ..query(req, &preference.versions) };
         let may_reuse_tried =
             req.last_unreachable.is_none_or(|at| now >= at + SERVER_POLL_INTERVAL);
+        // The server tried last is the least likely to answer.
+        let last = req.tried_servers.last().map(std::slice::from_ref).unwrap_or_default();
         match self.backends.choose(&query, now) {
-            Err(NoServer::AllBusy)
-                if !req.tried_servers.is_empty() && query.retryable && may_reuse_tried =>
-            {
-                self.backends.choose(&Query { avoid: &[], ..query }, now)
+            Err(NoServer::AllBusy) if !last.is_empty() && query.retryable && may_reuse_tried => {
+                self.backends
+                    .choose(&Query { avoid: last, ..query }, now)
+                    .or_else(|_| self.backends.choose(&Query { avoid: &[], ..query }, now))
             }
             other => other,
         }
@@ -661,15 +748,28 @@
         } else {
             target.mul_f64(SERVER_WAIT_SHARE).min(SERVER_WAIT_MAX)
         };
+        let paused_until = self
+            .preferences(req)
+            .iter()
+            .filter(|preference| !preference.is_trial)
+            .map(|preference| query(req, &preference.versions))
+            .find(|query| self.backends.is_served(query))
+            .and_then(|query| self.backends.all_paused_until(&query, now));
+        let is_pause_too_long = paused_until.is_some_and(|until| until > since + max_wait);
         let until = now + SERVER_POLL_INTERVAL;
-        if until <= since + max_wait && until < req.deadline {
+        if !is_pause_too_long && until <= since + max_wait && until < req.deadline {
             return Step::WaitUntil(until);
         }
         let kind = match reason {
             NoServer::Unserved => ErrorKind::NoServer,
             NoServer::AllBusy => ErrorKind::Overloaded,
         };
-        Step::Refuse(self.refuse(req, kind, now))
+        let mut refusal = self.refuse(req, kind, now);
+        if let Some(until) = paused_until.filter(|_| is_pause_too_long) {
+            let left = until.saturating_duration_since(now);
+            refusal.retry_after = refusal.retry_after.map(|wait| wait.max(left));
+        }
+        Step::Refuse(refusal)
     }
 
     /// A server that warms up is slower than its version.
@@ -696,6 +796,20 @@
     }
 }
 
+/// What the request requires of a server.
+fn query<'a>(req: &'a InFlightRequest, versions: &'a VersionFilter) -> Query<'a> {
+    Query {
+        service: &req.service,
+        versions,
+        trial_share: None,
+        model: req.model().map(String::as_str),
+        parts: &req.parts,
+        prompt_tokens: req.prompt_tokens,
+        retryable: req.route.repeatability.allows_retry(),
+        avoid: &req.tried_servers,
+    }
+}
+
 /// Priority of the workspace, if it has one, otherwise of the route; from 0, the most urgent, to 9.
 fn priority(req: &InFlightRequest) -> u8 {
     let workspace = req.workspace.as_ref().and_then(|workspace| workspace.priority);
