--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -9,7 +9,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use foxtailhoist_model::EntryHostId;
 use foxtailhoist_model::ServiceId;
+use foxtailhoist_model::StoreRevision;
 use foxtailhoist_model::VersionId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -20,9 +22,12 @@
 use crate::shift::baseline::Observation;
 use crate::shift::evidence::Conclusion;
 use crate::shift::evidence::Evidence;
+use crate::shift::shared::HostEvidence;
+use crate::shift::shared::SharedEvidence;
 
 pub mod baseline;
 pub mod evidence;
+pub mod shared;
 
 /// Steps of a shift: fraction of the ordered duration at which the step starts, and share of the sessions from then on.
 /// Before the first step only requests without a session take part, and none while too little is known of the target.
@@ -40,8 +45,9 @@
 const MIN_SETTLING_FRACTION: f64 = 0.05;
 /// Fraction of the ordered duration by which completion is reported if the shorter settling time allows it.
 const LATE_COMPLETION_FRACTION: f64 = 0.94;
-/// Phase of an ordered shift in the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+
+/// Phase of an ordered shift in the store, in the order in which one may replace another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum ShiftPhase {
     InProgress,
     Completed,
@@ -60,7 +66,7 @@
     /// Start in Unix milliseconds, set by the first report.
     pub started_ms: Option<u64>,
     /// Revision of the order's object in the store; reports are conditional on it.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// Report to write on condition that the order's object is unchanged.
@@ -70,7 +76,7 @@
     pub target: VersionId,
     pub phase: ShiftPhase,
     pub started_ms: u64,
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 /// Versions that may take new work at a point of the schedule.
@@ -101,10 +107,13 @@
 #[derive(Debug)]
 pub struct Shift {
     order: ShiftOrder,
+    /// Phase that the store's object states; after a restore of the store, earlier than that of `order`.
+    stored: Option<ShiftPhase>,
     started: Instant,
     target: OutcomeCount,
     others: OutcomeCount,
     evidence: Evidence,
+    shared: SharedEvidence,
     /// Why this host withdrew the target, if it did.
     conclusion: Option<Conclusion>,
     /// Whether sessions have moved to the target; they stay there unless it is withdrawn.
@@ -121,10 +130,12 @@
         let elapsed = Duration::from_millis(elapsed_ms).min(order.duration);
         Shift {
             started: now.checked_sub(elapsed).unwrap_or(now),
+            stored: order.phase,
             order,
             target: OutcomeCount::default(),
             others: OutcomeCount::default(),
             evidence: Evidence::default(),
+            shared: SharedEvidence::default(),
             conclusion: None,
             has_moved: false,
             all_moved_at: None,
@@ -136,19 +147,26 @@
         &self.order
     }
 
-    /// Applies a store update of the order's object.
+    /// Applies a store update of the order's object. The phase never goes back, even if that in the store does.
     pub fn update(&mut self, order: ShiftOrder) {
-        self.order = order;
+        self.stored = order.phase;
+        let phase = self.order.phase.max(order.phase);
+        let started_ms = self.order.started_ms.or(order.started_ms);
+        self.order = ShiftOrder { phase, started_ms, ..order };
     }
 
     /// Whether `order` is this order at a later revision rather than a new order.
     #[must_use]
     pub fn is_same_order(&self, order: &ShiftOrder) -> bool {
-        let ended =
-            matches!(self.order.phase, Some(ShiftPhase::Completed | ShiftPhase::RolledBack));
-        self.order.target == order.target
-            && self.order.duration == order.duration
-            && !(ended && order.phase.is_none())
+        let ended = matches!(self.stored, Some(ShiftPhase::Completed | ShiftPhase::RolledBack));
+        let is_repeated = ended && order.phase.is_none() && !self.is_restored(order);
+        self.order.target == order.target && self.order.duration == order.duration && !is_repeated
+    }
+
+    /// Whether the store was restored from a copy since the last update, so that `order` may lack what was reported.
+    #[must_use]
+    pub fn is_restored(&self, order: &ShiftOrder) -> bool {
+        order.revision.era > self.order.revision.era
     }
 
     /// Adds a finding about an answer of one of the service's servers. The baseline holds the other versions' answers,
@@ -180,6 +198,34 @@
         }
     }
 
+    /// Adds peers' evidence; `host` is this host.
+    pub fn merge(&mut self, evidence: Vec<HostEvidence>, host: &EntryHostId) {
+        let mut is_new = false;
+        for evidence in evidence {
+            is_new |= evidence.host != *host && self.shared.merge(evidence);
+        }
+        if !is_new {
+            return;
+        }
+        let (failures, slowness) = self.shared.sums(host);
+        self.evidence.set_peers(failures, slowness);
+        if self.conclusion.is_none() {
+            self.conclusion = self.evidence.conclusion();
+        }
+    }
+
+    /// Evidence to pass on to a few peers in this round; none once the shift has ended.
+    pub fn news(&mut self, host: &EntryHostId, now_ms: u64) -> Vec<HostEvidence> {
+        if matches!(self.order.phase, Some(ShiftPhase::Completed | ShiftPhase::RolledBack)) {
+            return Vec::new();
+        }
+        let updated_ms = self.shared.next_update(host, now_ms);
+        if let Some(own) = self.evidence.take_news(host, updated_ms) {
+            self.shared.merge(own);
+        }
+        self.shared.take_news()
+    }
+
     #[must_use]
     pub fn is_withdrawn(&self) -> bool {
         self.conclusion.is_some()
@@ -245,10 +291,11 @@
     #[must_use]
     pub fn due_report(&self, has_target: bool, now: Instant, now_ms: u64) -> Option<ShiftReport> {
         let phase = match self.order.phase {
-            Some(ShiftPhase::Completed | ShiftPhase::RolledBack) => return None,
+            _ if self.stored > Some(ShiftPhase::InProgress) => return None,
+            Some(ended @ (ShiftPhase::Completed | ShiftPhase::RolledBack)) => ended,
             _ if self.is_withdrawn() => ShiftPhase::RolledBack,
-            None => ShiftPhase::InProgress,
-            Some(ShiftPhase::InProgress) => {
+            _ if self.stored.is_none() => ShiftPhase::InProgress,
+            None | Some(ShiftPhase::InProgress) => {
                 let may_complete = has_target && self.verdict() == Verdict::Good;
                 if !may_complete || !self.has_settled(now) {
                     return None;
--- a/crates/rollout/tests/shift.rs
+++ b/crates/rollout/tests/shift.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use foxtailhoist_model::StoreRevision;
 use foxtailhoist_rollout::shift::Shift;
 use foxtailhoist_rollout::shift::ShiftOrder;
 use foxtailhoist_rollout::shift::ShiftPhase;
@@ -103,14 +104,17 @@
     let start = Instant::now();
     let mut shift = proven(20, start);
     let first = shift.due_report(true, start, NOW_MS).expect("due at once");
-    assert_eq!((first.phase, first.revision), (ShiftPhase::InProgress, 5));
-    shift.update(ShiftOrder { revision: 6, ..in_progress(20) });
+    assert_eq!((first.phase, first.revision), (ShiftPhase::InProgress, revision(5)));
+    shift.update(ShiftOrder { revision: revision(6), ..in_progress(20) });
     let half = start + Duration::from_secs(10);
     assert_eq!(shift.due_report(true, half, NOW_MS + 10_000), None);
     let _ = shift.rule(start + Duration::from_secs(15));
     let late = start + Duration::from_secs(18);
     let done = shift.due_report(true, late, NOW_MS + 18_000).expect("due");
-    assert_eq!((done.phase, done.revision, done.started_ms), (ShiftPhase::Completed, 6, NOW_MS));
+    assert_eq!(
+        (done.phase, done.revision, done.started_ms),
+        (ShiftPhase::Completed, revision(6), NOW_MS)
+    );
     // Without servers of the target version, completion must not be reported: the old servers must keep running.
     assert_eq!(shift.due_report(false, late, NOW_MS + 18_000), None);
 }
@@ -183,6 +187,20 @@
     assert!(!shift.is_same_order(&ShiftOrder { target: "v3".to_owned(), ..order(20) }));
 }
 
+fn observe(shift: &mut Shift, baseline: &mut Baseline, version: &str, server: &str, is_bad: bool) {
+    let observation = Observation {
+        route: "chat".to_owned(),
+        version: version.to_owned(),
+        server: server.to_owned(),
+        finding: Finding::Ended { is_bad },
+    };
+    shift.observe(&observation, baseline, Instant::now());
+}
+
+fn revision(number: u64) -> StoreRevision {
+    StoreRevision { era: 0, number }
+}
+
 /// A shift that has seen enough good answers.
 fn proven(seconds: u64, start: Instant) -> Shift {
     let mut shift = Shift::new(order(seconds), start, NOW_MS);
@@ -202,16 +220,6 @@
     ShiftOrder { phase: Some(ShiftPhase::InProgress), started_ms: Some(NOW_MS), ..order(seconds) }
 }
 
-fn observe(shift: &mut Shift, baseline: &mut Baseline, version: &str, server: &str, is_bad: bool) {
-    let observation = Observation {
-        route: "chat".to_owned(),
-        version: version.to_owned(),
-        server: server.to_owned(),
-        finding: Finding::Ended { is_bad },
-    };
-    shift.observe(&observation, baseline, Instant::now());
-}
-
 fn order(seconds: u64) -> ShiftOrder {
     ShiftOrder {
         service: "llm".to_owned(),
@@ -219,6 +227,6 @@
         duration: Duration::from_secs(seconds),
         phase: None,
         started_ms: None,
-        revision: 5,
+        revision: revision(5),
     }
 }
--- a/crates/route/src/backends/mod.rs
+++ b/crates/route/src/backends/mod.rs
@@ -181,6 +181,13 @@
         }
     }
 
+    /// Extends the deadlines of all missing registrations after the store was restored.
+    pub fn extend_missing(&mut self, until: Instant) {
+        for server in self.servers.values_mut() {
+            server.missing_until = server.missing_until.map(|known| known.max(until));
+        }
+    }
+
     /// Removes and returns the servers whose registration is still missing at its deadline.
     pub fn expire_missing(&mut self, now: Instant) -> Vec<BackendServerId> {
         let is_due = |server: &Server| server.missing_until.is_some_and(|until| until <= now);
@@ -210,17 +217,17 @@
             .any(|server| server.accepts_new_work() && server.registration.version == version)
     }
 
+    /// Whether the attempt's server has warmed up.
+    pub(crate) fn is_warm(&self, attempt: &Attempt, now: Instant) -> bool {
+        self.incarnation(attempt).is_some_and(|server| now >= server.warm_at)
+    }
+
     /// Versions of the service whose servers accept new work.
     pub(crate) fn live_versions(&self, service: &str) -> BTreeSet<&VersionId> {
         let live = self.members(service).filter(|server| server.accepts_new_work());
         live.map(|server| &server.registration.version).collect()
     }
 
-    /// Whether the attempt's server has warmed up.
-    pub(crate) fn is_warm(&self, attempt: &Attempt, now: Instant) -> bool {
-        self.incarnation(attempt).is_some_and(|server| now >= server.warm_at)
-    }
-
     /// Last activity of the attempt's server in any answer.
     #[must_use]
     pub fn last_activity(&self, attempt: &Attempt) -> Option<Instant> {
