Test that a restore takes no outcome of a roll-out away

A shift keeps and reports again the outcome that a restored store lacks, also after a second restore, and when the copy shows the order before it until the operator writes the later one again.

--- a/crates/rollout/tests/shift.rs
+++ b/crates/rollout/tests/shift.rs
@@ -178,6 +178,32 @@
     assert!(!shift.is_same_order(&ShiftOrder { target: "v3".to_owned(), ..order(20) }));
 }
 
+/// Guards against a rollout that starts again, or is not reported again, after a restore of the store lost its outcome.
+#[rstest]
+#[case::bad(ShiftPhase::RolledBack)]
+#[case::good(ShiftPhase::Completed)]
+fn an_outcome_lost_in_a_restore_stays_and_is_reported_again(#[case] phase: ShiftPhase) {
+    let now = Instant::now();
+    let ended = ShiftOrder { phase: Some(phase), started_ms: Some(NOW_MS), ..order(20) };
+    let mut shift = Shift::new(ended, now, NOW_MS);
+    for (era, stored) in [(1, None), (2, Some(ShiftPhase::InProgress))] {
+        let revision = StoreRevision { era, number: 3 };
+        let restored = ShiftOrder { phase: stored, started_ms: None, revision, ..order(20) };
+        assert!(shift.is_same_order(&restored));
+        shift.update(restored);
+        assert_eq!(shift.order().phase, Some(phase));
+        let report = shift.due_report(true, now, NOW_MS).expect("due");
+        assert_eq!((report.phase, report.revision), (phase, revision));
+        assert_eq!(report.started_ms, NOW_MS);
+    }
+    // Within an era, an order without a status is a new one.
+    let revision = StoreRevision { era: 2, number: 4 };
+    shift.update(ShiftOrder { phase: Some(phase), revision, ..order(20) });
+    assert_eq!(shift.due_report(true, now, NOW_MS), None);
+    let repeated = ShiftOrder { revision: StoreRevision { era: 2, number: 5 }, ..order(20) };
+    assert!(!shift.is_same_order(&repeated));
+}
+
 fn revision(number: u64) -> StoreRevision {
     StoreRevision { era: 0, number }
 }
