--- a/tests/restores.rs
+++ b/tests/restores.rs
@@ -25,7 +25,7 @@
 use tokio::time::sleep;
 
 use standin::Harness;
-use standin::configuration;
+use standin::configuration_with_more_lookups;
 use standin::engine::Behaviour;
 use standin::engine::Engine;
 use standin::on_one_thread;
@@ -193,16 +193,9 @@
     /// Stores a configuration whose version shows in the routes that it has.
     fn configure(&mut self) {
         self.version += 1;
-        let mut spec = configuration(self.version);
-        let look = spec["Routes"][2].clone();
-        let routes = spec["Routes"].as_array_mut().expect("routes");
-        for version in 1..=self.version {
-            let mut route = look.clone();
-            route["Name"] = format!("v{version}").into();
-            route["PathPrefix"] = format!("/v{version}/").into();
-            routes.push(route);
-        }
-        self.put("config", "main", spec);
+        let prefixes: Vec<String> =
+            (1..=self.version).map(|version| format!("/v{version}/")).collect();
+        self.put("config", "main", configuration_with_more_lookups(self.version, &prefixes));
     }
 
     async fn server_starts(&mut self) {
