--- a/tests/ends.rs
+++ b/tests/ends.rs
@@ -28,10 +28,12 @@
 use standin::eventually;
 use standin::fresh_id;
 use standin::is_ready;
+use standin::narrow_configuration;
 use standin::on_one_thread;
 use standin::registration;
 use standin::request_to;
 use standin::store::Store;
+use standin::store::StoreFaults;
 use standin::stream_head;
 use standin::streamed;
 
@@ -353,3 +355,64 @@
     })
     .await;
 }
+
+/// Guards against a stop that a further signal cuts short or starts again.
+#[tokio::test]
+async fn further_signals_do_not_disturb_a_stop() {
+    on_one_thread(async || {
+        let mut harness = Harness::start("signals", "llm").await;
+        harness.until_stream_served().await;
+        harness.engine.always(Behaviour::VerySlow);
+        let answer = harness.chat(&fresh_id()).send().await.expect("a head");
+        for signal in [Signal::TERM, Signal::HUP, Signal::TERM, Signal::HUP, Signal::INT] {
+            harness.hosts.signal(0, signal);
+            sleep(Duration::from_millis(100)).await;
+        }
+        let text = answer.text().await.expect("a complete answer");
+        assert!(text.contains(&format!("piece {EVENTS}")), "{text}");
+        harness.hosts.wait(0).await;
+        let log = harness.hosts.log(0);
+        assert_eq!(log.matches("event=stopping").count(), 1, "{log}");
+        assert_eq!(log.matches("event=stopped").count(), 1, "{log}");
+        harness.hosts.close();
+    })
+    .await;
+}
+
+/// Guards against a request that is dropped because its host is stopped before it knows a configuration.
+#[tokio::test]
+async fn a_host_stopped_before_its_first_configuration_answers() {
+    on_one_thread(async || {
+        let store = Store::start().await;
+        store.set_faults(StoreFaults { down: true, slow: Duration::ZERO });
+        let mut hosts = Hosts::start(1, store.address, "ends-unconfigured");
+        let address = hosts.addresses()[0];
+        eventually(async || TcpStream::connect(address).await.is_ok()).await;
+        let client = Client::builder().no_proxy().build().expect("a client");
+        let request = request_to(&client, address, Method::GET, "/look/1", &fresh_id()).send();
+        let request = tokio::task::spawn_local(request);
+        sleep(Duration::from_millis(100)).await;
+        hosts.signal(0, Signal::TERM);
+        assert_eq!(request.await.expect("ran").expect("an answer").status(), 503);
+        hosts.wait(0).await;
+        hosts.close();
+    })
+    .await;
+}
+
+/// Guards against a configuration that ends the requests which it no longer allows.
+#[tokio::test]
+async fn a_request_in_progress_keeps_the_route_that_it_was_admitted_with() {
+    on_one_thread(async || {
+        let harness = Harness::start("taken", "llm").await;
+        harness.until_stream_served().await;
+        harness.engine.always(Behaviour::VerySlow);
+        let answer = harness.chat(&fresh_id()).send().await.expect("a head");
+        harness.store.put("config", "main", narrow_configuration(2));
+        eventually(async || harness.log_line("event=configured version=2").is_some()).await;
+        let text = answer.text().await.expect("a complete answer");
+        assert!(text.contains(&format!("piece {EVENTS}")), "{text}");
+        harness.hosts.close();
+    })
+    .await;
+}
