Time a stream's attempts apart while one is set aside

A silent attempt stays open until another server takes its stream over, so that a request has two attempts for a time. The end of the first was timed with the head of the second, and reported as evidence on the version of the first server.

The test an_attempt_that_was_replaced_ends_without_a_pace failed before: a pace of 1.25 ms a unit of work was reported for the attempt that had been silent for 1.5 s. Times now belong to the attempt that was sent last; the end of an earlier one yields none.

--- a/crates/route/src/attempt_times.rs
+++ b/crates/route/src/attempt_times.rs
@@ -19,6 +19,8 @@
 /// Times of one attempt.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct AttemptTimes {
+    /// Number of the attempt; a request may have two of them for a time, of which the later one is timed.
+    number: u32,
     sent: Option<Instant>,
     head: Option<Instant>,
     first_event: Option<Instant>,
@@ -29,8 +31,8 @@
 }
 
 impl AttemptTimes {
-    pub(crate) fn sent(now: Instant) -> AttemptTimes {
-        AttemptTimes { sent: Some(now), ..AttemptTimes::default() }
+    pub(crate) fn sent(attempt: &Attempt, now: Instant) -> AttemptTimes {
+        AttemptTimes { number: attempt.number, sent: Some(now), ..AttemptTimes::default() }
     }
 
     pub(crate) fn record_head(&mut self, now: Instant) {
@@ -38,7 +40,10 @@
     }
 
     /// Records events that arrived together; returns the pace once enough of them have arrived.
-    pub(crate) fn record_event(&mut self, now: Instant) -> Option<Pace> {
+    pub(crate) fn record_event(&mut self, attempt: &Attempt, now: Instant) -> Option<Pace> {
+        if attempt.number != self.number {
+            return None;
+        }
         if self.first_event.is_none() {
             self.first_event = Some(now);
         } else {
@@ -59,7 +64,7 @@
         outcome: AttemptOutcome,
         now: Instant,
     ) -> Option<Pace> {
-        if self.is_taken {
+        if self.is_taken || attempt.number != self.number {
             return None;
         }
         self.is_taken = true;
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -409,7 +409,7 @@
         req.waiting_for_server_since = None;
         req.last_unreachable = None;
         self.first_event_wait_started(req, attempt, now);
-        req.times = AttemptTimes::sent(now);
+        req.times = AttemptTimes::sent(attempt, now);
         req.attempts += 1;
         req.version = Some(attempt.version.clone());
         req.tried_servers.push(attempt.server.clone());
@@ -461,7 +461,7 @@
         now: Instant,
     ) {
         self.backends.event_received(attempt, gap, now);
-        if let Some(pace) = req.times.record_event(now) {
+        if let Some(pace) = req.times.record_event(attempt, now) {
             self.notify_pace(req, attempt, pace, now);
         }
     }
--- a/crates/route/tests/dispatch_evidence.rs
+++ b/crates/route/tests/dispatch_evidence.rs
@@ -77,3 +77,23 @@
     let reported = stream(&mut harness, millis(20), AttemptOutcome::Whole);
     assert_eq!(reported.len(), 1, "{reported:?}");
 }
+
+// The end of an attempt that another one had replaced was timed as if it were that other attempt.
+#[test]
+fn an_attempt_that_was_replaced_ends_without_a_pace() {
+    let mut harness = harness();
+    let mut req = harness.admitted("/chat/1");
+    let first = harness.send(&mut req);
+    harness.head(&mut req, &first, good_head());
+    harness.advance(millis(1_500));
+    let second = harness.send(&mut req);
+    harness.advance(millis(50));
+    harness.head(&mut req, &second, good_head());
+    harness.end(&mut req, &first, AttemptOutcome::Silent);
+    assert_eq!(harness.dispatcher.take_notifications(), []);
+    for _ in 0..10 {
+        harness.advance(millis(20));
+        harness.dispatcher.event_received(&mut req, &second, Some(millis(20)), harness.now);
+    }
+    assert_eq!(harness.dispatcher.take_notifications().len(), 1);
+}
