--- a/tests/soak/hosts.rs
+++ b/tests/soak/hosts.rs
@@ -45,7 +45,8 @@
             let text = format!(
                 "host: host-{number}\ndata_centre: a\nlisten:\n  callers: \"{callers}\"\n  readiness: \"{readiness}\"\n  \
                  peers: \"{peers}\"\nseeds: [{seeds}]\nfirst_start: false\nstore: \"{store}\"\ngrace_s: 8\nretries:\n  \
-                 ratio: 0.9\n  slack: 52\n  window_s: 10\nconfidence_floors: [50]\n"
+                 ratio: 0.9\n  slack: 52\n  window_s: 10\ntrial:\n  share: 0.15\n  \
+                 slack: 30\nconfidence_floors: [50]\n"
             );
             std::fs::write(&settings, text).expect("the settings are written");
             let log = directory.join(format!("host-{number}.log"));
