Remember what a server stated while its registration lapses

Requests were sent again to a server that had said it leaves, or had asked for a pause, once its registration had lapsed and come back in the same incarnation (found by review).

Cause: the statements were part of the server's state, which a removed registration discards.

Evidence: statements_hold_while_a_registration_lapses, case same_incarnation, failed before.

The statements of the last 256 removed servers are kept, and apply if the same incarnation is registered again.

--- a/crates/route/src/backends/choose.rs
+++ b/crates/route/src/backends/choose.rs
@@ -161,7 +161,7 @@
                 && query.versions.allows(&server.registration.version)
                 && !query.avoid.contains(&server.registration.id)
         });
-        let ends = allowed.map(|server| server.full_until.filter(|until| now < *until));
+        let ends = allowed.map(|server| server.statements.full_until.filter(|until| now < *until));
         ends.collect::<Option<Vec<Instant>>>()?.into_iter().min()
     }
 
--- a/crates/route/src/backends/mod.rs
+++ b/crates/route/src/backends/mod.rs
@@ -37,6 +37,9 @@
 /// Weight of a new sample in a moving average of times.
 const MEAN_WEIGHT: f64 = 0.1;
 
+/// Number of removed servers whose statements are remembered.
+const MAX_STATEMENTS: usize = 256;
+
 /// Registration of a backend server in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
@@ -81,11 +84,30 @@
     /// Reachability of other data centres.
     data_centres: BTreeMap<DataCentreId, DataCentreHealth>,
     next_generation: Generation,
+    /// Statements of removed servers, which may be registered again in the same incarnation.
+    removed: BTreeMap<BackendServerId, RemovedServer>,
     /// Approximate number of entry hosts that send to the same servers; this host's load is multiplied by it to
     /// estimate the total load.
     hosts_per_server: f64,
 }
 
+/// What a removed server stated of itself in its answers.
+#[derive(Debug)]
+struct RemovedServer {
+    started_ms: Option<u64>,
+    statements: Statements,
+    generation: Generation,
+}
+
+/// What a server stated of itself in its answers; holds for one incarnation.
+#[derive(Clone, Copy, Debug, Default)]
+struct Statements {
+    /// Whether it is leaving; its registration may say so later.
+    is_leaving: bool,
+    /// End of the time for which it wants no requests.
+    full_until: Option<Instant>,
+}
+
 /// State of one server.
 #[derive(Debug)]
 struct Server {
@@ -99,10 +121,7 @@
     pending_prefill_tokens: u64,
     /// Time of the last head or event of any answer.
     last_activity: Option<Instant>,
-    /// Whether the server stated in an answer that it is leaving; its registration may say so later.
-    stated_leaving: bool,
-    /// End of the time for which the server wants no requests.
-    full_until: Option<Instant>,
+    statements: Statements,
     health: Health,
     reachability: Reachability,
     cache: PrefixCacheEstimate,
@@ -128,6 +147,7 @@
             mean_times: BTreeMap::new(),
             data_centres: BTreeMap::new(),
             next_generation: 0,
+            removed: BTreeMap::new(),
             hosts_per_server: 1.0,
         }
     }
@@ -162,7 +182,13 @@
         self.next_generation += 1;
         let members = self.services.entry(registration.service.clone()).or_default();
         members.insert(registration.id.clone());
-        let server = Server::new(registration, self.next_generation, now);
+        let mut server = Server::new(registration, self.next_generation, now);
+        if let Some(removed) = self.removed.remove(&server.registration.id)
+            && removed.started_ms.is_some()
+            && removed.started_ms == server.registration.started_ms
+        {
+            server.statements = removed.statements;
+        }
         self.servers.insert(server.registration.id.clone(), server);
         change
     }
@@ -288,7 +314,7 @@
     /// Records that the attempt's server stated to be leaving; returns whether that is new.
     pub(crate) fn mark_leaving(&mut self, attempt: &Attempt) -> bool {
         self.incarnation_mut(attempt)
-            .is_some_and(|server| !std::mem::replace(&mut server.stated_leaving, true))
+            .is_some_and(|server| !std::mem::replace(&mut server.statements.is_leaving, true))
     }
 
     /// Records that the attempt's server wants no requests for a time; returns whether it was accepting them.
@@ -414,6 +440,15 @@
         if let Some(members) = self.services.get_mut(&server.registration.service) {
             members.remove(id);
         }
+        let Registration { id, started_ms, .. } = server.registration;
+        let Server { statements, generation, .. } = server;
+        self.removed.insert(id, RemovedServer { started_ms, statements, generation });
+        if self.removed.len() > MAX_STATEMENTS {
+            let oldest = self.removed.iter().min_by_key(|(_, removed)| removed.generation);
+            if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+                self.removed.remove(&id);
+            }
+        }
         true
     }
 }
@@ -428,8 +463,7 @@
             in_flight: 0,
             pending_prefill_tokens: 0,
             last_activity: None,
-            stated_leaving: false,
-            full_until: None,
+            statements: Statements::default(),
             health: Health::new(now),
             reachability: Reachability::default(),
             cache: PrefixCacheEstimate::default(),
@@ -447,16 +481,16 @@
     }
 
     fn accepts_new_work(&self) -> bool {
-        self.registration.presence == Presence::Live && !self.stated_leaving
+        self.registration.presence == Presence::Live && !self.statements.is_leaving
     }
 
     /// Extends the time for which the server gets no requests; it never becomes shorter.
     fn pause_until(&mut self, until: Instant) {
-        self.full_until = self.full_until.max(Some(until));
+        self.statements.full_until = self.statements.full_until.max(Some(until));
     }
 
     fn is_full(&self, now: Instant) -> bool {
-        self.full_until.is_some_and(|until| now < until)
+        self.statements.full_until.is_some_and(|until| now < until)
     }
 }
 
--- a/crates/route/tests/server_statements.rs
+++ b/crates/route/tests/server_statements.rs
@@ -6,6 +6,7 @@
 
 use foxtailhoist_model::ErrorKind;
 use foxtailhoist_model::Ran;
+use foxtailhoist_route::backends::Registration;
 use foxtailhoist_route::dispatch::AnswerHead;
 use foxtailhoist_route::dispatch::HeadVerdict;
 use foxtailhoist_route::dispatch::Notification;
@@ -14,8 +15,10 @@
 use rstest::rstest;
 
 use fleet::Harness;
+use fleet::LOCAL_DC;
 use fleet::harness;
 use fleet::millis;
+use fleet::registration;
 
 fn full(retry_after: Option<Duration>) -> AnswerHead {
     AnswerHead { status: 503, not_run: true, retry_after, ..AnswerHead::default() }
@@ -108,3 +111,24 @@
     let mut req = harness.admitted("/chat/1");
     let Step::WaitUntil(_) = harness.next_step(&mut req) else { panic!("no wait") };
 }
+
+/// DRAIN, BUDGET: a server whose registration had lapsed and came back in the same incarnation got requests again.
+#[rstest]
+#[case::same_incarnation(1, false)]
+#[case::restarted(2, true)]
+fn statements_hold_while_a_registration_lapses(#[case] started_ms: u64, #[case] is_used: bool) {
+    let mut harness = harness();
+    for id in ["desk-2", "desk-3"] {
+        harness.dispatcher.backends_mut().deregister(id);
+    }
+    let mut req = harness.admitted("/look/1");
+    let attempt = harness.send(&mut req);
+    let head = AnswerHead { status: 200, is_leaving: true, ..AnswerHead::default() };
+    harness.head(&mut req, &attempt, head);
+    harness.dispatcher.backends_mut().mark_missing("desk-1", harness.now);
+    assert_eq!(harness.dispatcher.backends_mut().expire_missing(harness.now), ["desk-1"]);
+    let again = registration("desk-1", "desk", LOCAL_DC);
+    harness.register(Registration { started_ms: Some(started_ms), ..again });
+    let mut req = harness.admitted("/look/1");
+    assert_eq!(matches!(harness.next_step(&mut req), Step::Send(_)), is_used);
+}
