Roll back a version that is not proven good before its deadline

Cause: while the verdict was Unknown, the trial went on past the deadline, and no report was due.

At 0.92 of the ordered time a version that is not known to be good, and to which no traffic has moved, gets no more requests and is reported as rolled back; hosts spread that report like a completion. A host that has just started waits for the evidence of the others first. A good version of which too little is known is rolled back, too, where it was left in trial before.

--- a/crates/relay/src/duties.rs
+++ b/crates/relay/src/duties.rs
@@ -8,6 +8,7 @@
 use foxtailhoist_model::ServiceId;
 use foxtailhoist_model::StoreRevision;
 use foxtailhoist_model::stable_hash;
+use foxtailhoist_rollout::shift::Shift;
 use foxtailhoist_rollout::shift::ShiftPhase;
 use foxtailhoist_rollout::shift::ShiftReport;
 use foxtailhoist_route::backends::RegistrationChange;
@@ -132,7 +133,7 @@
                 if report.phase == ShiftPhase::RolledBack {
                     core.log.write(&LogEvent::ShiftWithdrawn { service, target, shift });
                 }
-                now + report_delay(core, &report, shift.order().duration)
+                now + report_delay(core, &report, shift)
             }
         };
         if due <= now {
@@ -147,13 +148,13 @@
     reports.retain(|(_, revision), _| current.contains(revision));
 }
 
-/// How long this host waits before it sends a report; a rollback is reported at once.
-fn report_delay(core: &Core, report: &ShiftReport, ordered: Duration) -> Duration {
-    if report.phase == ShiftPhase::RolledBack {
+/// How long this host waits before it sends a report; a withdrawal is reported at once.
+fn report_delay(core: &Core, report: &ShiftReport, shift: &Shift) -> Duration {
+    if shift.is_withdrawn() {
         return Duration::ZERO;
     }
     let parts = [core.cfg.host.as_bytes(), report.service.as_bytes()];
-    let spread = ordered.mul_f64(REPORT_SPREAD_FRACTION).min(MAX_REPORT_SPREAD);
+    let spread = shift.order().duration.mul_f64(REPORT_SPREAD_FRACTION).min(MAX_REPORT_SPREAD);
     spread.mul_f64(stable_hash(SPREAD_SEED, &parts) as f64 / u64::MAX as f64)
 }
 
--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -2,7 +2,8 @@
 //!
 //! Operators order a shift. Every host follows the same schedule from the start of the order: a trial with requests
 //! that have no session, then growing shares of the sessions, then all traffic, and finally the completion report. The
-//! trial goes on, even past the deadline, until enough answers tell whether the version is good.
+//! trial goes on until enough answers tell whether the version is good; if they do not before the deadline, the version is
+//! rolled back.
 //! Each host tests the version on the answers that it sees itself; the first host that finds it bad withdraws it for
 //! all. The order and its outcome are in the store, so a host that starts during a shift resumes from there.
 
@@ -45,6 +46,12 @@
 const MIN_SETTLING_FRACTION: f64 = 0.05;
 /// Fraction of the ordered duration by which completion is reported if the shorter settling time allows it.
 const LATE_COMPLETION_FRACTION: f64 = 0.94;
+/// Fraction of the ordered duration at which a version is rolled back that is still not known to be good.
+const UNPROVEN_FRACTION: f64 = 0.92;
+/// Fraction of the ordered duration for which a host follows a shift before it may find the target unproven: a host that
+/// has just started does not know the evidence of the others yet.
+const MIN_FOLLOWED_FRACTION: f64 = 0.15;
+
 /// Phase of an ordered shift in the store, in the order in which one may replace another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum ShiftPhase {
@@ -109,6 +116,8 @@
     /// Phase that the store's object states; after a restore of the store, earlier than that of `order`.
     stored: Option<ShiftPhase>,
     started: Instant,
+    /// When this host began to follow the order.
+    followed_since: Instant,
     target: OutcomeCount,
     others: OutcomeCount,
     evidence: Evidence,
@@ -129,6 +138,7 @@
         let elapsed = Duration::from_millis(elapsed_ms).min(order.duration);
         Shift {
             started: now.checked_sub(elapsed).unwrap_or(now),
+            followed_since: now,
             stored: order.phase,
             order,
             target: OutcomeCount::default(),
@@ -266,6 +276,7 @@
         let step = STEPS.iter().rev().find(|(start, _)| elapsed_fraction >= *start);
         match (verdict, step) {
             (Verdict::Bad, _) => ShiftRule::Except(target),
+            (Verdict::Unknown, _) if self.is_unproven(now) => ShiftRule::Except(target),
             (Verdict::Unknown, Some((_, share))) if self.has_moved => {
                 ShiftRule::Share { target, share: *share, is_trial: false }
             }
@@ -293,6 +304,7 @@
             _ if self.stored > Some(ShiftPhase::InProgress) => return None,
             Some(ended @ (ShiftPhase::Completed | ShiftPhase::RolledBack)) => ended,
             _ if self.is_withdrawn() => ShiftPhase::RolledBack,
+            _ if self.is_unproven(now) => ShiftPhase::RolledBack,
             _ if self.stored.is_none() => ShiftPhase::InProgress,
             None | Some(ShiftPhase::InProgress) => {
                 let may_complete = has_target && self.verdict() == Verdict::Good;
@@ -319,6 +331,15 @@
         (self.target, self.others)
     }
 
+    /// Whether it is too late to find the target good: the trial ends, and no traffic has moved.
+    fn is_unproven(&self, now: Instant) -> bool {
+        self.verdict() == Verdict::Unknown
+            && !self.has_moved
+            && self.elapsed_fraction(now) >= UNPROVEN_FRACTION
+            && now.saturating_duration_since(self.followed_since)
+                >= self.order.duration.mul_f64(MIN_FOLLOWED_FRACTION)
+    }
+
     /// Whether the target has taken all traffic for long enough that requests on other versions have ended.
     fn has_settled(&self, now: Instant) -> bool {
         let Some(moved_at) = self.all_moved_at else {
