--- a/crates/rollout/tests/shift_evidence.rs
+++ b/crates/rollout/tests/shift_evidence.rs
@@ -158,7 +158,7 @@
     None
 }
 
-// A version of which many answers are several times slower was never withdrawn, since only failures counted (issue 18).
+// Guards against a slow version that is never withdrawn because only failures count.
 #[rstest]
 #[case::all_by_8(Version { slow: (1.0, 8.0), ..GOOD })]
 #[case::all_by_3(Version { slow: (1.0, 3.0), ..GOOD })]
--- a/crates/route/tests/dispatch_stop.rs
+++ b/crates/route/tests/dispatch_stop.rs
@@ -95,7 +95,7 @@
     assert_eq!(req.low_confidence_answer().is_some(), is_kept);
 }
 
-/// LOST: a stream that arrived long after the signal was admitted by its usual time, ran on a slow version, and was cut.
+/// Guards against a late stream that a stopping host admits by its usual time and then cuts.
 #[rstest]
 #[case::while_lingering(2_900, 5_000, true)]
 #[case::afterwards(3_300, 5_000, false)]
--- a/crates/route/tests/server_statements.rs
+++ b/crates/route/tests/server_statements.rs
@@ -66,7 +66,7 @@
     assert_eq!(harness.dispatcher.take_notifications(), [expected]);
 }
 
-/// Callers of a service whose servers all wanted no request waited, and were told to come back before the pause ended.
+/// Guards against callers that wait, or come back too early, while all servers want no request.
 #[test]
 fn while_all_servers_want_no_request_callers_are_refused_at_once_until_the_first_pause_ends() {
     let mut harness = harness();
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -29,7 +29,7 @@
 /// Rounds; in some of them the host notices the closed connection before it takes it.
 const ROUNDS: usize = 10;
 
-// A server silent on a new connection was blamed on the closed pooled connection that it replaced.
+// Guards against silence on a new connection that is blamed on the pooled one which it replaces.
 #[tokio::test]
 async fn silence_on_a_connection_that_replaced_a_closed_one_is_the_servers() {
     on_one_thread(async || {
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -51,7 +51,7 @@
     }
 }
 
-// Answers without end, each buffered up to 16 MB, exhausted the memory of the process.
+// Guards against answers without end that exhaust the memory of the process.
 #[rstest]
 #[case::head_lines("/look/1", Endless::HeadLines, true)]
 #[case::head_line("/look/1", Endless::HeadLine, true)]
