--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -291,6 +291,10 @@
                 Notification::ServerPaused { server, stated, applied } => {
                     self.log.write(&LogEvent::ServerPaused { id: &server, stated, applied });
                 }
+                Notification::ServerDied { server, contents } => {
+                    self.metrics.server_died();
+                    self.log.write(&LogEvent::ServerDied { id: &server, contents });
+                }
                 Notification::Suspect { content } => self.report_suspect(content, 1),
                 Notification::Quarantined { content } => self.report_suspect(content, 2),
             }
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -121,6 +121,11 @@
         target: &'a str,
         shift: &'a Shift,
     },
+    /// A server was found dead; `contents` were noted as running there.
+    ServerDied {
+        id: &'a str,
+        contents: usize,
+    },
     Suspect {
         content: u64,
         deaths: u32,
@@ -142,6 +147,8 @@
         attempt: &'a Attempt,
         outcome: AttemptOutcome,
         elapsed: Duration,
+        /// Time since the head of its answer arrived.
+        answering: Option<Duration>,
         reason: &'a str,
     },
     /// A request has its final answer.
@@ -330,6 +337,9 @@
                     conclusion.log_evidence,
                 )
             }
+            LogEvent::ServerDied { id, contents } => {
+                write!(f, "event=server_died id={id} contents={contents}")
+            }
             LogEvent::Suspect { content, deaths } => {
                 write!(f, "event=suspect content={content:016x} deaths={deaths}")
             }
@@ -338,16 +348,18 @@
             LogEvent::SourceLost { host, reason } => {
                 write!(f, "event=source_lost host={host} reason={reason:?}")
             }
-            LogEvent::AttemptEnded { req, attempt, outcome, elapsed, reason } => write!(
+            LogEvent::AttemptEnded { req, attempt, outcome, elapsed, answering, reason } => write!(
                 f,
-                "event=attempt_ended request={} attempt={} server={} model={} outcome={} \
-                 ms={} cost_ms={:.0} last_event={} reason={reason:?}",
+                "event=attempt_ended request={} content={:016x} attempt={} server={} model={} outcome={} \
+                 ms={} answering_ms={} cost_ms={:.0} last_event={} reason={reason:?}",
                 req.id,
+                req.fingerprint(),
                 attempt.number,
                 attempt.server,
                 attempt.model.as_deref().unwrap_or("-"),
                 outcome.name(),
                 elapsed.as_millis(),
+                answering.map_or_else(|| "-".to_owned(), |time| time.as_millis().to_string()),
                 attempt.cost_ms,
                 req.last_event().map_or_else(|| "-".to_owned(), |id| id.to_string()),
             ),
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -16,6 +16,7 @@
     first_byte: Histogram<f64>,
     store_calls: Counter<u64>,
     servers_lost: Counter<u64>,
+    servers_died: Counter<u64>,
     streams_broken: Counter<u64>,
     callers_closed: Counter<u64>,
 }
@@ -35,6 +36,7 @@
             first_byte: meter.f64_histogram("relay_first_byte_seconds").build(),
             store_calls: meter.u64_counter("relay_store_calls").build(),
             servers_lost: meter.u64_counter("relay_servers_lost").build(),
+            servers_died: meter.u64_counter("relay_servers_died").build(),
             streams_broken: meter.u64_counter("relay_streams_broken").build(),
             callers_closed: meter.u64_counter("relay_callers_closed").build(),
             scrape,
@@ -71,6 +73,11 @@
         self.servers_lost.add(1, &[]);
     }
 
+    /// Counts a backend server that was found dead after it had broken answers of this host.
+    pub fn server_died(&self) {
+        self.servers_died.add(1, &[]);
+    }
+
     /// Counts a stream that could not be completed; `reason` is a kind of refusal or `plain_answer`.
     pub fn stream_broken(&self, reason: &'static str) {
         self.streams_broken.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/relay/src/request_guard.rs
+++ b/crates/relay/src/request_guard.rs
@@ -56,7 +56,8 @@
 struct CurrentAttempt {
     attempt: Box<Attempt>,
     started: Instant,
-    head_received: bool,
+    /// When the head of its answer arrived.
+    head_at: Option<Instant>,
 }
 
 impl RequestGuard {
@@ -77,7 +78,7 @@
         let step = self.core.dispatcher.borrow_mut().next_step(&mut self.req, now);
         if let Step::Send(attempt) = &step {
             let attempt = attempt.clone();
-            self.current = Some(CurrentAttempt { attempt, started: now, head_received: false });
+            self.current = Some(CurrentAttempt { attempt, started: now, head_at: None });
         }
         step
     }
@@ -128,7 +129,7 @@
         let now = Instant::now();
         let mut dispatcher = self.core.dispatcher.borrow_mut();
         let verdict = dispatcher.head_received(&mut self.req, &current.attempt, head, elapsed, now);
-        current.head_received = head.echoes_request_id && !head.not_run;
+        current.head_at = (head.echoes_request_id && !head.not_run).then_some(now);
         verdict
     }
 
@@ -197,12 +198,12 @@
 
     fn end(&mut self, current: CurrentAttempt, outcome: AttemptOutcome, reason: &str) {
         let now = Instant::now();
-        let CurrentAttempt { attempt, started, head_received } = current;
+        let CurrentAttempt { attempt, started, head_at } = current;
         let core = &self.core;
         core.dispatcher.borrow_mut().attempt_ended(
             &mut self.req,
             &attempt,
-            head_received,
+            head_at.is_some(),
             outcome,
             now,
         );
@@ -212,7 +213,14 @@
             let elapsed = now - started;
             let req = &self.req;
             let attempt = &attempt;
-            core.log.write(&LogEvent::AttemptEnded { req, attempt, outcome, elapsed, reason });
+            core.log.write(&LogEvent::AttemptEnded {
+                req,
+                attempt,
+                outcome,
+                elapsed,
+                answering: head_at.map(|at| now - at),
+                reason,
+            });
         }
         core.handle_notifications();
     }
--- a/crates/relay/tests/logs.rs
+++ b/crates/relay/tests/logs.rs
@@ -145,6 +145,7 @@
             "shift_withdrawn",
             "bad",
         ),
+        (LogEvent::ServerDied { id: "i", contents: 2 }, "server_died", "contents"),
         (LogEvent::Suspect { content: 7, deaths: 1 }, "suspect", "deaths"),
         (LogEvent::Watching(false), "watching", "value"),
         (LogEvent::Source { host: "h" }, "source", "host"),
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -198,6 +198,8 @@
     ServerLeaving { server: BackendServerId },
     /// A server asked for no requests for the stated time; `applied` is the time that it gets none.
     ServerPaused { server: BackendServerId, stated: Duration, applied: Duration },
+    /// A server was found dead; `contents` were noted as running there.
+    ServerDied { server: BackendServerId, contents: usize },
     /// A content became suspect because it was running when a server died.
     Suspect { content: Fingerprint },
     /// A content was quarantined after repeated server deaths.
@@ -289,7 +291,14 @@
 
     /// Records a server's death, shown by a new incarnation or by a failed connection.
     pub fn server_died(&mut self, server: &str, now: Instant) {
-        for (content, at) in self.interrupted_contents.remove(server).unwrap_or_default() {
+        let interrupted = self.interrupted_contents.remove(server).unwrap_or_default();
+        if !interrupted.is_empty() {
+            self.notifications.push(Notification::ServerDied {
+                server: server.to_owned(),
+                contents: interrupted.len(),
+            });
+        }
+        for (content, at) in interrupted {
             if now.saturating_duration_since(at) > SUSPICION_WINDOW {
                 continue;
             }
--- a/crates/route/src/in_flight.rs
+++ b/crates/route/src/in_flight.rs
@@ -214,6 +214,12 @@
         self.answer_started
     }
 
+    /// Stable hash of path and body.
+    #[must_use]
+    pub fn fingerprint(&self) -> Fingerprint {
+        self.fingerprint
+    }
+
     /// Last event that the caller received.
     #[must_use]
     pub fn last_event(&self) -> Option<u64> {
