Blame contents for crashes after the head of an answer, on all hosts together

Cause: an attempt that broke off blamed its content only if no head had arrived, while a server that begins to answer has sent the head; reports to the other hosts went through the store, one every 250 ms, the last one first, and named every request that had waited at the server. Class: evidence taken from the wrong moment, and shared on a path that the fault itself fills.

Change: a crash is an answer that broke off and a server that then refuses a connection or starts again. It blames the contents whose answers were beginning. Hosts share these findings with each other at once, as a set that only grows; sound answers clear a content on all hosts. From three crashes on it is refused, at admission and before each attempt (decision 0018).

content_that_kills_servers_is_reported_as_suspect asked for a report after any death. Its replacement is stricter: after three deaths on one host, the other host refuses the content, the store has a record of three deaths, and so does a host that starts then. registrations_of_hosts_and_suspects_are_put_back is unchanged.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,6 +22,7 @@
 use foxtailhoist_rollout::shift::baseline::Finding;
 use foxtailhoist_rollout::shift::baseline::Observation;
 use foxtailhoist_rollout::shift::shared::HostEvidence;
+use foxtailhoist_route::blame::CrashFinding;
 use foxtailhoist_route::dispatch::AnswerEvidence;
 use foxtailhoist_route::dispatch::Dispatcher;
 use foxtailhoist_route::dispatch::Notification;
@@ -85,16 +87,22 @@
     }
 }
 
-/// A suspected content to report.
+/// A content to report to the store for the deaths of servers that were beginning to answer it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SuspectReport {
     pub(crate) content: Fingerprint,
-    /// Number of server deaths observed.
     pub(crate) deaths: u32,
     /// Whether the deaths were reported before and are only put back after a restore of the store.
     pub(crate) is_known: bool,
+    /// When to send it.
+    pub(crate) due: Instant,
 }
 
+/// Time for which a content must stay quarantined before it is reported, since other hosts may clear it.
+const SUSPECT_REPORT_DELAY: Duration = Duration::from_secs(1);
+/// Maximum number of pending suspect reports; later ones are dropped.
+const MAX_PENDING_SUSPECTS: usize = 64;
+
 /// Shared state.
 pub(crate) struct Core {
     pub(crate) cfg: RelayConfig,
@@ -123,8 +131,10 @@
     start_up: StartUp,
     was_ready: Cell<bool>,
     /// Suspected contents to report.
-    pub(crate) suspects: RefCell<Vec<SuspectReport>>,
+    pub(crate) suspects: RefCell<VecDeque<SuspectReport>>,
     pub(crate) suspects_changed: Notify,
+    /// Signalled when there are findings on crashes to share.
+    pub(crate) crash_news: Notify,
     /// Highest era of the store seen so far.
     store_era: Cell<StoreEra>,
     /// Signalled when the store turns out to have been restored from a copy.
@@ -177,6 +187,7 @@
             was_ready: Cell::new(false),
             suspects: RefCell::default(),
             suspects_changed: Notify::new(),
+            crash_news: Notify::new(),
             store_era: Cell::default(),
             store_restored: Notify::new(),
             has_unreadable_era: Cell::default(),
@@ -295,10 +306,46 @@
                     self.metrics.server_died();
                     self.log.write(&LogEvent::ServerDied { id: &server, contents });
                 }
-                Notification::Suspect { content } => self.report_suspect(content, 1),
-                Notification::Quarantined { content } => self.report_suspect(content, 2),
+                Notification::Suspect { content, crashes } => {
+                    self.log.write(&LogEvent::Suspect { content, crashes });
+                }
+                Notification::Quarantined { content, crashes, is_own } => {
+                    self.metrics.quarantined();
+                    let source = if is_own { "own" } else { "peer" };
+                    self.log.write(&LogEvent::Quarantined { content, crashes, source });
+                    if is_own {
+                        let deaths = u32::try_from(crashes).unwrap_or(u32::MAX);
+                        let due = Instant::now() + SUSPECT_REPORT_DELAY;
+                        self.report_suspect(SuspectReport {
+                            content,
+                            deaths,
+                            is_known: false,
+                            due,
+                        });
+                    }
+                }
+                Notification::Released { content } => {
+                    self.log.write(&LogEvent::Released { content });
+                }
             }
         }
+        if self.dispatcher.borrow().has_crash_news() {
+            self.crash_news.notify_one();
+        }
+    }
+
+    /// Adds other hosts' findings on crashes.
+    pub(crate) fn merge_crash_findings(&self, findings: Vec<CrashFinding>) {
+        self.dispatcher.borrow_mut().merge_crash_findings(findings, Instant::now());
+        self.handle_notifications();
+    }
+
+    pub(crate) fn report_suspect(&self, report: SuspectReport) {
+        let mut suspects = self.suspects.borrow_mut();
+        if suspects.len() < MAX_PENDING_SUSPECTS {
+            suspects.push_back(report);
+            self.suspects_changed.notify_one();
+        }
     }
 
     /// Adds a finding to the service's baseline or, about the target of a shift, to the shift.
@@ -353,10 +400,4 @@
             dispatcher.set_version_rule(service.clone(), rule);
         }
     }
-
-    fn report_suspect(&self, content: u64, deaths: u32) {
-        self.log.write(&LogEvent::Suspect { content, deaths });
-        self.suspects.borrow_mut().push(SuspectReport { content, deaths, is_known: false });
-        self.suspects_changed.notify_one();
-    }
 }
--- a/crates/relay/src/duties.rs
+++ b/crates/relay/src/duties.rs
@@ -36,8 +36,6 @@
 const REPORT_SPREAD_FRACTION: f64 = 0.05;
 /// Delay before a report is retried.
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(1_200);
-/// Maximum number of pending suspect reports; later ones are dropped.
-const MAX_PENDING_SUSPECTS: usize = 64;
 /// Interval between suspect reports.
 const SUSPECT_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 const SPREAD_SEED: u64 = 0x7370_7264;
@@ -69,39 +67,46 @@
     }
 }
 
-/// Reports suspected contents to the store: contents of requests that were running when servers died.
+/// Reports quarantined contents to the store, for hosts that start later.
 pub(crate) async fn report_suspects(core: Rc<Core>) {
     let mut client = StoreClient::new(core.cfg.store);
     loop {
-        let next = core.suspects.borrow_mut().pop();
+        let next = core.suspects.borrow_mut().pop_front();
         let Some(report) = next else {
             core.suspects_changed.notified().await;
             continue;
         };
-        core.suspects.borrow_mut().truncate(MAX_PENDING_SUSPECTS);
-        let SuspectReport { content, deaths, is_known } = report;
-        let request = core.wire.report_suspect(content, deaths);
-        let status = client.call(&core, request, WRITE_TIMEOUT).await.map(|answer| answer.status);
-        match status {
-            // Another host has reported a death with the same content, which makes two.
-            Ok(StatusCode::CONFLICT) if deaths == 1 && !is_known => {
-                core.dispatcher.borrow_mut().quarantine(content, Instant::now());
-                core.suspects.borrow_mut().push(SuspectReport { deaths: 2, ..report });
-            }
-            // There is no object to update yet: create it first.
-            Ok(StatusCode::NOT_FOUND) if deaths > 1 => {
-                let first = SuspectReport { deaths: 1, is_known: true, ..report };
-                core.suspects.borrow_mut().extend([report, first]);
-            }
-            Ok(_) => {}
-            Err(e) => {
-                log::warn!("event=suspect_not_reported content={content:016x} reason={e}");
+        tokio::time::sleep_until(report.due.into()).await;
+        let SuspectReport { content, deaths, is_known, .. } = report;
+        if !is_known && !core.dispatcher.borrow().is_quarantined(content, Instant::now()) {
+            continue;
+        }
+        let mut request = core.wire.create_suspect(content, deaths);
+        loop {
+            let call = client.call(&core, request, WRITE_TIMEOUT).await;
+            match call.map(|answer| answer.status) {
+                Ok(StatusCode::CONFLICT) if is_outdated(&core, &report) => {
+                    request = core.wire.replace_suspect(content, deaths);
+                    continue;
+                }
+                Ok(_) => {}
+                Err(e) => {
+                    log::warn!("event=suspect_not_reported content={content:016x} reason={e}");
+                }
             }
+            break;
         }
         tokio::time::sleep(SUSPECT_REPORT_INTERVAL).await;
     }
 }
 
+/// Whether the store's record of a content states fewer deaths than a report. What is known here may be from before a
+/// restore of the store.
+fn is_outdated(core: &Core, report: &SuspectReport) -> bool {
+    let known = core.mirror.suspect_deaths(report.content);
+    known < Some(report.deaths) || (report.is_known && known == Some(report.deaths))
+}
+
 /// Signals and logs that the process resumed after a suspension. The wall clock advances while the system is suspended,
 /// the monotonic clock does not.
 fn detect_resume(core: &Core, last: (Instant, u64), now: Instant, now_ms: u64) {
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -37,6 +37,7 @@
 use crate::core::Core;
 use crate::follow;
 use crate::gossip;
+use crate::gossip::CRASHES_PATH;
 use crate::gossip::EVIDENCE_PATH;
 use crate::log_event::LogEvent;
 use crate::mirror::Frame;
@@ -153,6 +154,11 @@
         *response.status_mut() = gossip::receive(core, request.into_body()).await;
         return response;
     }
+    if request.uri().path() == CRASHES_PATH {
+        let mut response = Response::new(FeedBody::Left(Full::default()));
+        *response.status_mut() = gossip::receive_crashes(core, request.into_body()).await;
+        return response;
+    }
     if request.uri().path() != FEED_PATH {
         let mut response = Response::new(FeedBody::Left(Full::default()));
         *response.status_mut() = StatusCode::NOT_FOUND;
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -15,6 +15,7 @@
 use foxtailhoist_rollout::shift::Shift;
 use foxtailhoist_rollout::shift::ShiftOrder;
 use foxtailhoist_route::backends::RegistrationChange;
+use foxtailhoist_route::blame::QUARANTINE_CRASHES;
 use http::StatusCode;
 use rand::RngExt;
 
@@ -338,10 +339,10 @@
             continue;
         };
         if restored.get(record.name.as_str()).is_none_or(|restored| *restored < deaths) {
-            core.suspects.borrow_mut().push(SuspectReport { content, deaths, is_known: true });
+            let due = Instant::now();
+            core.report_suspect(SuspectReport { content, deaths, is_known: true, due });
         }
     }
-    core.suspects_changed.notify_one();
 }
 
 /// Records that the state is current. Only the configuration counts, since its watches wait the shortest time.
@@ -378,13 +379,12 @@
         }
         Content::Shift(order) => apply_shift(core, order, now),
         Content::Suspect { content, deaths } => {
+            let crashes = usize::try_from(deaths).unwrap_or(usize::MAX);
             let mut dispatcher = core.dispatcher.borrow_mut();
-            if deaths >= 2 {
+            if crashes >= QUARANTINE_CRASHES && !dispatcher.is_quarantined(content, now) {
                 dispatcher.quarantine(content, now);
-            } else {
-                dispatcher.mark_suspect(content, now);
+                core.log.write(&LogEvent::Quarantined { content, crashes, source: "store" });
             }
-            core.log.write(&LogEvent::Suspect { content, deaths });
         }
         Content::Host(entry) => core.feeds.borrow_mut().add_host(name, entry),
         Content::Deleted { keep_for, .. } => apply_deletion(core, kind, &name, keep_for, now),
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -1,4 +1,6 @@
-//! Exchange of evidence on new versions between entry hosts, in rounds, while traffic shifts.
+//! Exchange between entry hosts: evidence on new versions, in rounds, while traffic shifts; findings on crashes, at once.
+//!
+//! Neither needs the store, so both go on while it is away.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,6 +10,7 @@
 use foxtailhoist_model::ServiceId;
 use foxtailhoist_model::VersionId;
 use foxtailhoist_rollout::shift::shared::HostEvidence;
+use foxtailhoist_route::blame::CrashFinding;
 use http::Method;
 use http::Request;
 use http::StatusCode;
@@ -19,6 +22,7 @@
 use rand::seq::IteratorRandom;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::task::spawn_local;
 
 use crate::clock::unix_ms;
@@ -26,8 +30,11 @@
 use crate::core::Core;
 
 pub(crate) const EVIDENCE_PATH: &str = "/evidence";
+pub(crate) const CRASHES_PATH: &str = "/crashes";
 /// Interval between rounds; the evidence of a large fleet spreads in about six of them.
 const ROUND_INTERVAL: Duration = Duration::from_millis(400);
+/// Time in which findings on crashes are collected before they are sent.
+const CRASH_NEWS_DELAY: Duration = Duration::from_millis(20);
 /// Hosts that get the news of a round.
 const FANOUT: usize = 2;
 const SEND_TIMEOUT: Duration = Duration::from_millis(300);
@@ -50,26 +57,32 @@
         if messages.is_empty() {
             continue;
         }
-        let body = match rmp_serde::to_vec(&messages) {
-            Ok(body) => Bytes::from(body),
-            Err(e) => {
-                log::warn!("event=evidence_not_encoded reason={:?}", e.to_string());
-                continue;
-            }
-        };
-        let peers = core.feeds.borrow().other_addresses();
-        for peer in peers.into_iter().sample(&mut rand::rng(), FANOUT) {
-            spawn_local(send(peer, body.clone()));
+        send_to_some(&core, EVIDENCE_PATH, &messages);
+    }
+}
+
+/// Passes on findings on crashes until the process ends: at once, and again in the next rounds.
+pub(crate) async fn run_crashes(core: Rc<Core>) {
+    loop {
+        if !core.dispatcher.borrow().has_crash_news() {
+            core.crash_news.notified().await;
+        }
+        tokio::time::sleep(CRASH_NEWS_DELAY).await;
+        // A host that has just started may not know the others yet.
+        if !core.feeds.borrow().other_addresses().is_empty() {
+            let findings = core.dispatcher.borrow_mut().take_crash_news();
+            send_to_some(&core, CRASHES_PATH, &findings);
+        }
+        tokio::select! {
+            () = tokio::time::sleep(ROUND_INTERVAL) => {}
+            () = core.crash_news.notified() => {}
         }
     }
 }
 
-/// Handles a peer's message.
+/// Handles a peer's evidence.
 pub(crate) async fn receive(core: &Core, body: Incoming) -> StatusCode {
-    let Ok(body) = Limited::new(body, MAX_MESSAGE_BYTES).collect().await else {
-        return StatusCode::BAD_REQUEST;
-    };
-    let Ok(messages) = rmp_serde::from_slice::<Vec<Message>>(&body.to_bytes()) else {
+    let Ok(messages) = decode::<Vec<Message>>(body).await else {
         return StatusCode::BAD_REQUEST;
     };
     for message in messages {
@@ -78,6 +91,39 @@
     StatusCode::NO_CONTENT
 }
 
+/// Handles a peer's findings on crashes.
+pub(crate) async fn receive_crashes(core: &Core, body: Incoming) -> StatusCode {
+    let Ok(findings) = decode::<Vec<CrashFinding>>(body).await else {
+        return StatusCode::BAD_REQUEST;
+    };
+    core.merge_crash_findings(findings);
+    StatusCode::NO_CONTENT
+}
+
+/// A message that cannot be read, for example from another release.
+struct UnreadableMessage;
+
+async fn decode<T: DeserializeOwned>(body: Incoming) -> Result<T, UnreadableMessage> {
+    let body = Limited::new(body, MAX_MESSAGE_BYTES).collect().await;
+    let body = body.map_err(|_| UnreadableMessage)?.to_bytes();
+    rmp_serde::from_slice(&body).map_err(|_| UnreadableMessage)
+}
+
+/// Sends a message to a few other hosts, drawn anew each time.
+fn send_to_some<T: Serialize>(core: &Core, path: &'static str, message: &T) {
+    let body = match rmp_serde::to_vec(message) {
+        Ok(body) => Bytes::from(body),
+        Err(e) => {
+            log::warn!("event=message_not_encoded path={path} reason={:?}", e.to_string());
+            return;
+        }
+    };
+    let peers = core.feeds.borrow().other_addresses();
+    for peer in peers.into_iter().sample(&mut rand::rng(), FANOUT) {
+        spawn_local(send(peer, path, body.clone()));
+    }
+}
+
 fn news(core: &Core) -> Vec<Message> {
     let mut shifts = core.shifts.borrow_mut();
     let news = shifts.iter_mut().filter_map(|(service, shift)| {
@@ -89,12 +135,12 @@
 }
 
 /// Sends a message; a peer that misses one gets the next update from another host.
-async fn send(peer: SocketAddr, body: Bytes) {
+async fn send(peer: SocketAddr, path: &'static str, body: Bytes) {
     let exchange = async {
         let mut conn = Conn::open(peer, SEND_TIMEOUT).await.ok()?;
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = Method::POST;
-        *request.uri_mut() = Uri::from_static(EVIDENCE_PATH);
+        *request.uri_mut() = Uri::from_static(path);
         conn.send(request).await.ok()
     };
     // The outcome makes no difference.
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use foxtailhoist_model::Fingerprint;
 use foxtailhoist_model::Refusal;
 use foxtailhoist_model::StoreEra;
 use foxtailhoist_model::stable_hash;
@@ -121,14 +122,25 @@
         target: &'a str,
         shift: &'a Shift,
     },
-    /// A server was found dead; `contents` were noted as running there.
+    /// A server was found dead; `contents` were noted as beginning to be answered there.
     ServerDied {
         id: &'a str,
         contents: usize,
     },
+    /// A content is suspected of this many crashes.
     Suspect {
-        content: u64,
-        deaths: u32,
+        content: Fingerprint,
+        crashes: usize,
+    },
+    Quarantined {
+        content: Fingerprint,
+        crashes: usize,
+        /// Who saw the last crash: `own`, `peer` or, for a record without the crashes, `store`.
+        source: &'static str,
+    },
+    /// A quarantined content was answered soundly elsewhere.
+    Released {
+        content: Fingerprint,
     },
     /// This host started or stopped watching the store itself.
     Watching(bool),
@@ -340,8 +352,17 @@
             LogEvent::ServerDied { id, contents } => {
                 write!(f, "event=server_died id={id} contents={contents}")
             }
-            LogEvent::Suspect { content, deaths } => {
-                write!(f, "event=suspect content={content:016x} deaths={deaths}")
+            LogEvent::Suspect { content, crashes } => {
+                write!(f, "event=suspect content={content:016x} crashes={crashes}")
+            }
+            LogEvent::Quarantined { content, crashes, source } => {
+                write!(
+                    f,
+                    "event=quarantined content={content:016x} crashes={crashes} source={source}"
+                )
+            }
+            LogEvent::Released { content } => {
+                write!(f, "event=released content={content:016x}")
             }
             LogEvent::Watching(watching) => write!(f, "event=watching value={watching}"),
             LogEvent::Source { host } => write!(f, "event=source host={host}"),
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -13,6 +13,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use foxtailhoist_model::Fingerprint;
 use foxtailhoist_model::Presence;
 use foxtailhoist_model::StoreEra;
 use foxtailhoist_model::StoreRevision;
@@ -121,6 +122,15 @@
         records
     }
 
+    /// Deaths that the store's record of a content states; `None` without a record.
+    pub(crate) fn suspect_deaths(&self, content: Fingerprint) -> Option<u32> {
+        let suspects = self.live_records(ObjectKind::Suspects);
+        suspects.iter().find_map(|record| match record.content {
+            Content::Suspect { content: known, deaths } if known == content => Some(deaths),
+            _ => None,
+        })
+    }
+
     pub(crate) fn set_revision(&self, kind: ObjectKind, revision: StoreRevision) {
         let mut revisions = self.revisions.borrow_mut();
         let known = revisions.entry(kind).or_default();
--- a/crates/relay/src/request_guard.rs
+++ b/crates/relay/src/request_guard.rs
@@ -27,6 +27,8 @@
 /// Interval between checks for server activity; two of them exceed the silence after which a server is probed.
 pub(crate) const LIVENESS_POLL_INTERVAL: Duration = Duration::from_millis(230);
 
+/// Time for a crashing process to stop listening after it has broken off its answers.
+const CRASH_PROBE_DELAY: Duration = Duration::from_millis(50);
 /// Maximum time for which a silent server's stream stays open after another server got the request: two servers may work
 /// on one stream only for a moment.
 const TAKE_OVER_TIMEOUT: Duration = Duration::from_millis(250);
@@ -207,6 +209,11 @@
             outcome,
             now,
         );
+        if outcome == AttemptOutcome::Broken
+            && let Some(probe) = core.dispatcher.borrow_mut().take_crash_probe(&attempt, now)
+        {
+            spawn_local(probe_crashed_server(core.clone(), probe));
+        }
         core.metrics.attempt(outcome.name());
         self.last_outcome = Some(outcome);
         if outcome != AttemptOutcome::Whole {
@@ -286,6 +293,18 @@
     }
 }
 
+/// Tells whether a server whose answers broke off has crashed: it accepts no new connection.
+async fn probe_crashed_server(core: Rc<Core>, probe: Probe) {
+    tokio::time::sleep(CRASH_PROBE_DELAY).await;
+    match Conn::open(probe.address, SERVER_CONNECT_TIMEOUT).await {
+        Ok(conn) => core.pool.put(conn),
+        Err(_) => {
+            core.dispatcher.borrow_mut().server_died(&probe.server, Instant::now());
+            core.handle_notifications();
+        }
+    }
+}
+
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         if let Some(SetAside { current, source, .. }) = self.set_aside.take() {
--- a/crates/relay/src/wire.rs
+++ b/crates/relay/src/wire.rs
@@ -35,7 +35,7 @@
     Servers,
     /// Orders to shift a service's traffic.
     Shifts,
-    /// Request contents that were running when servers died.
+    /// Request contents that servers were beginning to answer when they died.
     Suspects,
     /// Registrations of the entry hosts themselves.
     Hosts,
@@ -163,6 +163,9 @@
     /// Builds a call that removes the registration of an entry host.
     fn remove_host(&self, host: &EntryHostId) -> Request<Bytes>;
 
-    /// Builds a call that records that a content was running when servers died.
-    fn report_suspect(&self, content: Fingerprint, deaths: u32) -> Request<Bytes>;
+    /// Builds a call that records that servers died when they began to answer a content; fails if there is a record.
+    fn create_suspect(&self, content: Fingerprint, deaths: u32) -> Request<Bytes>;
+
+    /// Builds a call that replaces such a record.
+    fn replace_suspect(&self, content: Fingerprint, deaths: u32) -> Request<Bytes>;
 }
--- a/crates/route/src/attempt_times.rs
+++ b/crates/route/src/attempt_times.rs
@@ -3,6 +3,7 @@
 //! Each attempt yields at most one pace. A stream with enough events yields the mean gap between them, since the time to
 //! its head depends mostly on what was queued before it. Other attempts yield the time to their head.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use foxtailhoist_model::Pace;
@@ -39,6 +40,15 @@
         self.head = Some(now);
     }
 
+    /// Time since the head of an attempt's answer arrived; `None` if none has. An earlier attempt that was set aside
+    /// counts as answering for as long as its request exists.
+    pub(crate) fn answering(&self, attempt: &Attempt, now: Instant) -> Option<Duration> {
+        if attempt.number != self.number {
+            return Some(Duration::MAX);
+        }
+        self.head.map(|head| now.saturating_duration_since(head))
+    }
+
     /// Records events that arrived together; returns the pace once enough of them have arrived.
     pub(crate) fn record_event(&mut self, attempt: &Attempt, now: Instant) -> Option<Pace> {
         if attempt.number != self.number {
--- a/crates/route/src/backends/probe.rs
+++ b/crates/route/src/backends/probe.rs
@@ -19,6 +19,9 @@
 /// events for less.
 pub const PROBE_AFTER: Duration = Duration::from_millis(450);
 
+/// Minimum interval between probes of a server whose answers broke off.
+const CRASH_PROBE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// A probe to be made by opening a new connection to the server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Probe {
@@ -33,6 +36,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Reachability {
     last_probe: Option<Instant>,
+    last_crash_probe: Option<Instant>,
     /// When a probe found the server unreachable; later activity overrides it.
     unreachable_since: Option<Instant>,
 }
@@ -70,6 +74,23 @@
         })
     }
 
+    /// Returns the probe to make because the attempt's answer broke off; at most one per [`CRASH_PROBE_INTERVAL`] and
+    /// server.
+    pub(crate) fn take_crash_probe(&mut self, attempt: &Attempt, now: Instant) -> Option<Probe> {
+        let server = self.incarnation_mut(attempt)?;
+        let last = server.reachability.last_crash_probe;
+        if last.is_some_and(|at| now.saturating_duration_since(at) < CRASH_PROBE_INTERVAL) {
+            return None;
+        }
+        server.reachability.last_crash_probe = Some(now);
+        Some(Probe {
+            server: server.registration.id.clone(),
+            address: server.registration.address,
+            silence: Duration::ZERO,
+            generation: server.generation,
+        })
+    }
+
     /// Records the end of a probe; `reached` tells whether the connection was established.
     pub(crate) fn probe_ended(&mut self, probe: &Probe, reached: bool, now: Instant) {
         let Some(server) = self.servers.get_mut(&probe.server) else {
--- /dev/null
+++ b/crates/route/src/dispatch/crashes.rs
@@ -0,0 +1,174 @@
+//! Crashes of servers, and the contents that are noted for them.
+//!
+//! A broken answer alone may be due to the network or to the server's answer to this request. The server has crashed if,
+//! besides, it accepts no new connection or has started again.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use foxtailhoist_model::Fingerprint;
+use foxtailhoist_model::stable_hash;
+
+use super::Dispatcher;
+use super::Notification;
+use crate::backends::probe::Probe;
+use crate::blame::BlameChange;
+use crate::blame::CrashFinding;
+use crate::blame::CrashId;
+use crate::blame::Verdict;
+use crate::in_flight::Attempt;
+use crate::in_flight::AttemptOutcome;
+use crate::in_flight::InFlightRequest;
+
+/// Time after its head in which an answer counts as beginning. An answer that lasted longer did not crash its server.
+const BEGINNING: Duration = Duration::from_millis(500);
+/// Time after an answer broke off in which its server must be found dead for the content to be suspected.
+const SUSPICION_WINDOW: Duration = Duration::from_millis(1_500);
+/// Maximum number of contents noted for one crash: those whose answers began last.
+const MAX_SUSPECTS_PER_CRASH: usize = 16;
+const CRASH_SEED: u64 = 0x6372_6173;
+
+/// An answer that broke off near its beginning.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct InterruptedAnswer {
+    content: Fingerprint,
+    /// Identifies the crash, if there was one.
+    crash: CrashId,
+    /// Time since its head; `None` if it had not arrived.
+    answering: Option<Duration>,
+    /// When it is too late to find the server dead because of this answer.
+    expires: Instant,
+}
+
+impl Dispatcher {
+    /// Notes an answer that broke off near its beginning, or that was sound.
+    pub(super) fn record_for_blame(
+        &mut self,
+        req: &InFlightRequest,
+        attempt: &Attempt,
+        outcome: AttemptOutcome,
+        now: Instant,
+    ) {
+        let answering = req.times.answering(attempt, now);
+        let is_past_beginning = answering.is_some_and(|time| time > BEGINNING);
+        let is_sound = match outcome {
+            AttemptOutcome::Whole | AttemptOutcome::Failed => true,
+            AttemptOutcome::Broken | AttemptOutcome::Dropped | AttemptOutcome::Cancelled => {
+                is_past_beginning
+            }
+            AttemptOutcome::Garbled
+            | AttemptOutcome::Silent
+            | AttemptOutcome::Unreachable
+            | AttemptOutcome::Misdirected
+            | AttemptOutcome::Full { .. } => false,
+        };
+        if is_sound {
+            let change = self.blame.record_sound_answer(req.fingerprint, now);
+            if change == Some(BlameChange::Cleared { was_quarantined: true }) {
+                self.notifications.push(Notification::Released { content: req.fingerprint });
+            }
+            return;
+        }
+        let window = match outcome {
+            AttemptOutcome::Broken => SUSPICION_WINDOW,
+            // The server may crash just after the answer was dropped.
+            AttemptOutcome::Dropped => BEGINNING,
+            _ => return,
+        };
+        let interrupted = self.interrupted_answers.entry(attempt.server.clone()).or_default();
+        interrupted.retain(|answer| answer.is_recent(now));
+        interrupted.push(InterruptedAnswer {
+            content: req.fingerprint,
+            crash: crash_id(attempt),
+            answering,
+            expires: now + window,
+        });
+    }
+
+    /// Returns the probe that tells whether a server has crashed, if answers broke off there near their beginning.
+    pub fn take_crash_probe(&mut self, attempt: &Attempt, now: Instant) -> Option<Probe> {
+        let interrupted = self.interrupted_answers.get(&attempt.server)?;
+        let is_due = interrupted.iter().any(|answer| answer.is_recent(now));
+        is_due.then(|| self.backends.take_crash_probe(attempt, now)).flatten()
+    }
+
+    /// Records a server's death, shown by a new incarnation or by a failed connection.
+    pub fn server_died(&mut self, server: &str, now: Instant) {
+        let mut interrupted = self.interrupted_answers.remove(server).unwrap_or_default();
+        interrupted.retain(|answer| answer.is_recent(now));
+        if interrupted.is_empty() {
+            return;
+        }
+        // An answer whose head was lost may have begun just before the crash, or may have waited.
+        interrupted.sort_by_key(|answer| answer.answering.unwrap_or(BEGINNING));
+        interrupted.truncate(MAX_SUSPECTS_PER_CRASH);
+        self.notifications.push(Notification::ServerDied {
+            server: server.to_owned(),
+            contents: interrupted.len(),
+        });
+        for InterruptedAnswer { content, crash, .. } in interrupted {
+            self.merge_crash_finding(
+                CrashFinding { content, crash, verdict: Verdict::Suspected },
+                true,
+                now,
+            );
+        }
+    }
+
+    /// Adds other hosts' findings on crashes.
+    pub fn merge_crash_findings(&mut self, findings: Vec<CrashFinding>, now: Instant) {
+        for finding in findings {
+            self.merge_crash_finding(finding, false, now);
+        }
+    }
+
+    /// Whether there are findings to share.
+    #[must_use]
+    pub fn has_crash_news(&self) -> bool {
+        self.blame.has_news()
+    }
+
+    /// Findings to pass on to other hosts in this round.
+    #[must_use]
+    pub fn take_crash_news(&mut self) -> Vec<CrashFinding> {
+        self.blame.take_news()
+    }
+
+    /// Quarantines a content that the store's record names.
+    pub fn quarantine(&mut self, content: Fingerprint, now: Instant) {
+        self.blame.quarantine(content, now);
+    }
+
+    #[must_use]
+    pub fn is_quarantined(&self, content: Fingerprint, now: Instant) -> bool {
+        self.blame.is_quarantined(content, now)
+    }
+
+    fn merge_crash_finding(&mut self, finding: CrashFinding, is_own: bool, now: Instant) {
+        let content = finding.content;
+        match self.blame.merge(finding, now) {
+            BlameChange::Suspected(crashes) if is_own => {
+                self.notifications.push(Notification::Suspect { content, crashes });
+            }
+            BlameChange::Quarantined(crashes) => {
+                self.notifications.push(Notification::Quarantined { content, crashes, is_own });
+            }
+            BlameChange::Cleared { was_quarantined: true } => {
+                self.notifications.push(Notification::Released { content });
+            }
+            BlameChange::None | BlameChange::Suspected(_) | BlameChange::Cleared { .. } => {}
+        }
+    }
+}
+
+impl InterruptedAnswer {
+    fn is_recent(&self, now: Instant) -> bool {
+        now <= self.expires
+    }
+}
+
+/// Identifies the crash of the incarnation that an attempt was sent to.
+fn crash_id(attempt: &Attempt) -> CrashId {
+    let started_ms = attempt.started_ms.unwrap_or_default().to_be_bytes();
+    stable_hash(CRASH_SEED, &[attempt.server.as_bytes(), &started_ms])
+}
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 //! or a refusal as the final answer.
 
 mod cascade;
+mod crashes;
 mod overload;
 mod refusal;
 
@@ -24,6 +25,7 @@
 use foxtailhoist_model::VersionId;
 use foxtailhoist_model::stable_hash;
 
+use self::crashes::InterruptedAnswer;
 use self::overload::QueueDelayKey;
 use self::refusal::RETRY_AFTER_MAX;
 use self::refusal::RETRY_AFTER_MIN;
@@ -37,6 +39,7 @@
 use crate::backends::choose::VersionFilter;
 use crate::backends::probe::PROBE_AFTER;
 use crate::backends::probe::Probe;
+use crate::blame::BlameTable;
 use crate::exposure::Exposure;
 use crate::exposure::ExposureLimit;
 use crate::in_flight::Arrival;
@@ -45,8 +48,6 @@
 use crate::in_flight::ExecutionStatus;
 use crate::in_flight::InFlightRequest;
 use crate::latency_pressure::LatencyPressure;
-use crate::poison::PoisonTable;
-use crate::poison::QuarantineStatus;
 use crate::queue_delay::QueueDelay;
 use crate::retry_window::RetryLimit;
 use crate::retry_window::RetryWindows;
@@ -88,8 +89,6 @@
 const STREAM_SILENCE_TIMEOUT: Duration = Duration::from_millis(6_000);
 /// Silence of a server in all answers after which its streams are resumed elsewhere.
 const SERVER_SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time after a broken connection during which a server death makes the contents that ran there suspect.
-const SUSPICION_WINDOW: Duration = Duration::from_millis(1_500);
 /// Seed of the hash of request ids.
 const REQUEST_HASH_SEED: u64 = 0x6469_7370;
 
@@ -117,10 +116,9 @@
     latency_pressures: BTreeMap<ServiceId, LatencyPressure>,
     stream_times: BTreeMap<ServiceId, StreamTime>,
     queue_delays: BTreeMap<QueueDelayKey, QueueDelay>,
-    poison: PoisonTable,
-    /// By server: contents whose connection broke before the answer's head, with the time of the break. Once the server
-    /// is found dead, they become suspects.
-    interrupted_contents: BTreeMap<String, Vec<(Fingerprint, Instant)>>,
+    blame: BlameTable,
+    /// By server: answers that broke off near their beginning. Once the server is found dead, their contents are suspected.
+    interrupted_answers: BTreeMap<BackendServerId, Vec<InterruptedAnswer>>,
     notifications: Vec<Notification>,
     /// When the process exits; set once it was asked to stop.
     ends_at: Option<Instant>,
@@ -198,12 +196,14 @@
     ServerLeaving { server: BackendServerId },
     /// A server asked for no requests for the stated time; `applied` is the time that it gets none.
     ServerPaused { server: BackendServerId, stated: Duration, applied: Duration },
-    /// A server was found dead; `contents` were noted as running there.
+    /// A server was found dead; `contents` were noted as beginning to be answered there.
     ServerDied { server: BackendServerId, contents: usize },
-    /// A content became suspect because it was running when a server died.
-    Suspect { content: Fingerprint },
-    /// A content was quarantined after repeated server deaths.
-    Quarantined { content: Fingerprint },
+    /// This host noted a content in another crash; these are its crashes on all hosts.
+    Suspect { content: Fingerprint, crashes: usize },
+    /// A content was quarantined; `is_own` tells whether this host saw the last of its crashes.
+    Quarantined { content: Fingerprint, crashes: usize, is_own: bool },
+    /// A quarantined content was answered soundly on a host that did not know of its crashes.
+    Released { content: Fingerprint },
 }
 
 impl Dispatcher {
@@ -220,8 +220,8 @@
             latency_pressures: BTreeMap::new(),
             stream_times: BTreeMap::new(),
             queue_delays: BTreeMap::new(),
-            poison: PoisonTable::default(),
-            interrupted_contents: BTreeMap::new(),
+            blame: BlameTable::default(),
+            interrupted_answers: BTreeMap::new(),
             notifications: Vec::new(),
             ends_at: None,
             lingers_until: None,
@@ -279,37 +279,6 @@
         self.versions.entry(service).or_default().set_rule(rule, &live);
     }
 
-    /// Records another host's report that a server died while it ran the content.
-    pub fn mark_suspect(&mut self, content: Fingerprint, now: Instant) {
-        self.poison.mark_suspect(content, now);
-    }
-
-    /// Records another host's report that it quarantined the content after repeated server deaths.
-    pub fn quarantine(&mut self, content: Fingerprint, now: Instant) {
-        self.poison.quarantine(content, now);
-    }
-
-    /// Records a server's death, shown by a new incarnation or by a failed connection.
-    pub fn server_died(&mut self, server: &str, now: Instant) {
-        let interrupted = self.interrupted_contents.remove(server).unwrap_or_default();
-        if !interrupted.is_empty() {
-            self.notifications.push(Notification::ServerDied {
-                server: server.to_owned(),
-                contents: interrupted.len(),
-            });
-        }
-        for (content, at) in interrupted {
-            if now.saturating_duration_since(at) > SUSPICION_WINDOW {
-                continue;
-            }
-            let notification = match self.poison.record_server_death(content, now) {
-                QuarantineStatus::Suspect => Notification::Suspect { content },
-                QuarantineStatus::Quarantined => Notification::Quarantined { content },
-            };
-            self.notifications.push(notification);
-        }
-    }
-
     /// Removes and returns the pending notifications.
     pub fn take_notifications(&mut self) -> Vec<Notification> {
         std::mem::take(&mut self.notifications)
@@ -332,7 +301,7 @@
             Identity::Anonymous => None,
             Identity::Workspace(workspace) => Some(workspace),
         };
-        if self.poison.is_quarantined(arrival.fingerprint, now) {
+        if self.blame.is_quarantined(arrival.fingerprint, now) {
             return Err(refusal(ErrorKind::Quarantined, None));
         }
         let request_hash = stable_hash(REQUEST_HASH_SEED, &[arrival.id.as_bytes()]);
@@ -556,6 +525,7 @@
         if !had_head {
             self.first_event_wait_ended(req, false, now);
         }
+        self.record_for_blame(req, attempt, outcome, now);
         let was_not_started =
             matches!(outcome, AttemptOutcome::Silent | AttemptOutcome::Full { .. });
         if was_not_started && !had_head {
@@ -580,15 +550,10 @@
                 req.record_execution(ExecutionStatus::Ran);
                 req.model_index = req.route.models.len() - 1;
             }
-            AttemptOutcome::Broken => {
-                req.record_execution(ExecutionStatus::MayHaveRun);
-                if !had_head {
-                    let contents =
-                        self.interrupted_contents.entry(attempt.server.clone()).or_default();
-                    contents.push((req.fingerprint, now));
-                }
-            }
-            AttemptOutcome::Garbled | AttemptOutcome::Silent | AttemptOutcome::Cancelled => {
+            AttemptOutcome::Broken
+            | AttemptOutcome::Garbled
+            | AttemptOutcome::Silent
+            | AttemptOutcome::Cancelled => {
                 req.record_execution(ExecutionStatus::MayHaveRun);
             }
             AttemptOutcome::Unreachable => {
@@ -625,7 +590,7 @@
         if !req.may_be_sent() || req.attempts >= req.route.max_attempts.max(1) {
             return Err(NoAttempt::Exhausted);
         }
-        if self.poison.is_quarantined(req.fingerprint, now) {
+        if self.blame.is_quarantined(req.fingerprint, now) {
             return Err(NoAttempt::Quarantined);
         }
         let choice = self.choose(req, now).map_err(NoAttempt::NoServer)?;
@@ -742,6 +707,7 @@
             number: req.attempts + 1,
             server: choice.server.clone(),
             generation: choice.generation,
+            started_ms: registration.started_ms,
             service: req.service.clone(),
             version: registration.version.clone(),
             address: registration.address,
--- a/crates/route/src/in_flight.rs
+++ b/crates/route/src/in_flight.rs
@@ -95,6 +95,8 @@
     pub number: u32,
     pub server: BackendServerId,
     pub generation: Generation,
+    /// Start of the server's process in Unix milliseconds, if known.
+    pub started_ms: Option<u64>,
     pub service: ServiceId,
     pub version: VersionId,
     pub address: std::net::SocketAddr,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,6 +11,7 @@
 mod active_request;
 mod attempt_times;
 pub mod backends;
+pub mod blame;
 mod budget;
 mod config;
 mod destination;
