Keep a version on trial within its exposure limit when the servers in use are gone

Cause: if no server of a version in use accepts work, ServiceVersions::preferences falls back to all versions that are not withdrawn, the target of a trial included, past the exposure limit. A request that crashes servers takes all servers in use away. Class: a fallback that skips the limit of the path it replaces.

Change: the fallback leaves the target of a trial out unless the limit allows another attempt there; other requests are refused with a time to come back.

--- a/crates/route/src/version_rule.rs
+++ b/crates/route/src/version_rule.rs
@@ -162,7 +162,12 @@
             }
         }
         let in_use = VersionFilter::OneOf(self.in_use.clone());
-        for versions in [in_use, VersionFilter::Except(self.withdrawn.clone())] {
+        let mut excluded = self.withdrawn.clone();
+        if self.trial_share().is_some() && !self.allows_exposure(limit, hosts) {
+            // The version on trial does not replace servers in use that are gone.
+            excluded.extend(self.target().cloned());
+        }
+        for versions in [in_use, VersionFilter::Except(excluded)] {
             preferences.push(Preference { versions, trial_share: None, is_optional: false });
         }
         preferences
@@ -182,10 +187,7 @@
             VersionRule::Any | VersionRule::Except(_) | VersionRule::Only(_) => return None,
         };
         if self.trial_share().is_some() {
-            let is_allowed = self
-                .exposure
-                .as_ref()
-                .is_some_and(|exposure| exposure.allows_attempt(limit, hosts));
+            let is_allowed = self.allows_exposure(limit, hosts);
             // A session that has moved is worth another attempt if a server took no more requests.
             let max_attempts = u32::from(request.session.is_some());
             let is_retry = request.previous.is_some() || request.attempts > max_attempts;
@@ -204,6 +206,11 @@
         (stays || hash_fraction(target, hash) < share).then_some(target)
     }
 
+    /// Whether the exposure limit allows another attempt at the target of a trial.
+    fn allows_exposure(&self, limit: ExposureLimit, hosts: usize) -> bool {
+        self.exposure.as_ref().is_some_and(|exposure| exposure.allows_attempt(limit, hosts))
+    }
+
     /// Share of the requests that take part in the trial, if there is one.
     fn trial_share(&self) -> Option<f64> {
         match &self.rule {
--- a/crates/route/tests/versions.rs
+++ b/crates/route/tests/versions.rs
@@ -4,12 +4,16 @@
 
 use std::collections::BTreeSet;
 
+use foxtailhoist_model::ErrorKind;
+use foxtailhoist_route::dispatch::Step;
 use foxtailhoist_route::in_flight::AttemptOutcome;
 use foxtailhoist_route::in_flight::InFlightRequest;
 use foxtailhoist_route::version_rule::VersionRule;
+use rstest::rstest;
 
 use fleet::Harness;
 use fleet::LOCAL_DC;
+use fleet::good_head;
 use fleet::harness;
 use fleet::millis;
 use fleet::registration;
@@ -96,6 +100,47 @@
     assert_eq!(served_versions(&mut harness, 1), ["v2"]);
 }
 
+// Guards against a version on trial that gets all requests because the servers of the version in use have crashed.
+#[rstest]
+#[case::requests(trial("v2"))]
+#[case::sessions(VersionRule::SessionTrial { target: "v2".to_owned(), share: 0.24 })]
+fn a_trial_stays_within_the_exposure_limit_without_servers_of_the_version_in_use(
+    #[case] rule: VersionRule,
+) {
+    let mut harness = harness();
+    served_versions(&mut harness, 1);
+    register(&mut harness, "new", "v2");
+    set_rule(&mut harness, rule);
+    for id in ["engine-1", "engine-2", "engine-3"] {
+        harness.dispatcher.backends_mut().deregister(id);
+    }
+    let mut on_new = 0_u32;
+    for _ in 0..400 {
+        harness.advance(millis(15));
+        let mut req = harness.admitted("/chat/1");
+        loop {
+            match harness.next_step(&mut req) {
+                Step::Send(attempt) => {
+                    assert_eq!(attempt.version, "v2");
+                    on_new += 1;
+                    harness.dispatcher.attempt_sent(&mut req, &attempt, harness.now);
+                    harness.head(&mut req, &attempt, good_head());
+                    harness.end(&mut req, &attempt, AttemptOutcome::Whole);
+                    break;
+                }
+                Step::WaitUntil(at) => harness.now = at,
+                Step::Refuse(refusal) => {
+                    assert_eq!(refusal.kind, ErrorKind::NoServer);
+                    assert!(refusal.retry_after.is_some());
+                    break;
+                }
+            }
+        }
+    }
+    // The limit of 0.12 of the requests and 24 allows these, and each of them counts as a request.
+    assert!((24..=27).contains(&on_new), "{on_new} requests of 400");
+}
+
 // Guards against a trial that exceeds the exposure limit of 0.15 of the requests and 30 for the whole fleet.
 #[test]
 fn a_trial_stays_within_the_exposure_limit_whatever_its_share() {
