--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,8 +2,9 @@
 //!
 //! A seed determines the faults: hosts that are killed, stopped, paused and reloaded by signals; connections to
 //! servers and to the store that a proxy delays, refuses, resets or stalls in one or both directions; servers that
-//! fail; a store that is down, slow, discards its history or comes back from a copy. Callers check every answer during
-//! the faults and after all are repaired; at the end, the answers are compared with what the servers ran.
+//! fail; requests that crash each server that begins to answer them; a store that is down, slow, discards its history or
+//! comes back from a copy. Callers check every answer during the faults and after all are repaired; at the end, the
+//! answers are compared with what the servers ran, and requests that crash servers must no longer reach any.
 //!
 //! `SOAK_SEEDS=7,8,9 SOAK_SECONDS=30 cargo test --test soak` runs the given seeds; `SOAK_SEEDS=fresh:20` runs 20
 //! random ones.
@@ -13,6 +14,8 @@
 
 #[path = "soak/callers.rs"]
 mod callers;
+#[path = "soak/crashes.rs"]
+mod crashes;
 #[path = "soak/faults.rs"]
 mod faults;
 #[path = "soak/hosts.rs"]
@@ -30,11 +33,13 @@
 use tokio::time::Instant;
 
 use callers::Callers;
+use crashes::CrashingRequests;
 use faults::Fault;
 use hosts::Hosts;
 use proxy::Proxy;
 use standin::configuration;
 use standin::engine::Engine;
+use standin::engine::Life;
 use standin::eventually;
 use standin::is_ready;
 use standin::on_one_thread;
@@ -91,6 +96,8 @@
     // Drawn separately, so that the other faults of a seed stay the same.
     let mut restores = ChaCha8Rng::seed_from_u64(!seed);
     let mut version = 1;
+    let crashing = CrashingRequests::draw(seed, seconds());
+    let sender = crashing.as_ref().map(|crashing| crashing.start(&world));
     while Instant::now() < end {
         let fault = Fault::draw(&mut rng);
         println!("soak seed={seed} fault={fault:?}");
@@ -106,6 +113,10 @@
     for address in world.hosts.addresses() {
         eventually(async || callers.is_served(address).await).await;
     }
+    if let (Some(crashing), Some(sender)) = (crashing, sender) {
+        sender.abort();
+        crashing.check(&world).await;
+    }
     callers.stop();
     for task in tasks {
         task.await.expect("a caller task panicked");
@@ -135,6 +146,17 @@
         for (kind, name, spec) in registrations(&engines) {
             store.put(kind, &name, spec);
         }
+        for (number, (engine, proxy)) in engines.iter().enumerate() {
+            let (store, proxy) = (store.clone(), proxy.clone());
+            engine.set_life_hook(Rc::new(move |engine, life| match life {
+                Life::Crashed => proxy.close_listener(),
+                Life::Restarted => {
+                    let (kind, name, spec) = registered(number, engine, &proxy);
+                    store.put(kind, &name, spec);
+                    tokio::task::spawn_local(proxy.clone().reopen());
+                }
+            }));
+        }
         let hosts = Hosts::start(HOSTS, store_proxy.address, &format!("soak-{seed}"));
         let copy = store.copy();
         let world = World { store, store_proxy, copy, engines, hosts };
@@ -149,12 +171,14 @@
 /// Registrations of servers as kind, name and content.
 fn registrations(engines: &[(Engine, Proxy)]) -> Vec<(&'static str, String, Value)> {
     let numbered = engines.iter().enumerate();
-    let registrations = numbered.map(|(number, (engine, proxy))| {
-        let service = if number < SERVERS { "llm" } else { "desk" };
-        let spec = registration_at(engine, proxy.address, service, "ready");
-        ("servers", format!("i-{number}"), spec)
-    });
-    registrations.collect()
+    numbered.map(|(number, (engine, proxy))| registered(number, engine, proxy)).collect()
+}
+
+/// Registration of a server as kind, name and content.
+fn registered(number: usize, engine: &Engine, proxy: &Proxy) -> (&'static str, String, Value) {
+    let service = if number < SERVERS { "llm" } else { "desk" };
+    let spec = registration_at(engine, proxy.address, service, "ready");
+    ("servers", format!("i-{number}"), spec)
 }
 
 fn seeds() -> Vec<u64> {
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -1,6 +1,7 @@
 //! TCP proxy on loopback that injects connection faults.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
+use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
 
 /// Fault that the proxy applies to its connections.
@@ -33,25 +35,53 @@
 #[derive(Clone)]
 pub struct Proxy {
     pub address: SocketAddr,
+    target: SocketAddr,
     fault: Rc<Cell<ConnectionFault>>,
     /// Number of resets; a change closes all connections.
     resets: Rc<watch::Sender<u64>>,
+    /// The task that accepts connections.
+    listening: Rc<RefCell<Option<AbortHandle>>>,
 }
 
 impl Proxy {
     pub async fn start(target: SocketAddr) -> Proxy {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("bound");
-        let proxy = Proxy { address, fault: Rc::default(), resets: Rc::new(watch::Sender::new(0)) };
-        let acceptor = proxy.clone();
-        spawn_local(async move {
+        let proxy = Proxy {
+            address,
+            target,
+            fault: Rc::default(),
+            resets: Rc::new(watch::Sender::new(0)),
+            listening: Rc::default(),
+        };
+        proxy.accept(listener);
+        proxy
+    }
+
+    /// Closes all connections and refuses new ones, as the operating system does for a process that has ended.
+    pub fn close_listener(&self) {
+        if let Some(listening) = self.listening.take() {
+            listening.abort();
+        }
+        self.reset();
+    }
+
+    /// Accepts connections again.
+    pub async fn reopen(self) {
+        let listener = TcpListener::bind(self.address).await.expect("the port is still free");
+        self.accept(listener);
+    }
+
+    fn accept(&self, listener: TcpListener) {
+        let proxy = self.clone();
+        let listening = spawn_local(async move {
             while let Ok((client, _)) = listener.accept().await {
-                if acceptor.fault.get() != ConnectionFault::Refuse {
-                    spawn_local(acceptor.clone().forward(client, target));
+                if proxy.fault.get() != ConnectionFault::Refuse {
+                    spawn_local(proxy.clone().forward(client));
                 }
             }
         });
-        proxy
+        *self.listening.borrow_mut() = Some(listening.abort_handle());
     }
 
     pub fn set(&self, fault: ConnectionFault) {
@@ -63,9 +93,9 @@
         self.resets.send_modify(|resets| *resets += 1);
     }
 
-    async fn forward(self, client: TcpStream, target: SocketAddr) {
+    async fn forward(self, client: TcpStream) {
         let mut resets = self.resets.subscribe();
-        let Ok(server) = TcpStream::connect(target).await else {
+        let Ok(server) = TcpStream::connect(self.target).await else {
             return;
         };
         let (client_read, client_write) = client.into_split();
