--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -369,21 +369,29 @@
             LogEvent::SourceLost { host, reason } => {
                 write!(f, "event=source_lost host={host} reason={reason:?}")
             }
-            LogEvent::AttemptEnded { req, attempt, outcome, elapsed, answering, reason } => write!(
-                f,
-                "event=attempt_ended request={} content={:016x} attempt={} server={} model={} outcome={} \
+            LogEvent::AttemptEnded { req, attempt, outcome, elapsed, answering, reason } => {
+                write!(
+                    f,
+                    "event=attempt_ended request={} content={:016x} attempt={} server={} model={} outcome={} \
                  ms={} answering_ms={} cost_ms={:.0} last_event={} reason={reason:?}",
-                req.id,
-                req.fingerprint(),
-                attempt.number,
-                attempt.server,
-                attempt.model.as_deref().unwrap_or("-"),
-                outcome.name(),
-                elapsed.as_millis(),
-                answering.map_or_else(|| "-".to_owned(), |time| time.as_millis().to_string()),
-                attempt.cost_ms,
-                req.last_event().map_or_else(|| "-".to_owned(), |id| id.to_string()),
-            ),
+                    req.id,
+                    req.fingerprint(),
+                    attempt.number,
+                    attempt.server,
+                    attempt.model.as_deref().unwrap_or("-"),
+                    outcome.name(),
+                    elapsed.as_millis(),
+                    answering.map_or_else(|| "-".to_owned(), |time| time.as_millis().to_string()),
+                    attempt.cost_ms,
+                    req.last_event().map_or_else(|| "-".to_owned(), |id| id.to_string()),
+                )?;
+                if *outcome == AttemptOutcome::Broken && !req.parts.is_empty() {
+                    let parts: Vec<String> =
+                        req.parts.iter().map(|part| format!("{:x}", part.id)).collect();
+                    write!(f, " parts={}", parts.join(","))?;
+                }
+                Ok(())
+            }
             LogEvent::Answered { req, status, elapsed, model, server } => {
                 write!(
                     f,
