--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -12,7 +12,6 @@
 
 use foxtailhoist_model::DataCentreId;
 use foxtailhoist_model::EntryHostId;
-use foxtailhoist_model::Fingerprint;
 use foxtailhoist_model::ServiceId;
 use foxtailhoist_model::StoreEra;
 use foxtailhoist_peers::feeds::Feeds;
@@ -23,6 +22,7 @@
 use foxtailhoist_rollout::shift::baseline::Observation;
 use foxtailhoist_rollout::shift::shared::HostEvidence;
 use foxtailhoist_route::blame::CrashFinding;
+use foxtailhoist_route::blame::Culprit;
 use foxtailhoist_route::dispatch::AnswerEvidence;
 use foxtailhoist_route::dispatch::Dispatcher;
 use foxtailhoist_route::dispatch::Notification;
@@ -87,10 +87,10 @@
     }
 }
 
-/// A content to report to the store for the deaths of servers that were beginning to answer it.
+/// A content or part to report to the store for the deaths of servers that were beginning to answer it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SuspectReport {
-    pub(crate) content: Fingerprint,
+    pub(crate) culprit: Culprit,
     pub(crate) deaths: u32,
     /// Whether the deaths were reported before and are only put back after a restore of the store.
     pub(crate) is_known: bool,
@@ -98,7 +98,7 @@
     pub(crate) due: Instant,
 }
 
-/// Time for which a content must stay quarantined before it is reported, since other hosts may clear it.
+/// Time for which a culprit must stay quarantined before it is reported, since other hosts may clear it.
 const SUSPECT_REPORT_DELAY: Duration = Duration::from_secs(1);
 /// Maximum number of pending suspect reports; later ones are dropped.
 const MAX_PENDING_SUSPECTS: usize = 64;
@@ -130,7 +130,7 @@
     kind_listed: Notify,
     start_up: StartUp,
     was_ready: Cell<bool>,
-    /// Suspected contents to report.
+    /// Quarantined culprits to report.
     pub(crate) suspects: RefCell<VecDeque<SuspectReport>>,
     pub(crate) suspects_changed: Notify,
     /// Signalled when there are findings on crashes to share.
@@ -302,30 +302,30 @@
                 Notification::ServerPaused { server, stated, applied } => {
                     self.log.write(&LogEvent::ServerPaused { id: &server, stated, applied });
                 }
-                Notification::ServerDied { server, contents } => {
+                Notification::ServerDied { server, requests } => {
                     self.metrics.server_died();
-                    self.log.write(&LogEvent::ServerDied { id: &server, contents });
+                    self.log.write(&LogEvent::ServerDied { id: &server, requests });
                 }
-                Notification::Suspect { content, crashes } => {
-                    self.log.write(&LogEvent::Suspect { content, crashes });
+                Notification::Suspect { culprit, crashes } => {
+                    self.log.write(&LogEvent::Suspect { culprit, crashes });
                 }
-                Notification::Quarantined { content, crashes, is_own } => {
-                    self.metrics.quarantined();
+                Notification::Quarantined { culprit, crashes, is_own } => {
+                    self.metrics.quarantined(culprit.kind_name());
                     let source = if is_own { "own" } else { "peer" };
-                    self.log.write(&LogEvent::Quarantined { content, crashes, source });
+                    self.log.write(&LogEvent::Quarantined { culprit, crashes, source });
                     if is_own {
                         let deaths = u32::try_from(crashes).unwrap_or(u32::MAX);
                         let due = Instant::now() + SUSPECT_REPORT_DELAY;
                         self.report_suspect(SuspectReport {
-                            content,
+                            culprit,
                             deaths,
                             is_known: false,
                             due,
                         });
                     }
                 }
-                Notification::Released { content } => {
-                    self.log.write(&LogEvent::Released { content });
+                Notification::Released { culprit } => {
+                    self.log.write(&LogEvent::Released { culprit });
                 }
             }
         }
--- a/crates/relay/src/duties.rs
+++ b/crates/relay/src/duties.rs
@@ -67,7 +67,7 @@
     }
 }
 
-/// Reports quarantined contents to the store, for hosts that start later.
+/// Reports quarantined culprits to the store, for hosts that start later.
 pub(crate) async fn report_suspects(core: Rc<Core>) {
     let mut client = StoreClient::new(core.cfg.store);
     loop {
@@ -77,21 +77,21 @@
             continue;
         };
         tokio::time::sleep_until(report.due.into()).await;
-        let SuspectReport { content, deaths, is_known, .. } = report;
-        if !is_known && !core.dispatcher.borrow().is_quarantined(content, Instant::now()) {
+        let SuspectReport { culprit, deaths, is_known, .. } = report;
+        if !is_known && !core.dispatcher.borrow().is_quarantined(culprit, Instant::now()) {
             continue;
         }
-        let mut request = core.wire.create_suspect(content, deaths);
+        let mut request = core.wire.create_suspect(culprit, deaths);
         loop {
             let call = client.call(&core, request, WRITE_TIMEOUT).await;
             match call.map(|answer| answer.status) {
                 Ok(StatusCode::CONFLICT) if is_outdated(&core, &report) => {
-                    request = core.wire.replace_suspect(content, deaths);
+                    request = core.wire.replace_suspect(culprit, deaths);
                     continue;
                 }
                 Ok(_) => {}
                 Err(e) => {
-                    log::warn!("event=suspect_not_reported content={content:016x} reason={e}");
+                    log::warn!("event=suspect_not_reported culprit={culprit} reason={e}");
                 }
             }
             break;
@@ -100,10 +100,10 @@
     }
 }
 
-/// Whether the store's record of a content states fewer deaths than a report. What is known here may be from before a
+/// Whether the store's record of a culprit states fewer deaths than a report. What is known here may be from before a
 /// restore of the store.
 fn is_outdated(core: &Core, report: &SuspectReport) -> bool {
-    let known = core.mirror.suspect_deaths(report.content);
+    let known = core.mirror.suspect_deaths(report.culprit);
     known < Some(report.deaths) || (report.is_known && known == Some(report.deaths))
 }
 
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -335,12 +335,12 @@
         })
         .collect();
     for record in core.mirror.live_records(ObjectKind::Suspects) {
-        let Content::Suspect { content, deaths } = record.content else {
+        let Content::Suspect { culprit, deaths } = record.content else {
             continue;
         };
         if restored.get(record.name.as_str()).is_none_or(|restored| *restored < deaths) {
             let due = Instant::now();
-            core.report_suspect(SuspectReport { content, deaths, is_known: true, due });
+            core.report_suspect(SuspectReport { culprit, deaths, is_known: true, due });
         }
     }
 }
@@ -378,12 +378,12 @@
             }
         }
         Content::Shift(order) => apply_shift(core, order, now),
-        Content::Suspect { content, deaths } => {
+        Content::Suspect { culprit, deaths } => {
             let crashes = usize::try_from(deaths).unwrap_or(usize::MAX);
             let mut dispatcher = core.dispatcher.borrow_mut();
-            if crashes >= QUARANTINE_CRASHES && !dispatcher.is_quarantined(content, now) {
-                dispatcher.quarantine(content, now);
-                core.log.write(&LogEvent::Quarantined { content, crashes, source: "store" });
+            if crashes >= QUARANTINE_CRASHES && !dispatcher.is_quarantined(culprit, now) {
+                dispatcher.quarantine(culprit, now);
+                core.log.write(&LogEvent::Quarantined { culprit, crashes, source: "store" });
             }
         }
         Content::Host(entry) => core.feeds.borrow_mut().add_host(name, entry),
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -8,13 +8,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use foxtailhoist_model::Fingerprint;
 use foxtailhoist_model::Refusal;
 use foxtailhoist_model::StoreEra;
 use foxtailhoist_model::stable_hash;
 use foxtailhoist_rollout::shift::Shift;
 use foxtailhoist_rollout::shift::ShiftPhase;
 use foxtailhoist_route::backends::RegistrationChange;
+use foxtailhoist_route::blame::Culprit;
 use foxtailhoist_route::in_flight::Attempt;
 use foxtailhoist_route::in_flight::AttemptOutcome;
 use foxtailhoist_route::in_flight::InFlightRequest;
@@ -122,25 +122,25 @@
         target: &'a str,
         shift: &'a Shift,
     },
-    /// A server was found dead; `contents` were noted as beginning to be answered there.
+    /// A server was found dead that was beginning to answer this many requests.
     ServerDied {
         id: &'a str,
-        contents: usize,
+        requests: usize,
     },
-    /// A content is suspected of this many crashes.
+    /// A content or part is suspected of this many crashes.
     Suspect {
-        content: Fingerprint,
+        culprit: Culprit,
         crashes: usize,
     },
     Quarantined {
-        content: Fingerprint,
+        culprit: Culprit,
         crashes: usize,
         /// Who saw the last crash: `own`, `peer` or, for a record without the crashes, `store`.
         source: &'static str,
     },
-    /// A quarantined content was answered soundly elsewhere.
+    /// A quarantined culprit was answered soundly elsewhere.
     Released {
-        content: Fingerprint,
+        culprit: Culprit,
     },
     /// This host started or stopped watching the store itself.
     Watching(bool),
@@ -349,20 +349,17 @@
                     conclusion.log_evidence,
                 )
             }
-            LogEvent::ServerDied { id, contents } => {
-                write!(f, "event=server_died id={id} contents={contents}")
+            LogEvent::ServerDied { id, requests } => {
+                write!(f, "event=server_died id={id} requests={requests}")
             }
-            LogEvent::Suspect { content, crashes } => {
-                write!(f, "event=suspect content={content:016x} crashes={crashes}")
+            LogEvent::Suspect { culprit, crashes } => {
+                write!(f, "event=suspect culprit={culprit} crashes={crashes}")
             }
-            LogEvent::Quarantined { content, crashes, source } => {
-                write!(
-                    f,
-                    "event=quarantined content={content:016x} crashes={crashes} source={source}"
-                )
+            LogEvent::Quarantined { culprit, crashes, source } => {
+                write!(f, "event=quarantined culprit={culprit} crashes={crashes} source={source}")
             }
-            LogEvent::Released { content } => {
-                write!(f, "event=released content={content:016x}")
+            LogEvent::Released { culprit } => {
+                write!(f, "event=released culprit={culprit}")
             }
             LogEvent::Watching(watching) => write!(f, "event=watching value={watching}"),
             LogEvent::Source { host } => write!(f, "event=source host={host}"),
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -17,7 +17,7 @@
     store_calls: Counter<u64>,
     servers_lost: Counter<u64>,
     servers_died: Counter<u64>,
-    contents_quarantined: Counter<u64>,
+    quarantines: Counter<u64>,
     streams_broken: Counter<u64>,
     callers_closed: Counter<u64>,
 }
@@ -38,7 +38,7 @@
             store_calls: meter.u64_counter("relay_store_calls").build(),
             servers_lost: meter.u64_counter("relay_servers_lost").build(),
             servers_died: meter.u64_counter("relay_servers_died").build(),
-            contents_quarantined: meter.u64_counter("relay_contents_quarantined").build(),
+            quarantines: meter.u64_counter("relay_quarantines").build(),
             streams_broken: meter.u64_counter("relay_streams_broken").build(),
             callers_closed: meter.u64_counter("relay_callers_closed").build(),
             scrape,
@@ -80,9 +80,9 @@
         self.servers_died.add(1, &[]);
     }
 
-    /// Counts a content that was quarantined because of crashes.
-    pub fn quarantined(&self) {
-        self.contents_quarantined.add(1, &[]);
+    /// Counts a culprit that was quarantined because of crashes; `kind` is `content` or `part`.
+    pub fn quarantined(&self, kind: &'static str) {
+        self.quarantines.add(1, &[KeyValue::new("kind", kind)]);
     }
 
     /// Counts a stream that could not be completed; `reason` is a kind of refusal or `plain_answer`.
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -13,11 +13,11 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use foxtailhoist_model::Fingerprint;
 use foxtailhoist_model::Presence;
 use foxtailhoist_model::StoreEra;
 use foxtailhoist_model::StoreRevision;
 use foxtailhoist_route::backends::Registration;
+use foxtailhoist_route::blame::Culprit;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::mpsc;
@@ -122,11 +122,11 @@
         records
     }
 
-    /// Deaths that the store's record of a content states; `None` without a record.
-    pub(crate) fn suspect_deaths(&self, content: Fingerprint) -> Option<u32> {
+    /// Deaths that the store's record of a culprit states; `None` without a record.
+    pub(crate) fn suspect_deaths(&self, culprit: Culprit) -> Option<u32> {
         let suspects = self.live_records(ObjectKind::Suspects);
         suspects.iter().find_map(|record| match record.content {
-            Content::Suspect { content: known, deaths } if known == content => Some(deaths),
+            Content::Suspect { culprit: known, deaths } if known == culprit => Some(deaths),
             _ => None,
         })
     }
--- a/crates/relay/src/wire.rs
+++ b/crates/relay/src/wire.rs
@@ -7,7 +7,6 @@
 
 use bytes::Bytes;
 use foxtailhoist_model::EntryHostId;
-use foxtailhoist_model::Fingerprint;
 use foxtailhoist_model::Refusal;
 use foxtailhoist_model::StoreEra;
 use foxtailhoist_model::StoreRevision;
@@ -15,6 +14,7 @@
 use foxtailhoist_rollout::shift::ShiftOrder;
 use foxtailhoist_rollout::shift::ShiftReport;
 use foxtailhoist_route::backends::Registration;
+use foxtailhoist_route::blame::Culprit;
 use foxtailhoist_route::dispatch::AnswerHead;
 use foxtailhoist_route::in_flight::Arrival;
 use foxtailhoist_route::in_flight::Attempt;
@@ -35,7 +35,7 @@
     Servers,
     /// Orders to shift a service's traffic.
     Shifts,
-    /// Request contents that servers were beginning to answer when they died.
+    /// Contents and parts of prompts that servers were beginning to answer when they died.
     Suspects,
     /// Registrations of the entry hosts themselves.
     Hosts,
@@ -68,7 +68,7 @@
     Server(Registration),
     Shift(ShiftOrder),
     Suspect {
-        content: Fingerprint,
+        culprit: Culprit,
         deaths: u32,
     },
     Host(HostEntry),
@@ -163,9 +163,9 @@
     /// Builds a call that removes the registration of an entry host.
     fn remove_host(&self, host: &EntryHostId) -> Request<Bytes>;
 
-    /// Builds a call that records that servers died when they began to answer a content; fails if there is a record.
-    fn create_suspect(&self, content: Fingerprint, deaths: u32) -> Request<Bytes>;
+    /// Builds a call that records that servers died when they began to answer something; fails if there is a record.
+    fn create_suspect(&self, culprit: Culprit, deaths: u32) -> Request<Bytes>;
 
     /// Builds a call that replaces such a record.
-    fn replace_suspect(&self, content: Fingerprint, deaths: u32) -> Request<Bytes>;
+    fn replace_suspect(&self, culprit: Culprit, deaths: u32) -> Request<Bytes>;
 }
--- a/crates/relay/tests/logs.rs
+++ b/crates/relay/tests/logs.rs
@@ -20,6 +20,7 @@
 use foxtailhoist_rollout::shift::ShiftOrder;
 use foxtailhoist_rollout::shift::ShiftPhase;
 use foxtailhoist_route::backends::RegistrationChange;
+use foxtailhoist_route::blame::Culprit;
 
 /// A writer whose calls block until released.
 struct StalledWriter {
@@ -113,6 +114,7 @@
         revision: StoreRevision::default(),
     };
     let shift = Shift::new(order, Instant::now(), 0);
+    let culprit = Culprit::Part(7);
     let lines = [
         (LogEvent::Started { host: "h", data_centre: "a" }, "started", "host"),
         (LogEvent::Stopping, "stopping", "event"),
@@ -145,10 +147,10 @@
             "shift_withdrawn",
             "bad",
         ),
-        (LogEvent::ServerDied { id: "i", contents: 2 }, "server_died", "contents"),
-        (LogEvent::Suspect { content: 7, crashes: 1 }, "suspect", "crashes"),
-        (LogEvent::Quarantined { content: 7, crashes: 3, source: "own" }, "quarantined", "source"),
-        (LogEvent::Released { content: 7 }, "released", "content"),
+        (LogEvent::ServerDied { id: "i", requests: 2 }, "server_died", "requests"),
+        (LogEvent::Suspect { culprit, crashes: 1 }, "suspect", "crashes"),
+        (LogEvent::Quarantined { culprit, crashes: 3, source: "own" }, "quarantined", "source"),
+        (LogEvent::Released { culprit }, "released", "culprit"),
         (LogEvent::Watching(false), "watching", "value"),
         (LogEvent::Source { host: "h" }, "source", "host"),
         (LogEvent::SourceLost { host: "h", reason: "ended" }, "source_lost", "reason"),
--- a/crates/route/src/attempt_times.rs
+++ b/crates/route/src/attempt_times.rs
@@ -24,11 +24,15 @@
     number: u32,
     sent: Option<Instant>,
     head: Option<Instant>,
+    /// Whether only the end of the connection ends the answer.
+    ends_with_connection: bool,
     first_event: Option<Instant>,
     last_event: Option<Instant>,
     gaps: u32,
     /// Whether the pace was taken.
     is_taken: bool,
+    /// Whether [`AttemptTimes::take_past`] has returned true.
+    is_past: bool,
 }
 
 impl AttemptTimes {
@@ -36,8 +40,14 @@
         AttemptTimes { number: attempt.number, sent: Some(now), ..AttemptTimes::default() }
     }
 
-    pub(crate) fn record_head(&mut self, now: Instant) {
+    pub(crate) fn record_head(&mut self, ends_with_connection: bool, now: Instant) {
         self.head = Some(now);
+        self.ends_with_connection = ends_with_connection;
+    }
+
+    /// Whether a whole answer may also have ended because its server did.
+    pub(crate) fn may_be_cut(&self) -> bool {
+        self.ends_with_connection
     }
 
     /// Time since the head of an attempt's answer arrived; `None` if none has. An earlier attempt that was set aside
@@ -49,6 +59,13 @@
         self.head.map(|head| now.saturating_duration_since(head))
     }
 
+    /// Whether the attempt has been answering for longer than `time`; true once only.
+    pub(crate) fn take_past(&mut self, time: Duration, attempt: &Attempt, now: Instant) -> bool {
+        let is_timed = attempt.number == self.number && !self.is_past;
+        self.is_past |= is_timed && self.answering(attempt, now).is_some_and(|past| past > time);
+        is_timed && self.is_past
+    }
+
     /// Records events that arrived together; returns the pace once enough of them have arrived.
     pub(crate) fn record_event(&mut self, attempt: &Attempt, now: Instant) -> Option<Pace> {
         if attempt.number != self.number {
--- a/crates/route/src/blame.rs
+++ b/crates/route/src/blame.rs
@@ -1,13 +1,19 @@
-//! Contents to blame for crashes of servers.
+//! What to blame for crashes of servers: a content, or a part of prompts.
 //!
 //! A crash shows only that something is at fault that the server was beginning to answer. The culprit is what was there
-//! at crash after crash, on whichever host, and is never answered soundly in between. So each host notes for a crash the
-//! contents that its server was beginning to answer, and hosts share these findings. A sound answer clears the content
-//! of the crashes known by then. Findings form a set that only grows, and a clearance prevails over a suspicion, so
-//! hosts agree in whatever order findings arrive.
+//! at crash after crash, on whichever host, and is never answered soundly in between. So each host notes for a crash
+//! what its server was beginning to answer, and hosts share these findings. A sound answer clears its content and parts
+//! of the crashes known by then. Findings form a set that only grows, and a clearance prevails over a suspicion, so hosts
+//! agree in whatever order findings arrive.
+//!
+//! All requests with a part contain the parts that they share with sound ones, too. A later part of a prompt is in fewer
+//! requests than an earlier one, so it is blamed first, and crashes that a blamed part explains do not count against
+//! others.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::fmt;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,39 +21,62 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Crashes under which a content was beginning to be answered, from which on it is quarantined.
+use crate::in_flight::PromptPart;
+
+/// Crashes of which a culprit must be suspected to be quarantined.
 pub const QUARANTINE_CRASHES: usize = 3;
+/// Different contents with a part that must be suspected before the part is: one request may meet several crashes.
+const MIN_CONTENTS: usize = 3;
 /// Time since the last finding after which a content's findings expire.
-const FINDINGS_TTL: Duration = Duration::from_secs(3_600);
-/// Time for which a sound answer speaks for its content. A release may let a content crash servers that used to be
-/// answered.
+const CONTENT_TTL: Duration = Duration::from_secs(3_600);
+/// The same for a part, whose quarantine affects more callers.
+const PART_TTL: Duration = Duration::from_secs(600);
+/// Time for which a sound answer speaks for its content and parts. A release may let a request crash servers that used
+/// to be answered.
 const SOUND_TTL: Duration = Duration::from_secs(60);
-/// Maximum number of contents with findings.
-const MAX_CONTENTS: usize = 4_096;
-/// Maximum number of contents that are remembered as answered soundly.
-const MAX_SOUND: usize = 2_048;
-/// Maximum number of crashes noted for one content.
+/// Age from which on the record of a sound answer is renewed.
+const SOUND_RENEWAL_AGE: Duration = Duration::from_secs(10);
+/// Maximum number of culprits with findings.
+const MAX_CULPRITS: usize = 4_096;
+/// Maximum number of contents and parts that are remembered as answered soundly.
+const MAX_SOUND: usize = 4_096;
+/// Maximum number of crashes noted for one culprit.
 const MAX_CRASHES: usize = 16;
 /// Maximum number of findings waiting to be shared; the oldest are dropped first.
 const MAX_NEWS: usize = 512;
+/// Maximum number of culprits in the reply to another host's findings.
+const MAX_REPLY: usize = 32;
 /// Rounds in which a finding is passed on after it arrived.
 const ROUNDS_PER_FINDING: u8 = 3;
 
 /// Identifies the crash of one incarnation of a server, identically on all hosts.
 pub type CrashId = u64;
 
-/// What is known of a content's part in a crash; ordered, so that the greater value prevails.
+/// What may crash servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Culprit {
+    /// Requests with this content.
+    Content(Fingerprint),
+    /// Requests whose prompts have the part with this id before their last part.
+    Part(u64),
+}
+
+/// What is known of a culprit's role in a crash; ordered, so that the greater value prevails.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Verdict {
-    /// The server was beginning to answer the content.
+    /// The server was beginning to answer it.
     Suspected,
-    /// The content was answered soundly elsewhere.
+    /// It was answered soundly elsewhere.
     Cleared,
 }
 
-/// A content's part in a crash, as hosts share it.
+/// A culprit's role in a crash, as hosts share it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashFinding {
+    pub culprit: Culprit,
+    /// Index of a part in its prompt; 0 for a content.
+    pub position: u8,
+    /// Content that the server was beginning to answer.
     pub content: Fingerprint,
     pub crash: CrashId,
     pub verdict: Verdict,
@@ -58,95 +87,171 @@
 pub(crate) enum BlameChange {
     /// It was known.
     None,
-    /// The content is suspected of this many crashes.
+    /// The culprit is suspected of this many crashes.
     Suspected(usize),
-    /// The same, and the content is quarantined from now on.
+    /// The same, and it is quarantined from now on.
     Quarantined(usize),
-    /// The content is cleared of all known crashes; tells whether it was quarantined.
+    /// The culprit is cleared of a crash; tells whether that ended its quarantine.
     Cleared { was_quarantined: bool },
 }
 
-/// Findings on all contents.
+/// Findings on all culprits.
 #[derive(Debug, Default)]
 pub(crate) struct BlameTable {
-    contents: BTreeMap<Fingerprint, Blame>,
-    sound: SoundContents,
+    culprits: BTreeMap<Culprit, Blame>,
+    quarantined: BTreeSet<Culprit>,
+    sound: SoundAnswers,
     /// Findings to share, each with the rounds left.
     news: VecDeque<(CrashFinding, u8)>,
 }
 
-/// Findings on one content.
+/// Findings on one culprit.
 #[derive(Debug)]
 struct Blame {
-    crashes: BTreeMap<CrashId, Verdict>,
-    /// Whether the store's record says that it is quarantined, without the findings.
-    is_recorded: bool,
+    crashes: BTreeMap<CrashId, Sighting>,
+    /// Index of a part in its prompt, as last seen.
+    position: u8,
     updated: Instant,
 }
 
-/// Contents that were answered soundly lately.
+#[derive(Clone, Copy, Debug)]
+struct Sighting {
+    verdict: Verdict,
+    /// If there were several, the least one, so that hosts agree.
+    content: Fingerprint,
+}
+
+/// Contents and parts that were answered soundly lately.
 #[derive(Debug, Default)]
-struct SoundContents {
-    last: BTreeMap<Fingerprint, Instant>,
+struct SoundAnswers {
+    last: BTreeMap<Culprit, Instant>,
     /// In order of time, for eviction.
-    order: VecDeque<(Fingerprint, Instant)>,
+    order: VecDeque<(Culprit, Instant)>,
+}
+
+/// Everything in a request that may be to blame, with the positions of its parts.
+pub(crate) fn culprits(
+    content: Fingerprint,
+    parts: &[PromptPart],
+) -> impl Iterator<Item = (Culprit, u8)> + '_ {
+    // The last part belongs to the request or its session.
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let parts = shared.iter().zip(0..).map(|(part, position)| (Culprit::Part(part.id), position));
+    std::iter::once((Culprit::Content(content), 0)).chain(parts)
+}
+
+impl fmt::Display for Culprit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Culprit::Content(content) => write!(f, "content:{content:016x}"),
+            Culprit::Part(id) => write!(f, "part:{id:x}"),
+        }
+    }
+}
+
+impl Culprit {
+    /// Name of its kind in metrics.
+    #[must_use]
+    pub fn kind_name(self) -> &'static str {
+        match self {
+            Culprit::Content(_) => "content",
+            Culprit::Part(_) => "part",
+        }
+    }
+
+    fn ttl(self) -> Duration {
+        match self {
+            Culprit::Content(_) => CONTENT_TTL,
+            Culprit::Part(_) => PART_TTL,
+        }
+    }
 }
 
 impl BlameTable {
     /// Adds a finding of this host or of another one.
     pub(crate) fn merge(&mut self, finding: CrashFinding, now: Instant) -> BlameChange {
-        let CrashFinding { content, crash, .. } = finding;
-        let verdict = match self.sound.contains(content, now) {
+        let CrashFinding { culprit, content, crash, .. } = finding;
+        let verdict = match self.sound.contains(culprit, now) {
             true => Verdict::Cleared,
             false => finding.verdict,
         };
-        let blame = self.blame(content, now);
-        let was_quarantined = blame.is_quarantined();
+        let blame = self.blame(culprit, now);
+        blame.position = blame.position.max(finding.position);
         let known = blame.crashes.get(&crash).copied();
-        let is_full = known.is_none() && blame.crashes.len() >= MAX_CRASHES;
-        if known >= Some(verdict) || is_full {
+        if known.is_none() && blame.crashes.len() >= MAX_CRASHES {
+            return BlameChange::None;
+        }
+        let content = known.map_or(content, |known| known.content.min(content));
+        blame.crashes.insert(crash, Sighting { verdict, content });
+        if known.is_some_and(|known| known.verdict >= verdict) {
+            let verdict = known.map_or(verdict, |known| known.verdict);
+            blame.crashes.insert(crash, Sighting { verdict, content });
             return BlameChange::None;
         }
-        blame.crashes.insert(crash, verdict);
-        blame.is_recorded &= verdict == Verdict::Suspected;
-        let suspected = blame.suspected();
-        let is_quarantined = blame.is_quarantined();
-        self.add_news(CrashFinding { content, crash, verdict });
+        let suspected = blame.suspected().count();
+        self.add_news(CrashFinding { verdict, ..finding });
         match verdict {
-            Verdict::Suspected if is_quarantined && !was_quarantined => {
-                BlameChange::Quarantined(suspected)
+            Verdict::Suspected if !self.quarantined.contains(&culprit) => {
+                if self.is_convicted(culprit) {
+                    self.quarantined.insert(culprit);
+                    return BlameChange::Quarantined(suspected);
+                }
+                BlameChange::Suspected(suspected)
             }
             Verdict::Suspected => BlameChange::Suspected(suspected),
-            Verdict::Cleared if suspected == 0 => BlameChange::Cleared { was_quarantined },
-            Verdict::Cleared => BlameChange::None,
+            Verdict::Cleared => {
+                let was_quarantined =
+                    suspected < QUARANTINE_CRASHES && self.quarantined.remove(&culprit);
+                BlameChange::Cleared { was_quarantined }
+            }
         }
     }
 
-    /// Records that a server answered the content and survived.
-    pub(crate) fn record_sound_answer(
-        &mut self,
-        content: Fingerprint,
-        now: Instant,
-    ) -> Option<BlameChange> {
-        self.sound.insert(content, now);
-        let blame = self.contents.get(&content).filter(|blame| blame.suspected() > 0)?;
-        let suspected = blame.crashes.iter().filter(|(_, known)| **known == Verdict::Suspected);
-        let suspected: Vec<CrashId> = suspected.map(|(crash, _)| *crash).collect();
-        let cleared = suspected.into_iter().map(|crash| {
-            self.merge(CrashFinding { content, crash, verdict: Verdict::Cleared }, now)
-        });
-        cleared.last()
+    /// Records that a server answered a content or a part and survived.
+    pub(crate) fn record_sound_answer(&mut self, culprit: Culprit, now: Instant) -> BlameChange {
+        self.sound.insert(culprit, now);
+        let Some(blame) = self.culprits.get(&culprit) else {
+            return BlameChange::None;
+        };
+        let suspected: Vec<(CrashId, Fingerprint)> = blame.suspected().collect();
+        let mut was_quarantined = false;
+        for (crash, content) in suspected {
+            let verdict = Verdict::Cleared;
+            let finding = CrashFinding { culprit, position: 0, content, crash, verdict };
+            let change = self.merge(finding, now);
+            was_quarantined |= change == BlameChange::Cleared { was_quarantined: true };
+        }
+        BlameChange::Cleared { was_quarantined }
     }
 
-    /// Quarantines a content that the store's record names.
-    pub(crate) fn quarantine(&mut self, content: Fingerprint, now: Instant) {
-        self.blame(content, now).is_recorded = true;
+    /// Whether a sound answer speaks for a content or a part.
+    pub(crate) fn is_sound(&self, culprit: Culprit, now: Instant) -> bool {
+        self.sound.contains(culprit, now)
     }
 
-    pub(crate) fn is_quarantined(&self, content: Fingerprint, now: Instant) -> bool {
-        self.contents.get(&content).is_some_and(|blame| {
-            blame.is_quarantined() && now.saturating_duration_since(blame.updated) < FINDINGS_TTL
-        })
+    /// Quarantines a culprit that the store's record names.
+    pub(crate) fn quarantine(&mut self, culprit: Culprit, now: Instant) {
+        self.blame(culprit, now);
+        self.quarantined.insert(culprit);
+    }
+
+    pub(crate) fn is_quarantined(&self, culprit: Culprit, now: Instant) -> bool {
+        self.quarantined.contains(&culprit)
+            && self
+                .culprits
+                .get(&culprit)
+                .is_some_and(|blame| now.saturating_duration_since(blame.updated) < culprit.ttl())
+    }
+
+    /// Whether a request is quarantined for its content or a part of its prompt.
+    pub(crate) fn is_request_quarantined(
+        &self,
+        content: Fingerprint,
+        parts: &[PromptPart],
+        now: Instant,
+    ) -> bool {
+        !self.quarantined.is_empty()
+            && culprits(content, parts).any(|(culprit, _)| self.is_quarantined(culprit, now))
     }
 
     pub(crate) fn has_news(&self) -> bool {
@@ -163,17 +268,66 @@
         news
     }
 
-    /// The findings on a content, which count as updated now.
-    fn blame(&mut self, content: Fingerprint, now: Instant) -> &mut Blame {
-        if self.contents.len() >= MAX_CONTENTS && !self.contents.contains_key(&content) {
-            let oldest = self.contents.iter().min_by_key(|(_, blame)| blame.updated);
-            if let Some(oldest) = oldest.map(|(content, _)| *content) {
-                self.contents.remove(&oldest);
+    /// Findings on quarantined culprits, for a host that may have missed them; of at most [`MAX_REPLY`] culprits, the ones
+    /// updated last.
+    pub(crate) fn quarantined_findings(&self) -> Vec<CrashFinding> {
+        let known = |culprit: &Culprit| self.culprits.get(culprit).map(|blame| (*culprit, blame));
+        let mut quarantined: Vec<(Culprit, &Blame)> =
+            self.quarantined.iter().filter_map(known).collect();
+        quarantined.sort_by_key(|(_, blame)| std::cmp::Reverse(blame.updated));
+        quarantined.truncate(MAX_REPLY);
+        let findings = quarantined.into_iter().flat_map(|(culprit, blame)| {
+            blame.suspected().map(move |(crash, content)| CrashFinding {
+                culprit,
+                position: blame.position,
+                content,
+                crash,
+                verdict: Verdict::Suspected,
+            })
+        });
+        findings.collect()
+    }
+
+    /// Whether the crashes that nothing else explains suffice to blame a culprit.
+    fn is_convicted(&self, culprit: Culprit) -> bool {
+        let Some(blame) = self.culprits.get(&culprit) else {
+            return false;
+        };
+        match culprit {
+            Culprit::Content(_) => blame.suspected().count() >= QUARANTINE_CRASHES,
+            Culprit::Part(_) => {
+                let unexplained: Vec<(CrashId, Fingerprint)> =
+                    blame.suspected().filter(|(crash, _)| !self.is_explained(*crash)).collect();
+                let contents: BTreeSet<Fingerprint> =
+                    unexplained.iter().map(|(_, content)| *content).collect();
+                unexplained.len() >= QUARANTINE_CRASHES && contents.len() >= MIN_CONTENTS
+            }
+        }
+    }
+
+    /// Whether a quarantined part is suspected of a crash. A content does not explain crashes: each of its requests may
+    /// have met the three that quarantine it only because of a part.
+    fn is_explained(&self, crash: CrashId) -> bool {
+        self.quarantined.iter().any(|culprit| {
+            let blame = self.culprits.get(culprit);
+            matches!(culprit, Culprit::Part(_))
+                && blame.is_some_and(|blame| blame.suspected().any(|(known, _)| known == crash))
+        })
+    }
+
+    /// The findings on a culprit, which count as updated now.
+    fn blame(&mut self, culprit: Culprit, now: Instant) -> &mut Blame {
+        if self.culprits.len() >= MAX_CULPRITS && !self.culprits.contains_key(&culprit) {
+            let oldest = self.culprits.iter().min_by_key(|(_, blame)| blame.updated);
+            if let Some(oldest) = oldest.map(|(culprit, _)| *culprit) {
+                self.culprits.remove(&oldest);
+                self.quarantined.remove(&oldest);
             }
         }
-        let blame = self.contents.entry(content).or_insert_with(|| Blame::new(now));
-        if now.saturating_duration_since(blame.updated) >= FINDINGS_TTL {
+        let blame = self.culprits.entry(culprit).or_insert_with(|| Blame::new(now));
+        if now.saturating_duration_since(blame.updated) >= culprit.ttl() {
             *blame = Blame::new(now);
+            self.quarantined.remove(&culprit);
         }
         blame.updated = now;
         blame
@@ -189,23 +343,25 @@
 
 impl Blame {
     fn new(now: Instant) -> Blame {
-        Blame { crashes: BTreeMap::new(), is_recorded: false, updated: now }
+        Blame { crashes: BTreeMap::new(), position: 0, updated: now }
     }
 
-    /// Number of crashes that the content is suspected of.
-    fn suspected(&self) -> usize {
-        self.crashes.values().filter(|verdict| **verdict == Verdict::Suspected).count()
-    }
-
-    fn is_quarantined(&self) -> bool {
-        self.is_recorded || self.suspected() >= QUARANTINE_CRASHES
+    /// Crashes of which the culprit is suspected, each with a content.
+    fn suspected(&self) -> impl Iterator<Item = (CrashId, Fingerprint)> + '_ {
+        let suspected =
+            self.crashes.iter().filter(|(_, known)| known.verdict == Verdict::Suspected);
+        suspected.map(|(crash, known)| (*crash, known.content))
     }
 }
 
-impl SoundContents {
-    fn insert(&mut self, content: Fingerprint, now: Instant) {
-        self.last.insert(content, now);
-        self.order.push_back((content, now));
+impl SoundAnswers {
+    fn insert(&mut self, culprit: Culprit, now: Instant) {
+        let known = self.last.get(&culprit);
+        if known.is_some_and(|at| now.saturating_duration_since(*at) < SOUND_RENEWAL_AGE) {
+            return;
+        }
+        self.last.insert(culprit, now);
+        self.order.push_back((culprit, now));
         while self.order.len() > MAX_SOUND {
             let Some((oldest, at)) = self.order.pop_front() else {
                 return;
@@ -216,8 +372,8 @@
         }
     }
 
-    fn contains(&self, content: Fingerprint, now: Instant) -> bool {
-        let at = self.last.get(&content);
+    fn contains(&self, culprit: Culprit, now: Instant) -> bool {
+        let at = self.last.get(&culprit);
         at.is_some_and(|at| now.saturating_duration_since(*at) < SOUND_TTL)
     }
 }
--- a/crates/route/src/dispatch/crashes.rs
+++ b/crates/route/src/dispatch/crashes.rs
@@ -1,4 +1,4 @@
-//! Crashes of servers, and the contents that are noted for them.
+//! Crashes of servers, and the contents and parts of prompts that are noted for them.
 //!
 //! A broken answer alone may be due to the network or to the server's answer to this request. The server has crashed if,
 //! besides, it accepts no new connection or has started again.
@@ -15,23 +15,27 @@
 use crate::blame::BlameChange;
 use crate::blame::CrashFinding;
 use crate::blame::CrashId;
+use crate::blame::Culprit;
 use crate::blame::Verdict;
+use crate::blame::culprits;
 use crate::in_flight::Attempt;
 use crate::in_flight::AttemptOutcome;
 use crate::in_flight::InFlightRequest;
+use crate::in_flight::PromptPart;
 
 /// Time after its head in which an answer counts as beginning. An answer that lasted longer did not crash its server.
 const BEGINNING: Duration = Duration::from_millis(500);
-/// Time after an answer broke off in which its server must be found dead for the content to be suspected.
+/// Time after an answer broke off in which its server must be found dead for the request to be suspected.
 const SUSPICION_WINDOW: Duration = Duration::from_millis(1_500);
-/// Maximum number of contents noted for one crash: those whose answers began last.
+/// Maximum number of requests noted for one crash: those whose answers began last.
 const MAX_SUSPECTS_PER_CRASH: usize = 16;
 const CRASH_SEED: u64 = 0x6372_6173;
 
 /// An answer that broke off near its beginning.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct InterruptedAnswer {
     content: Fingerprint,
+    parts: Vec<PromptPart>,
     /// Identifies the crash, if there was one.
     crash: CrashId,
     /// Time since its head; `None` if it had not arrived.
@@ -52,7 +56,9 @@
         let answering = req.times.answering(attempt, now);
         let is_past_beginning = answering.is_some_and(|time| time > BEGINNING);
         let is_sound = match outcome {
-            AttemptOutcome::Whole | AttemptOutcome::Failed => true,
+            AttemptOutcome::Whole | AttemptOutcome::Failed => {
+                is_past_beginning || !req.times.may_be_cut()
+            }
             AttemptOutcome::Broken | AttemptOutcome::Dropped | AttemptOutcome::Cancelled => {
                 is_past_beginning
             }
@@ -63,28 +69,47 @@
             | AttemptOutcome::Full { .. } => false,
         };
         if is_sound {
-            let change = self.blame.record_sound_answer(req.fingerprint, now);
-            if change == Some(BlameChange::Cleared { was_quarantined: true }) {
-                self.notifications.push(Notification::Released { content: req.fingerprint });
-            }
+            self.record_sound_answer(req, now);
             return;
         }
         let window = match outcome {
             AttemptOutcome::Broken => SUSPICION_WINDOW,
-            // The server may crash just after the answer was dropped.
-            AttemptOutcome::Dropped => BEGINNING,
+            // The server may crash just after the answer was dropped, or have ended it by crashing.
+            AttemptOutcome::Dropped | AttemptOutcome::Whole | AttemptOutcome::Failed => BEGINNING,
             _ => return,
         };
         let interrupted = self.interrupted_answers.entry(attempt.server.clone()).or_default();
         interrupted.retain(|answer| answer.is_recent(now));
         interrupted.push(InterruptedAnswer {
             content: req.fingerprint,
+            parts: req.parts.clone(),
             crash: crash_id(attempt),
             answering,
             expires: now + window,
         });
     }
 
+    /// Records a sound answer once the attempt's answer is past its beginning.
+    pub(super) fn record_progress_for_blame(
+        &mut self,
+        req: &mut InFlightRequest,
+        attempt: &Attempt,
+        now: Instant,
+    ) {
+        if req.times.take_past(BEGINNING, attempt, now) {
+            self.record_sound_answer(req, now);
+        }
+    }
+
+    fn record_sound_answer(&mut self, req: &InFlightRequest, now: Instant) {
+        for (culprit, _) in culprits(req.fingerprint, &req.parts) {
+            let change = self.blame.record_sound_answer(culprit, now);
+            if change == (BlameChange::Cleared { was_quarantined: true }) {
+                self.notifications.push(Notification::Released { culprit });
+            }
+        }
+    }
+
     /// Returns the probe that tells whether a server has crashed, if answers broke off there near their beginning.
     pub fn take_crash_probe(&mut self, attempt: &Attempt, now: Instant) -> Option<Probe> {
         let interrupted = self.interrupted_answers.get(&attempt.server)?;
@@ -104,21 +129,30 @@
         interrupted.truncate(MAX_SUSPECTS_PER_CRASH);
         self.notifications.push(Notification::ServerDied {
             server: server.to_owned(),
-            contents: interrupted.len(),
+            requests: interrupted.len(),
         });
-        for InterruptedAnswer { content, crash, .. } in interrupted {
-            self.merge_crash_finding(
-                CrashFinding { content, crash, verdict: Verdict::Suspected },
-                true,
-                now,
-            );
+        let mut findings = Vec::new();
+        for InterruptedAnswer { content, parts, crash, .. } in interrupted {
+            for (culprit, position) in culprits(content, &parts) {
+                if !self.blame.is_sound(culprit, now) {
+                    let verdict = Verdict::Suspected;
+                    findings.push(CrashFinding { culprit, position, content, crash, verdict });
+                }
+            }
         }
+        self.merge_findings(findings, true, now);
     }
 
     /// Adds other hosts' findings on crashes.
     pub fn merge_crash_findings(&mut self, findings: Vec<CrashFinding>, now: Instant) {
+        self.merge_findings(findings, false, now);
+    }
+
+    fn merge_findings(&mut self, mut findings: Vec<CrashFinding>, is_own: bool, now: Instant) {
+        // The later a part is in its prompt, the fewer requests have it.
+        findings.sort_by_key(|finding| std::cmp::Reverse(finding.position));
         for finding in findings {
-            self.merge_crash_finding(finding, false, now);
+            self.merge_finding(finding, is_own, now);
         }
     }
 
@@ -134,27 +168,33 @@
         self.blame.take_news()
     }
 
-    /// Quarantines a content that the store's record names.
-    pub fn quarantine(&mut self, content: Fingerprint, now: Instant) {
-        self.blame.quarantine(content, now);
+    /// Findings on quarantined culprits, for a host that may have missed them.
+    #[must_use]
+    pub fn quarantined_findings(&self) -> Vec<CrashFinding> {
+        self.blame.quarantined_findings()
+    }
+
+    /// Quarantines a culprit that the store's record names.
+    pub fn quarantine(&mut self, culprit: Culprit, now: Instant) {
+        self.blame.quarantine(culprit, now);
     }
 
     #[must_use]
-    pub fn is_quarantined(&self, content: Fingerprint, now: Instant) -> bool {
-        self.blame.is_quarantined(content, now)
+    pub fn is_quarantined(&self, culprit: Culprit, now: Instant) -> bool {
+        self.blame.is_quarantined(culprit, now)
     }
 
-    fn merge_crash_finding(&mut self, finding: CrashFinding, is_own: bool, now: Instant) {
-        let content = finding.content;
+    fn merge_finding(&mut self, finding: CrashFinding, is_own: bool, now: Instant) {
+        let culprit = finding.culprit;
         match self.blame.merge(finding, now) {
             BlameChange::Suspected(crashes) if is_own => {
-                self.notifications.push(Notification::Suspect { content, crashes });
+                self.notifications.push(Notification::Suspect { culprit, crashes });
             }
             BlameChange::Quarantined(crashes) => {
-                self.notifications.push(Notification::Quarantined { content, crashes, is_own });
+                self.notifications.push(Notification::Quarantined { culprit, crashes, is_own });
             }
             BlameChange::Cleared { was_quarantined: true } => {
-                self.notifications.push(Notification::Released { content });
+                self.notifications.push(Notification::Released { culprit });
             }
             BlameChange::None | BlameChange::Suspected(_) | BlameChange::Cleared { .. } => {}
         }
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -17,7 +17,6 @@
 use foxtailhoist_model::BackendServerId;
 use foxtailhoist_model::DataCentreId;
 use foxtailhoist_model::ErrorKind;
-use foxtailhoist_model::Fingerprint;
 use foxtailhoist_model::ModelId;
 use foxtailhoist_model::Pace;
 use foxtailhoist_model::Refusal;
@@ -40,6 +39,7 @@
 use crate::backends::probe::PROBE_AFTER;
 use crate::backends::probe::Probe;
 use crate::blame::BlameTable;
+use crate::blame::Culprit;
 use crate::exposure::Exposure;
 use crate::exposure::ExposureLimit;
 use crate::in_flight::Arrival;
@@ -117,7 +117,7 @@
     stream_times: BTreeMap<ServiceId, StreamTime>,
     queue_delays: BTreeMap<QueueDelayKey, QueueDelay>,
     blame: BlameTable,
-    /// By server: answers that broke off near their beginning. Once the server is found dead, their contents are suspected.
+    /// By server: answers that broke off near their beginning. Once the server is found dead, they are suspected.
     interrupted_answers: BTreeMap<BackendServerId, Vec<InterruptedAnswer>>,
     notifications: Vec<Notification>,
     /// When the process exits; set once it was asked to stop.
@@ -144,7 +144,7 @@
     Expired,
     /// The request may not be sent again, or the limit on attempts or retries is reached.
     Exhausted,
-    /// The request's content is quarantined.
+    /// The request's content, or a part of its prompt, is quarantined.
     Quarantined,
     NoServer(NoServer),
 }
@@ -159,6 +159,8 @@
     pub not_run: bool,
     /// Whether the server states that it is leaving.
     pub is_leaving: bool,
+    /// Whether the answer has no framing of its own, so that its end shows only by the end of the connection.
+    pub ends_with_connection: bool,
     /// Time for which a server that rejected the request wants no other.
     pub retry_after: Option<Duration>,
     /// The model's confidence in its answer, from 0 to 100.
@@ -196,14 +198,14 @@
     ServerLeaving { server: BackendServerId },
     /// A server asked for no requests for the stated time; `applied` is the time that it gets none.
     ServerPaused { server: BackendServerId, stated: Duration, applied: Duration },
-    /// A server was found dead; `contents` were noted as beginning to be answered there.
-    ServerDied { server: BackendServerId, contents: usize },
-    /// This host noted a content in another crash; these are its crashes on all hosts.
-    Suspect { content: Fingerprint, crashes: usize },
-    /// A content was quarantined; `is_own` tells whether this host saw the last of its crashes.
-    Quarantined { content: Fingerprint, crashes: usize, is_own: bool },
-    /// A quarantined content was answered soundly on a host that did not know of its crashes.
-    Released { content: Fingerprint },
+    /// A server was found dead that was beginning to answer this many requests of this host.
+    ServerDied { server: BackendServerId, requests: usize },
+    /// This host noted a culprit in another crash; these are its crashes on all hosts.
+    Suspect { culprit: Culprit, crashes: usize },
+    /// A culprit was quarantined; `is_own` tells whether this host saw the last of its crashes.
+    Quarantined { culprit: Culprit, crashes: usize, is_own: bool },
+    /// A quarantined culprit was answered soundly on a host that did not know of its crashes.
+    Released { culprit: Culprit },
 }
 
 impl Dispatcher {
@@ -301,7 +303,7 @@
             Identity::Anonymous => None,
             Identity::Workspace(workspace) => Some(workspace),
         };
-        if self.blame.is_quarantined(arrival.fingerprint, now) {
+        if self.blame.is_request_quarantined(arrival.fingerprint, &arrival.parts, now) {
             return Err(refusal(ErrorKind::Quarantined, None));
         }
         let request_hash = stable_hash(REQUEST_HASH_SEED, &[arrival.id.as_bytes()]);
@@ -420,7 +422,7 @@
             return HeadVerdict::Drop(AttemptOutcome::Garbled);
         }
         self.backends.head_received(attempt, &req.parts, elapsed, now);
-        req.times.record_head(now);
+        req.times.record_head(head.ends_with_connection, now);
         self.first_event_wait_ended(req, true, now);
         if !req.answer_started {
             self.sample_latency_pressure(req, attempt, elapsed, now);
@@ -445,6 +447,7 @@
         now: Instant,
     ) {
         self.backends.event_received(attempt, gap, now);
+        self.record_progress_for_blame(req, attempt, now);
         if let Some(pace) = req.times.record_event(attempt, now) {
             self.notify_pace(req, attempt, pace, now);
         }
@@ -590,7 +593,7 @@
         if !req.may_be_sent() || req.attempts >= req.route.max_attempts.max(1) {
             return Err(NoAttempt::Exhausted);
         }
-        if self.blame.is_quarantined(req.fingerprint, now) {
+        if self.blame.is_request_quarantined(req.fingerprint, &req.parts, now) {
             return Err(NoAttempt::Quarantined);
         }
         let choice = self.choose(req, now).map_err(NoAttempt::NoServer)?;
--- a/crates/route/tests/dispatch_crashes.rs
+++ b/crates/route/tests/dispatch_crashes.rs
@@ -3,11 +3,15 @@
 mod fleet;
 
 use foxtailhoist_model::ErrorKind;
+use foxtailhoist_route::backends::RegistrationChange;
 use foxtailhoist_route::blame::CrashFinding;
+use foxtailhoist_route::blame::Culprit;
 use foxtailhoist_route::blame::Verdict;
+use foxtailhoist_route::dispatch::AnswerHead;
 use foxtailhoist_route::dispatch::Notification;
 use foxtailhoist_route::in_flight::Arrival;
 use foxtailhoist_route::in_flight::AttemptOutcome;
+use foxtailhoist_route::in_flight::PromptPart;
 use rstest::rstest;
 
 use fleet::Harness;
@@ -18,6 +22,7 @@
 use fleet::registration;
 
 const CONTENT: u64 = 77;
+const CULPRIT: Culprit = Culprit::Content(CONTENT);
 
 /// When the server of a request crashes.
 #[derive(Clone, Copy, Debug)]
@@ -53,8 +58,12 @@
     harness.advance(millis(500));
 }
 
+fn finding(culprit: Culprit, crash: u64, verdict: Verdict) -> CrashFinding {
+    CrashFinding { culprit, position: 0, content: CONTENT, crash, verdict }
+}
+
 fn is_quarantined(harness: &Harness) -> bool {
-    harness.dispatcher.is_quarantined(CONTENT, harness.now)
+    harness.dispatcher.is_quarantined(CULPRIT, harness.now)
 }
 
 /// Guards against a request that crashes servers after the head of its answer not being noted.
@@ -69,11 +78,11 @@
         let notifications = harness.dispatcher.take_notifications();
         assert!(notifications.iter().any(|notification| matches!(
             notification,
-            Notification::ServerDied { contents: 1, .. }
+            Notification::ServerDied { requests: 1, .. }
         )));
         if crashes == 3 {
             let quarantined =
-                Notification::Quarantined { content: CONTENT, crashes: 3, is_own: true };
+                Notification::Quarantined { culprit: CULPRIT, crashes: 3, is_own: true };
             assert!(notifications.contains(&quarantined), "{notifications:?}");
         }
     }
@@ -154,24 +163,25 @@
     crash(&mut seen, CrashAt::AfterHead);
     crash(&mut seen, CrashAt::AfterHead);
     let findings = seen.dispatcher.take_crash_news();
-    assert_eq!(findings.len(), 2);
+    // Each crash blames the content and the part that it shares with others.
+    assert_eq!(findings.len(), 4);
     for _ in 0..2 {
         told.dispatcher.merge_crash_findings(findings.clone(), told.now);
     }
     assert!(!is_quarantined(&told));
-    let third = CrashFinding { content: CONTENT, crash: 3, verdict: Verdict::Suspected };
+    let third = finding(CULPRIT, 3, Verdict::Suspected);
     told.dispatcher.merge_crash_findings(vec![third], told.now);
     assert!(is_quarantined(&told));
     // What a host learns it passes on, for hosts that missed it.
-    assert_eq!(told.dispatcher.take_crash_news().len(), 3);
+    assert_eq!(told.dispatcher.take_crash_news().len(), 5);
 }
 
 /// Guards against a host refusing a content that another one knows to be sound.
 #[test]
 fn a_clearance_prevails_in_any_order() {
-    let finding = |crash, verdict| CrashFinding { content: CONTENT, crash, verdict };
-    let suspected: Vec<_> = (1..=3).map(|crash| finding(crash, Verdict::Suspected)).collect();
-    let cleared: Vec<_> = (1..=3).map(|crash| finding(crash, Verdict::Cleared)).collect();
+    let suspected: Vec<_> =
+        (1..=3).map(|crash| finding(CULPRIT, crash, Verdict::Suspected)).collect();
+    let cleared: Vec<_> = (1..=3).map(|crash| finding(CULPRIT, crash, Verdict::Cleared)).collect();
     for orders in [[&suspected, &cleared], [&cleared, &suspected]] {
         let mut harness = harness();
         for findings in orders {
@@ -180,3 +190,145 @@
         assert!(!is_quarantined(&harness));
     }
 }
+
+const PART: u64 = 501;
+const PART_CULPRIT: Culprit = Culprit::Part(PART);
+/// First part of all prompts of the harness.
+const FIRST_PART: Culprit = Culprit::Part(7);
+
+/// A request like no other whose prompt has these parts between the shared first one and its own.
+fn arrival_with_parts(harness: &mut Harness, ids: &[u64]) -> Arrival {
+    let mut arrival = harness.arrival("/chat/1");
+    let parts = ids.iter().map(|id| PromptPart { id: *id, tokens: 300 });
+    arrival.parts.splice(1..1, parts);
+    arrival
+}
+
+/// Lets servers crash at the same moment that were beginning to answer requests with these parts.
+fn crash_with_parts(harness: &mut Harness, prompts: &[&[u64]]) {
+    let mut running = Vec::new();
+    for ids in prompts {
+        let arrival = arrival_with_parts(harness, ids);
+        let mut req = harness.admit(arrival).expect("admitted");
+        let attempt = harness.send(&mut req);
+        harness.head(&mut req, &attempt, good_head());
+        running.push((req, attempt));
+    }
+    harness.advance(millis(60));
+    let now = harness.now;
+    for (req, attempt) in &mut running {
+        harness.dispatcher.attempt_ended(req, attempt, true, AttemptOutcome::Broken, now);
+    }
+    for (_, attempt) in running {
+        harness.dispatcher.server_died(&attempt.server, now);
+        if harness.dispatcher.backends_mut().deregister(&attempt.server)
+            == RegistrationChange::Removed
+        {
+            harness.register(registration(&format!("{}-again", attempt.server), "llm", LOCAL_DC));
+        }
+    }
+    harness.advance(millis(500));
+}
+
+fn serve_with_parts(harness: &mut Harness, ids: &[u64]) {
+    let arrival = arrival_with_parts(harness, ids);
+    let mut req = harness.admit(arrival).expect("admitted");
+    let attempt = harness.send(&mut req);
+    harness.head(&mut req, &attempt, good_head());
+    harness.end(&mut req, &attempt, AttemptOutcome::Whole);
+}
+
+/// Guards against requests that are all different and crash servers by one part of their prompts, and against sound
+/// ones being refused for what they share with them.
+#[rstest]
+#[case::first_part_known_as_sound(true)]
+#[case::nothing_known(false)]
+fn only_requests_with_the_part_that_crashes_servers_are_refused(#[case] knows_sound: bool) {
+    let mut harness = harness();
+    if knows_sound {
+        serve_with_parts(&mut harness, &[600]);
+    }
+    for _ in 0..3 {
+        assert!(!harness.dispatcher.is_quarantined(PART_CULPRIT, harness.now));
+        crash_with_parts(&mut harness, &[&[PART]]);
+    }
+    let arrival = arrival_with_parts(&mut harness, &[PART]);
+    assert_eq!(harness.admit(arrival).expect_err("refused").kind, ErrorKind::Quarantined);
+    serve_with_parts(&mut harness, &[600]);
+    assert!(!harness.dispatcher.is_quarantined(FIRST_PART, harness.now));
+    // As the last part it belongs to the request, which is not like the others.
+    let mut last = harness.arrival("/chat/1");
+    last.parts[1].id = PART;
+    assert!(harness.admit(last).is_ok());
+}
+
+/// Guards against a part being blamed that was answered soundly on another host.
+#[test]
+fn a_part_that_another_host_answers_soundly_is_released() {
+    let mut harness = harness();
+    for _ in 0..3 {
+        crash_with_parts(&mut harness, &[&[PART]]);
+    }
+    let findings = harness.dispatcher.take_crash_news();
+    let mut other = fleet::harness();
+    serve_with_parts(&mut other, &[PART]);
+    other.dispatcher.merge_crash_findings(findings, other.now);
+    let answers = other.dispatcher.take_crash_news();
+    harness.dispatcher.merge_crash_findings(answers, harness.now);
+    assert!(!harness.dispatcher.is_quarantined(PART_CULPRIT, harness.now));
+}
+
+/// Guards against a later part being blamed although sound answers have it, and against the first part being blamed for
+/// crashes that the later one explains.
+#[test]
+fn parts_beside_the_one_that_crashes_servers_stay_served() {
+    let mut harness = harness();
+    serve_with_parts(&mut harness, &[601]);
+    for _ in 0..5 {
+        let quarantined = harness.dispatcher.is_quarantined(PART_CULPRIT, harness.now);
+        if !quarantined {
+            crash_with_parts(&mut harness, &[&[PART, 601], &[600]]);
+        }
+    }
+    assert!(harness.dispatcher.is_quarantined(PART_CULPRIT, harness.now));
+    assert!(!harness.dispatcher.is_quarantined(FIRST_PART, harness.now));
+    for ids in [[600], [601]] {
+        serve_with_parts(&mut harness, &ids);
+    }
+}
+
+/// Guards against the parts of one unlucky request being blamed for the crashes that it met.
+#[test]
+fn one_request_does_not_blame_its_parts() {
+    let mut harness = harness();
+    let arrival = arrival_with_parts(&mut harness, &[PART]);
+    let mut req = harness.admit(arrival).expect("admitted");
+    for _ in 0..3 {
+        let attempt = harness.send(&mut req);
+        harness.head(&mut req, &attempt, good_head());
+        harness.advance(millis(60));
+        let now = harness.now;
+        harness.dispatcher.attempt_ended(&mut req, &attempt, true, AttemptOutcome::Broken, now);
+        harness.dispatcher.server_died(&attempt.server, now);
+    }
+    assert!(!harness.dispatcher.is_quarantined(PART_CULPRIT, harness.now));
+}
+
+/// Guards against an answer without framing, which its server ended by crashing, counting as sound.
+#[test]
+fn an_answer_that_ends_with_its_connection_may_have_been_cut() {
+    let mut harness = harness();
+    for _ in 0..3 {
+        let arrival = arrival(&mut harness);
+        let mut req = harness.admit(arrival).expect("admitted");
+        let attempt = harness.send(&mut req);
+        let head = AnswerHead { ends_with_connection: true, ..good_head() };
+        harness.head(&mut req, &attempt, head);
+        harness.advance(millis(60));
+        harness.end(&mut req, &attempt, AttemptOutcome::Whole);
+        harness.dispatcher.server_died(&attempt.server, harness.now);
+        harness.dispatcher.backends_mut().deregister(&attempt.server);
+        harness.register(registration(&format!("{}-again", attempt.server), "llm", LOCAL_DC));
+    }
+    assert!(is_quarantined(&harness));
+}
--- a/crates/route/tests/dispatch_silence.rs
+++ b/crates/route/tests/dispatch_silence.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use foxtailhoist_route::blame::Culprit;
 use foxtailhoist_route::dispatch::AnswerHead;
 use foxtailhoist_route::dispatch::HeadVerdict;
 use foxtailhoist_route::dispatch::Step;
@@ -91,7 +92,8 @@
                 .set_version_rule("llm".to_owned(), VersionRule::Except("v2".to_owned()));
         }
         Obstacle::Quarantined => {
-            harness.dispatcher.quarantine(harness.last_fingerprint(), harness.now)
+            let culprit = Culprit::Content(harness.last_fingerprint());
+            harness.dispatcher.quarantine(culprit, harness.now)
         }
         Obstacle::LastAttempt => req.attempts = req.route.max_attempts,
         Obstacle::DeadlineNear => req.deadline = harness.now + millis(1_510),
