Do not find a version good that may be somewhat slower

Cause: its paces were compared with the upper bands only (above the median, highest tenth), which load makes wide on the servers in use; the servers of a trial are less busy. Its paces ruled out that half of the answers are several times slower, which was all that a good version had to rule out.

Change: a pace may also be in the lowest fifth of the baseline, which such a version hardly reaches. A good version must rule out, too, that all of its answers are somewhat slower.

--- a/crates/rollout/src/shift/baseline.rs
+++ b/crates/rollout/src/shift/baseline.rs
@@ -40,6 +40,9 @@
 /// Where a pace lies among the baseline's paces for the same kind of work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Band {
+    /// In the lowest fifth, as on servers with little load.
+    Lowest,
+    /// Below the median.
     Lower,
     /// Above the median.
     Upper,
@@ -142,6 +145,10 @@
         if pace.is_lower_bound {
             return None;
         }
-        Some(if share_slower <= 0.5 { Band::Upper } else { Band::Lower })
+        Some(match share_slower {
+            share if share <= 0.5 => Band::Upper,
+            share if share < 0.8 => Band::Lower,
+            _ => Band::Lowest,
+        })
     }
 }
--- a/crates/rollout/src/shift/evidence.rs
+++ b/crates/rollout/src/shift/evidence.rs
@@ -76,6 +76,10 @@
 /// Alternative that is ruled out before a version is good: an excess of 0.16 failures, or half of the answers several
 /// times slower.
 const RULED_OUT: usize = 1;
+/// Alternative of slowness that is ruled out, too: all answers somewhat slower. A few paces in the lowest band rule it out.
+const SOMEWHAT_SLOWER: usize = 3;
+/// Log evidence at which it is.
+const NOT_SLOWER_LOG_THRESHOLD: f64 = -8.0;
 
 impl Evidence {
     /// Adds the end of an answer on `route`, where a share `reference` of the other versions' answers is bad.
@@ -104,7 +108,10 @@
         let failures = self.failures.sum();
         let slowness = self.slowness.sum();
         let is_measured = slowness.log_ratios() != MixtureTest::default().log_ratios();
-        let is_fast = !is_measured || slowness.log_ratios()[RULED_OUT] <= GOOD_LOG_THRESHOLD;
+        let ratios = slowness.log_ratios();
+        let is_fast = !is_measured
+            || (ratios[RULED_OUT] <= GOOD_LOG_THRESHOLD
+                && ratios[SOMEWHAT_SLOWER] <= NOT_SLOWER_LOG_THRESHOLD);
         failures.log_ratios()[RULED_OUT] <= GOOD_LOG_THRESHOLD && is_fast
     }
 
@@ -222,14 +229,16 @@
     }
 }
 
-/// Log likelihood ratios of a pace. Of the baseline's paces 0.5 are in the lower, 0.4 in the upper and 0.1 in the top band;
-/// the alternatives are versions of which a third, half, or all answers are several times slower, and one of which all
-/// answers are somewhat slower.
+/// Log likelihood ratios of a pace; the shares are those of the bands from the lowest to the top one. The alternatives are
+/// versions of which a third, half, or all answers are several times slower, and one of which all answers are somewhat
+/// slower. Load widens the upper bands of the baseline and may hide the last one, except in the lowest band: no server is
+/// idle enough for it.
 fn band_ratios(band: Band) -> [f64; ALTERNATIVE_COUNT] {
     let (baseline, alternatives) = match band {
-        Band::Lower => (0.5, [0.37, 0.27, 0.05, 0.1]),
-        Band::Upper => (0.4, [0.3, 0.23, 0.15, 0.6]),
-        Band::Top => (0.1, [0.33, 0.5, 0.8, 0.3]),
+        Band::Lowest => (0.24, [0.17, 0.12, 0.02, 0.03]),
+        Band::Lower => (0.26, [0.2, 0.15, 0.03, 0.25]),
+        Band::Upper => (0.4, [0.3, 0.23, 0.15, 0.5]),
+        Band::Top => (0.1, [0.33, 0.5, 0.8, 0.22]),
     };
     alternatives.map(|alternative: f64| (alternative / baseline).ln())
 }
--- a/crates/rollout/tests/shift_evidence.rs
+++ b/crates/rollout/tests/shift_evidence.rs
@@ -37,10 +37,21 @@
     route: Option<usize>,
     /// Only this server is affected.
     server: Option<usize>,
+    /// How much load may lengthen an answer, as a multiple of its time on an idle server, and how rarely it does.
+    scatter: (f64, i32),
 }
 
-const GOOD: Version =
-    Version { failures: 0.0, slow: (0.0, 1.0), from: 0, route: None, server: None };
+const GOOD: Version = Version {
+    failures: 0.0,
+    slow: (0.0, 1.0),
+    from: 0,
+    route: None,
+    server: None,
+    scatter: (2.0, 2),
+};
+/// The version in use on busy servers, and a good one that is tried on less busy ones.
+const BUSY: Version = Version { scatter: (6.0, 3), ..GOOD };
+const LESS_BUSY: Version = Version { scatter: (1.5, 2), ..GOOD };
 
 /// One host's view of a shift.
 struct Host {
@@ -101,7 +112,10 @@
             return;
         }
         let factor = if is_slow { version.slow.1 } else { 1.0 };
-        let millis = 25.0 * load * factor * (1.0 + self.rng.random::<f64>().powi(2) * 2.0);
+        let millis = 25.0
+            * load
+            * factor
+            * (1.0 + self.rng.random::<f64>().powi(version.scatter.1) * version.scatter.0);
         let pace = Pace { kind: PaceKind::EventGap, millis, is_lower_bound: false };
         self.observe(id, route, server, Finding::Pace { model: Some("m".to_owned()), pace });
     }
@@ -177,6 +191,38 @@
     assert!(kept.is_empty(), "not withdrawn with seeds {kept:?}");
 }
 
+// Guards against a version that is somewhat slower passing as good because its servers are less busy than the others.
+#[test]
+fn a_slower_version_on_less_busy_servers_is_not_found_good() {
+    let slower = Version { slow: (1.0, 1.65), ..LESS_BUSY };
+    assert_eq!(shifts_found_good(BUSY, slower), 0);
+}
+
+// Guards against a good version that cannot be told from a slower one in time.
+#[rstest]
+#[case::as_busy(BUSY)]
+#[case::less_busy(LESS_BUSY)]
+fn a_good_version_beside_busy_servers_is_found_good(#[case] new: Version) {
+    let found = shifts_found_good(BUSY, new);
+    assert!(found >= 49, "{found} of 50 shifts");
+}
+
+/// Number of shifts, of 50, in which some host finds the new version good within 120 of its answers.
+fn shifts_found_good(old: Version, new: Version) -> usize {
+    let is_found_good = |seed: u64| {
+        let mut hosts: Vec<Host> =
+            (0..HOSTS).map(|host| Host::new(seed * HOSTS as u64 + host as u64, old)).collect();
+        (0..20).any(|step| {
+            hosts.iter_mut().for_each(|host| host.step(new, 1.0));
+            if step % STEPS_PER_ROUND == 0 {
+                exchange(&mut hosts);
+            }
+            step >= 8 && hosts.iter().any(|host| host.shift.verdict() == Verdict::Good)
+        })
+    };
+    (0..50).filter(|seed| is_found_good(*seed)).count()
+}
+
 // A good version must not be withdrawn because of load, its route's usual failures or one slow or failing server.
 #[rstest]
 #[case::good(GOOD, GOOD)]
@@ -187,6 +233,8 @@
 )]
 #[case::one_slow_server(GOOD, Version { slow: (1.0, 20.0), server: Some(3), ..GOOD })]
 #[case::one_failing_server(GOOD, Version { failures: 1.0, server: Some(3), ..GOOD })]
+#[case::busy(BUSY, BUSY)]
+#[case::less_busy(BUSY, LESS_BUSY)]
 #[case::same_slow_answers(Version { slow: (0.2, 8.0), ..GOOD }, Version { slow: (0.2, 8.0), ..GOOD })]
 fn a_good_version_is_withdrawn_in_at_most_one_shift_of_a_hundred(
     #[case] old: Version,
