Do not take an answer that breaks late for a sound one

Cause: an answer that had gone on for half a second after its head counted as sound and cleared its parts on all hosts for a minute. Class: time at the receiver taken for time at the sender.

Change: only a whole answer with its own framing is sound. One that breaks later than its beginning is neither suspected nor sound.

--- a/crates/route/src/attempt_times.rs
+++ b/crates/route/src/attempt_times.rs
@@ -31,8 +31,6 @@
     gaps: u32,
     /// Whether the pace was taken.
     is_taken: bool,
-    /// Whether [`AttemptTimes::take_past`] has returned true.
-    is_past: bool,
 }
 
 impl AttemptTimes {
@@ -59,13 +57,6 @@
         self.head.map(|head| now.saturating_duration_since(head))
     }
 
-    /// Whether the attempt has been answering for longer than `time`; true once only.
-    pub(crate) fn take_past(&mut self, time: Duration, attempt: &Attempt, now: Instant) -> bool {
-        let is_timed = attempt.number == self.number && !self.is_past;
-        self.is_past |= is_timed && self.answering(attempt, now).is_some_and(|past| past > time);
-        is_timed && self.is_past
-    }
-
     /// Records events that arrived together; returns the pace once enough of them have arrived.
     pub(crate) fn record_event(&mut self, attempt: &Attempt, now: Instant) -> Option<Pace> {
         if attempt.number != self.number {
--- a/crates/route/src/dispatch/crashes.rs
+++ b/crates/route/src/dispatch/crashes.rs
@@ -53,25 +53,16 @@
         outcome: AttemptOutcome,
         now: Instant,
     ) {
-        let answering = req.times.answering(attempt, now);
-        let is_past_beginning = answering.is_some_and(|time| time > BEGINNING);
-        let is_sound = match outcome {
-            AttemptOutcome::Whole | AttemptOutcome::Failed => {
-                is_past_beginning || !req.times.may_be_cut()
-            }
-            AttemptOutcome::Broken | AttemptOutcome::Dropped | AttemptOutcome::Cancelled => {
-                is_past_beginning
-            }
-            AttemptOutcome::Garbled
-            | AttemptOutcome::Silent
-            | AttemptOutcome::Unreachable
-            | AttemptOutcome::Misdirected
-            | AttemptOutcome::Full { .. } => false,
-        };
-        if is_sound {
+        let is_answered = matches!(outcome, AttemptOutcome::Whole | AttemptOutcome::Failed);
+        if is_answered && !req.times.may_be_cut() {
             self.record_sound_answer(req, now);
             return;
         }
+        // A break may be noticed late, so a long answer that broke is neither suspected nor sound.
+        let answering = req.times.answering(attempt, now);
+        if answering.is_some_and(|time| time > BEGINNING) {
+            return;
+        }
         let window = match outcome {
             AttemptOutcome::Broken => SUSPICION_WINDOW,
             // The server may crash just after the answer was dropped, or have ended it by crashing.
@@ -89,18 +80,6 @@
         });
     }
 
-    /// Records a sound answer once the attempt's answer is past its beginning.
-    pub(super) fn record_progress_for_blame(
-        &mut self,
-        req: &mut InFlightRequest,
-        attempt: &Attempt,
-        now: Instant,
-    ) {
-        if req.times.take_past(BEGINNING, attempt, now) {
-            self.record_sound_answer(req, now);
-        }
-    }
-
     fn record_sound_answer(&mut self, req: &InFlightRequest, now: Instant) {
         for (culprit, _) in culprits(req.fingerprint, &req.parts) {
             let change = self.blame.record_sound_answer(culprit, now);
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -447,7 +447,6 @@
         now: Instant,
     ) {
         self.backends.event_received(attempt, gap, now);
-        self.record_progress_for_blame(req, attempt, now);
         if let Some(pace) = req.times.record_event(attempt, now) {
             self.notify_pace(req, attempt, pace, now);
         }
--- a/crates/route/tests/dispatch_crashes.rs
+++ b/crates/route/tests/dispatch_crashes.rs
@@ -112,6 +112,17 @@
     assert!(!is_quarantined(&harness));
 }
 
+/// Guards against a break that is noticed late, for instance by a host that was suspended, clearing the culprit.
+#[test]
+fn an_answer_that_breaks_late_clears_nothing() {
+    let mut harness = harness();
+    for at in [CrashAt::AfterHead, CrashAt::AfterHead, CrashAt::Later, CrashAt::AfterHead] {
+        assert!(!is_quarantined(&harness));
+        crash(&mut harness, at);
+    }
+    assert!(is_quarantined(&harness));
+}
+
 /// Guards against a content that all callers send being refused because it is present at each crash.
 #[rstest]
 #[case::before(true)]
