Test separately whether a version is slower at its fastest

Cause: the lowest band was part of the tests that withdraw a version. It took the place of the alternative of a version that is slower in all its answers, and made normal answers weigh more for the version.

Change: these tests are as they were before. The lowest band feeds a test of its own, summed over all hosts, which only keeps a version from being found good. Evidence sent to hosts of another release is not understood there while both releases run.

--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -216,8 +216,7 @@
         if !is_new {
             return;
         }
-        let (failures, slowness) = self.shared.sums(host);
-        self.evidence.set_peers(failures, slowness);
+        self.evidence.set_peers(self.shared.sums(host));
         if self.conclusion.is_none() {
             self.conclusion = self.evidence.conclusion();
         }
--- a/crates/rollout/src/shift/evidence.rs
+++ b/crates/rollout/src/shift/evidence.rs
@@ -13,17 +13,28 @@
 use crate::judge::sequential::OutcomeCount;
 use crate::shift::baseline::Band;
 use crate::shift::shared::HostEvidence;
+use crate::shift::shared::PeerSums;
 use crate::shift::shared::scaled;
+use crate::shift::shared::scaled_ratio;
 
 /// Evidence on one version.
 #[derive(Debug, Default)]
 pub struct Evidence {
     failures: RouteTests,
     slowness: RouteTests,
+    floor: FloorTest,
     /// Whether something was added since the evidence was last sent to peers.
     has_news: bool,
 }
 
+/// Test for a version that is slower at its fastest. Load on the servers in use may hide that in the upper bands, since a
+/// trial's servers are less busy. It only keeps a version from being found good.
+#[derive(Debug, Default)]
+struct FloorTest {
+    own: f64,
+    peers: f64,
+}
+
 /// What was found worse.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cause {
@@ -76,9 +87,7 @@
 /// Alternative that is ruled out before a version is good: an excess of 0.16 failures, or half of the answers several
 /// times slower.
 const RULED_OUT: usize = 1;
-/// Alternative of slowness that is ruled out, too: all answers somewhat slower. A few paces in the lowest band rule it out.
-const SOMEWHAT_SLOWER: usize = 3;
-/// Log evidence at which it is.
+/// Log evidence of the floor test at which a version is not slower at its fastest.
 const NOT_SLOWER_LOG_THRESHOLD: f64 = -8.0;
 
 impl Evidence {
@@ -92,6 +101,7 @@
 
     pub fn add_pace(&mut self, route: &str, server: &BackendServerId, band: Band) {
         self.slowness.add(route, server, &MixtureTest::from_log_ratios(band_ratios(band)));
+        self.floor.own += floor_ratio(band);
         self.has_news = true;
     }
 
@@ -108,10 +118,9 @@
         let failures = self.failures.sum();
         let slowness = self.slowness.sum();
         let is_measured = slowness.log_ratios() != MixtureTest::default().log_ratios();
-        let ratios = slowness.log_ratios();
         let is_fast = !is_measured
-            || (ratios[RULED_OUT] <= GOOD_LOG_THRESHOLD
-                && ratios[SOMEWHAT_SLOWER] <= NOT_SLOWER_LOG_THRESHOLD);
+            || (slowness.log_ratios()[RULED_OUT] <= GOOD_LOG_THRESHOLD
+                && self.floor.sum() <= NOT_SLOWER_LOG_THRESHOLD);
         failures.log_ratios()[RULED_OUT] <= GOOD_LOG_THRESHOLD && is_fast
     }
 
@@ -128,13 +137,22 @@
             updated_ms,
             failures: scaled(&self.failures.all.total),
             slowness: scaled(&self.slowness.all.total),
+            floor: scaled_ratio(self.floor.own),
         })
     }
 
     /// Replaces the other hosts' sums.
-    pub fn set_peers(&mut self, failures: ServerTests, slowness: ServerTests) {
-        self.failures.peers = failures;
-        self.slowness.peers = slowness;
+    pub fn set_peers(&mut self, sums: PeerSums) {
+        self.failures.peers = sums.failures;
+        self.slowness.peers = sums.slowness;
+        self.floor.peers = sums.floor;
+    }
+}
+
+impl FloorTest {
+    /// Sum over all hosts.
+    fn sum(&self) -> f64 {
+        self.own + self.peers
     }
 }
 
@@ -229,16 +247,24 @@
     }
 }
 
-/// Log likelihood ratios of a pace; the shares are those of the bands from the lowest to the top one. The alternatives are
-/// versions of which a third, half, or all answers are several times slower, and one of which all answers are somewhat
-/// slower. Load widens the upper bands of the baseline and may hide the last one, except in the lowest band: no server is
-/// idle enough for it.
+/// Log likelihood ratios of a pace. Of the baseline's paces 0.5 are below the median, 0.4 in the upper and 0.1 in the top
+/// band; the alternatives are versions of which a third, half, or all answers are several times slower, and one of which all
+/// answers are somewhat slower.
 fn band_ratios(band: Band) -> [f64; ALTERNATIVE_COUNT] {
     let (baseline, alternatives) = match band {
-        Band::Lowest => (0.24, [0.17, 0.12, 0.02, 0.03]),
-        Band::Lower => (0.26, [0.2, 0.15, 0.03, 0.25]),
-        Band::Upper => (0.4, [0.3, 0.23, 0.15, 0.5]),
-        Band::Top => (0.1, [0.33, 0.5, 0.8, 0.22]),
+        Band::Lowest | Band::Lower => (0.5, [0.37, 0.27, 0.05, 0.1]),
+        Band::Upper => (0.4, [0.3, 0.23, 0.15, 0.6]),
+        Band::Top => (0.1, [0.33, 0.5, 0.8, 0.3]),
     };
     alternatives.map(|alternative: f64| (alternative / baseline).ln())
 }
+
+/// Log likelihood ratio of a pace for a version that is slower at its fastest, by the share of paces in the lowest band.
+fn floor_ratio(band: Band) -> f64 {
+    const BASELINE: f64 = 0.24;
+    const SLOWER: f64 = 0.03;
+    match band {
+        Band::Lowest => (SLOWER / BASELINE).ln(),
+        Band::Lower | Band::Upper | Band::Top => ((1.0 - SLOWER) / (1.0 - BASELINE)).ln(),
+    }
+}
--- a/crates/rollout/src/shift/shared.rs
+++ b/crates/rollout/src/shift/shared.rs
@@ -32,6 +32,17 @@
     pub updated_ms: u64,
     pub failures: BTreeMap<BackendServerId, ScaledRatios>,
     pub slowness: BTreeMap<BackendServerId, ScaledRatios>,
+    /// Log likelihood ratio of the floor test, in hundredths.
+    #[serde(default)]
+    pub floor: i32,
+}
+
+/// Sums of the tests at several hosts.
+#[derive(Debug, Default)]
+pub struct PeerSums {
+    pub failures: ServerTests,
+    pub slowness: ServerTests,
+    pub floor: f64,
 }
 
 /// Latest evidence of all hosts.
@@ -70,14 +81,15 @@
         news
     }
 
-    /// Sums of the tests on failures and on slowness at all hosts but `own`.
+    /// Sums of the tests at all hosts but `own`.
     #[must_use]
-    pub fn sums(&self, own: &str) -> (ServerTests, ServerTests) {
-        let mut sums = (ServerTests::default(), ServerTests::default());
+    pub fn sums(&self, own: &str) -> PeerSums {
+        let mut sums = PeerSums::default();
         for (host, (evidence, _)) in &self.hosts {
             if host != own {
-                add(&mut sums.0, &evidence.failures);
-                add(&mut sums.1, &evidence.slowness);
+                add(&mut sums.failures, &evidence.failures);
+                add(&mut sums.slowness, &evidence.slowness);
+                sums.floor += unscaled_ratio(evidence.floor);
             }
         }
         sums
@@ -87,13 +99,25 @@
 /// Converts a test to what is sent.
 #[must_use]
 pub fn scaled(tests: &ServerTests) -> BTreeMap<BackendServerId, ScaledRatios> {
-    let scale = |ratio: f64| (ratio * SCALE) as i32;
-    tests.servers().map(|(server, test)| (server.clone(), test.log_ratios().map(scale))).collect()
+    tests
+        .servers()
+        .map(|(server, test)| (server.clone(), test.log_ratios().map(scaled_ratio)))
+        .collect()
+}
+
+/// Converts a log likelihood ratio to what is sent.
+#[must_use]
+pub fn scaled_ratio(ratio: f64) -> i32 {
+    (ratio * SCALE) as i32
+}
+
+fn unscaled_ratio(ratio: i32) -> f64 {
+    f64::from(ratio.clamp(-MAX_SCALED, MAX_SCALED)) / SCALE
 }
 
 fn add(sums: &mut ServerTests, servers: &BTreeMap<BackendServerId, ScaledRatios>) {
     for (server, ratios) in servers {
-        let ratios = ratios.map(|ratio| f64::from(ratio.clamp(-MAX_SCALED, MAX_SCALED)) / SCALE);
+        let ratios = ratios.map(unscaled_ratio);
         sums.add(server, &MixtureTest::from_log_ratios(ratios));
     }
 }
