Let a host that has started ask the others what they refuse

Callers saw nothing yet: in our test a host that started while the store was away let three more servers crash under a content that the other hosts refused.

Cause: it learned of quarantines from the store's records alone; the others pass findings on only while these are new.

Change: a host asks once it knows others, and after it was suspended: it sends its findings, also if it has none, and gets theirs in return.

Result: a_host_that_starts_without_the_store_learns_what_the_others_refuse failed before (6 crashes where 3 were known) and holds now.

--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -65,17 +65,23 @@
     }
 }
 
-/// Passes on findings on crashes until the process ends: at once, and again in the next rounds.
+/// Passes on findings on crashes until the process ends: at once, and again in the next rounds. A host that has started, or
+/// was suspended, asks the others for theirs.
 pub(crate) async fn run_crashes(core: Rc<Core>) {
+    let mut has_asked = false;
     loop {
-        if !core.dispatcher.borrow().has_crash_news() {
-            core.crash_news.notified().await;
+        if has_asked && !core.dispatcher.borrow().has_crash_news() {
+            tokio::select! {
+                () = core.crash_news.notified() => {}
+                () = core.resumed.notified() => {}
+            }
         }
         tokio::time::sleep(CRASH_NEWS_DELAY).await;
         // A host that has just started may not know the others yet.
         if !core.feeds.borrow().other_addresses().is_empty() {
             let findings = core.dispatcher.borrow_mut().take_crash_news();
             exchange_crashes(&core, &findings);
+            has_asked = true;
         }
         tokio::select! {
             () = tokio::time::sleep(ROUND_INTERVAL) => {}
