Report a quarantine again when the store could not record it

Callers saw nothing yet: a host that started after an outage of the store would not have known of quarantines from its time.

Cause: a report that failed was logged and dropped.

Change: it is sent again after 3 s while the culprit is quarantined.

--- a/crates/relay/src/duties.rs
+++ b/crates/relay/src/duties.rs
@@ -36,6 +36,8 @@
 const REPORT_SPREAD_FRACTION: f64 = 0.05;
 /// Delay before a report is retried.
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(1_200);
+/// Delay before a suspect report that failed is sent again.
+const SUSPECT_RETRY_DELAY: Duration = Duration::from_secs(3);
 /// Interval between suspect reports.
 const SUSPECT_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 const SPREAD_SEED: u64 = 0x7370_7264;
@@ -89,9 +91,15 @@
                     request = core.wire.replace_suspect(culprit, deaths);
                     continue;
                 }
-                Ok(_) => {}
-                Err(e) => {
-                    log::warn!("event=suspect_not_reported culprit={culprit} reason={e}");
+                Ok(status) if !status.is_server_error() => {}
+                outcome => {
+                    let reason = match outcome {
+                        Ok(status) => status.to_string(),
+                        Err(e) => e.to_string(),
+                    };
+                    log::warn!("event=suspect_not_reported culprit={culprit} reason={reason:?}");
+                    let due = Instant::now() + SUSPECT_RETRY_DELAY;
+                    core.report_suspect(SuspectReport { due, ..report });
                 }
             }
             break;
