--- a/crates/route/src/dispatch/crashes.rs
+++ b/crates/route/src/dispatch/crashes.rs
@@ -23,12 +23,14 @@
 use crate::in_flight::InFlightRequest;
 use crate::in_flight::PromptPart;
 
-/// Time after its head in which an answer counts as beginning. An answer that lasted longer did not crash its server.
+/// Time after its head in which an answer counts as beginning; one that lasted longer is not suspected of a crash.
 const BEGINNING: Duration = Duration::from_millis(500);
 /// Time after an answer broke off in which its server must be found dead for the request to be suspected.
 const SUSPICION_WINDOW: Duration = Duration::from_millis(1_500);
 /// Maximum number of requests noted for one crash: those whose answers began last.
 const MAX_SUSPECTS_PER_CRASH: usize = 16;
+/// Number of servers with interrupted answers from which on expired answers are removed.
+const MAX_INTERRUPTED_SERVERS: usize = 256;
 const CRASH_SEED: u64 = 0x6372_6173;
 
 /// An answer that broke off near its beginning.
@@ -69,6 +71,11 @@
             AttemptOutcome::Dropped | AttemptOutcome::Whole | AttemptOutcome::Failed => BEGINNING,
             _ => return,
         };
+        if self.interrupted_answers.len() >= MAX_INTERRUPTED_SERVERS {
+            // Servers that went on, or left, still have entries.
+            self.interrupted_answers
+                .retain(|_, answers| answers.iter().any(|answer| answer.is_recent(now)));
+        }
         let interrupted = self.interrupted_answers.entry(attempt.server.clone()).or_default();
         interrupted.retain(|answer| answer.is_recent(now));
         interrupted.push(InterruptedAnswer {
