--- a/tests/soak/crashes.rs
+++ b/tests/soak/crashes.rs
@@ -113,12 +113,7 @@
     fn matches(self, request: &ReceivedRequest) -> bool {
         match self {
             Kind::Content => request.body == CONTENT,
-            Kind::Part => {
-                let parts = request.headers.get("x-prefix-hash");
-                parts
-                    .and_then(|parts| parts.to_str().ok())
-                    .is_some_and(|parts| parts.contains(PART))
-            }
+            Kind::Part => request.has_part(PART),
         }
     }
 
