--- a/crates/route/src/blame.rs
+++ b/crates/route/src/blame.rs
@@ -171,21 +171,20 @@
     /// Adds a finding of this host or of another one.
     pub(crate) fn merge(&mut self, finding: CrashFinding, now: Instant) -> BlameChange {
         let CrashFinding { culprit, content, crash, .. } = finding;
-        let verdict = match self.sound.contains(culprit, now) {
-            true => Verdict::Cleared,
-            false => finding.verdict,
-        };
+        let is_sound = self.sound.contains(culprit, now);
+        let verdict = if is_sound { Verdict::Cleared } else { finding.verdict };
         let blame = self.blame(culprit, now);
         blame.position = blame.position.max(finding.position);
         let known = blame.crashes.get(&crash).copied();
         if known.is_none() && blame.crashes.len() >= MAX_CRASHES {
             return BlameChange::None;
         }
-        let content = known.map_or(content, |known| known.content.min(content));
-        blame.crashes.insert(crash, Sighting { verdict, content });
+        let merged = known.map_or(Sighting { verdict, content }, |known| Sighting {
+            verdict: known.verdict.max(verdict),
+            content: known.content.min(content),
+        });
+        blame.crashes.insert(crash, merged);
         if known.is_some_and(|known| known.verdict >= verdict) {
-            let verdict = known.map_or(verdict, |known| known.verdict);
-            blame.crashes.insert(crash, Sighting { verdict, content });
             return BlameChange::None;
         }
         let suspected = blame.suspected().count();
