Blame a part for new crashes although it was cleared of many

Callers saw nothing yet: found by reading the diff.

Change: a suspicion takes the place of a clearance. A clearance takes none, since hosts would pass on for ever what they drop in turn.

Result: a_part_that_was_cleared_often_may_still_be_blamed failed before and holds now.

--- a/crates/route/src/blame.rs
+++ b/crates/route/src/blame.rs
@@ -176,7 +176,7 @@
         let blame = self.blame(culprit, now);
         blame.position = blame.position.max(finding.position);
         let known = blame.crashes.get(&crash).copied();
-        if known.is_none() && blame.crashes.len() >= MAX_CRASHES {
+        if known.is_none() && !blame.has_room(verdict) {
             return BlameChange::None;
         }
         let merged = known.map_or(Sighting { verdict, content }, |known| Sighting {
@@ -345,6 +345,19 @@
         Blame { crashes: BTreeMap::new(), position: 0, updated: now }
     }
 
+    /// Whether another crash can be noted. A suspicion takes the place of a clearance; a clearance takes none, since hosts
+    /// would pass on for ever what they drop in turn.
+    fn has_room(&mut self, verdict: Verdict) -> bool {
+        if self.crashes.len() < MAX_CRASHES {
+            return true;
+        }
+        let mut cleared =
+            self.crashes.iter().filter(|(_, known)| known.verdict == Verdict::Cleared);
+        let replaced = cleared.next().map(|(crash, _)| *crash);
+        verdict == Verdict::Suspected
+            && replaced.is_some_and(|crash| self.crashes.remove(&crash).is_some())
+    }
+
     /// Crashes of which the culprit is suspected, each with a content.
     fn suspected(&self) -> impl Iterator<Item = (CrashId, Fingerprint)> + '_ {
         let suspected =
--- a/crates/route/tests/dispatch_crashes.rs
+++ b/crates/route/tests/dispatch_crashes.rs
@@ -343,3 +343,21 @@
     }
     assert!(is_quarantined(&harness));
 }
+
+/// Guards against a part that was cleared of many crashes never being blamed for later ones.
+#[test]
+fn a_part_that_was_cleared_often_may_still_be_blamed() {
+    let mut harness = harness();
+    let of = |crash, content, verdict| CrashFinding {
+        culprit: PART_CULPRIT,
+        position: 1,
+        content,
+        crash,
+        verdict,
+    };
+    let cleared = (0..40).map(|crash| of(crash, crash, Verdict::Cleared)).collect();
+    harness.dispatcher.merge_crash_findings(cleared, harness.now);
+    let suspected = (100..103).map(|crash| of(crash, crash, Verdict::Suspected)).collect();
+    harness.dispatcher.merge_crash_findings(suspected, harness.now);
+    assert!(harness.dispatcher.is_quarantined(PART_CULPRIT, harness.now));
+}
