--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -15,6 +15,7 @@
 use hosts::Hosts;
 use standin::configuration;
 use standin::configuration_with_lookups_at;
+use standin::engine::CrashTrigger;
 use standin::engine::Engine;
 use standin::eventually;
 use standin::fresh_id;
@@ -23,6 +24,7 @@
 use standin::registration;
 use standin::request_to;
 use standin::store::Store;
+use standin::store::StoreFaults;
 use standin::streamed;
 
 /// Long enough for a host to detect that it was suspended.
@@ -130,3 +132,61 @@
     })
     .await;
 }
+
+/// Guards against a host that was suspended while the others learned what crashes servers sending it on. The store is away,
+/// so the host learns it from the others only.
+#[tokio::test]
+async fn a_suspended_host_learns_what_the_others_refuse() {
+    const CRASHING: &str = "crashing content";
+    /// Time in which a host that is in touch again must know, and requests that may still reach servers after it.
+    const CONTACT: Duration = Duration::from_secs(3);
+    const MAX_LATE: usize = 3;
+    on_one_thread(async || {
+        let store = Store::start().await;
+        store.put("config", "main", configuration(1));
+        let mut engines = Vec::new();
+        for number in 0..6 {
+            let id = format!("i-{number}");
+            let engine = Engine::start(&id).await;
+            engine.crash_on(CrashTrigger::Body(CRASHING));
+            store.put("servers", &id, registration(&engine, "llm", "ready"));
+            engines.push(engine);
+        }
+        let hosts = Hosts::start(3, store.address, "suspended-crashes");
+        let client = Client::builder().no_proxy().build().expect("a client");
+        for readiness in hosts.readiness() {
+            eventually(async || is_ready(&client, readiness).await).await;
+        }
+        let send = async |host: usize| {
+            let (method, address) = (reqwest::Method::POST, hosts.addresses()[host]);
+            let request = request_to(&client, address, method, "/chat/1", &fresh_id());
+            if let Ok(answer) = streamed(request).body(CRASHING).send().await {
+                // Whether the answer is complete does not matter.
+                let _ = answer.bytes().await;
+            }
+        };
+        // The hosts know each other by then.
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        store.set_faults(StoreFaults { down: true, ..StoreFaults::default() });
+        hosts.signal(2, Signal::STOP);
+        for host in [0, 1, 0, 1] {
+            send(host).await;
+        }
+        tokio::time::sleep(SUSPENSION).await;
+        hosts.signal(2, Signal::CONT);
+        tokio::time::sleep(CONTACT).await;
+        let arrivals = || {
+            let received = engines.iter().flat_map(Engine::received);
+            received.filter(|request| request.body == CRASHING).count()
+        };
+        let before = arrivals();
+        for _ in 0..10 {
+            send(2).await;
+        }
+        let late = arrivals() - before;
+        assert!(before >= 3, "{before} requests reached servers at first");
+        assert!(late <= MAX_LATE, "{late} requests reached servers");
+        hosts.close();
+    })
+    .await;
+}
