Log which answers clear culprits of crashes, and quarantines that are dropped

New: event=cleared with the outcome of the answer, cleared= in event=server_died, event=quarantine_dropped, and the counter relay_crashes_cleared. No decision changes.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -302,9 +302,9 @@
                 Notification::ServerPaused { server, stated, applied } => {
                     self.log.write(&LogEvent::ServerPaused { id: &server, stated, applied });
                 }
-                Notification::ServerDied { server, requests } => {
+                Notification::ServerDied { server, requests, cleared } => {
                     self.metrics.server_died();
-                    self.log.write(&LogEvent::ServerDied { id: &server, requests });
+                    self.log.write(&LogEvent::ServerDied { id: &server, requests, cleared });
                 }
                 Notification::Suspect { culprit, crashes } => {
                     self.log.write(&LogEvent::Suspect { culprit, crashes });
@@ -324,9 +324,16 @@
                         });
                     }
                 }
+                Notification::Cleared { culprit, crashes, outcome } => {
+                    self.metrics.crashes_cleared(culprit.kind_name(), crashes);
+                    self.log.write(&LogEvent::Cleared { culprit, crashes, outcome });
+                }
                 Notification::Released { culprit } => {
                     self.log.write(&LogEvent::Released { culprit });
                 }
+                Notification::QuarantineDropped { culprit } => {
+                    self.log.write(&LogEvent::QuarantineDropped { culprit });
+                }
             }
         }
         if self.dispatcher.borrow().has_crash_news() {
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -126,6 +126,8 @@
     ServerDied {
         id: &'a str,
         requests: usize,
+        /// Contents and parts of these requests that are not suspected, because of earlier sound answers.
+        cleared: usize,
     },
     /// A content or part is suspected of this many crashes.
     Suspect {
@@ -138,10 +140,20 @@
         /// Who saw the last crash: `own`, `peer` or, for a record without the crashes, `store`.
         source: &'static str,
     },
+    /// An answer of this host cleared a culprit of crashes.
+    Cleared {
+        culprit: Culprit,
+        crashes: usize,
+        outcome: AttemptOutcome,
+    },
     /// A quarantined culprit was answered soundly elsewhere.
     Released {
         culprit: Culprit,
     },
+    /// The findings on a quarantined culprit were dropped for lack of room.
+    QuarantineDropped {
+        culprit: Culprit,
+    },
     /// This host started or stopped watching the store itself.
     Watching(bool),
     /// Another entry host became a source of store updates.
@@ -349,8 +361,8 @@
                     conclusion.log_evidence,
                 )
             }
-            LogEvent::ServerDied { id, requests } => {
-                write!(f, "event=server_died id={id} requests={requests}")
+            LogEvent::ServerDied { id, requests, cleared } => {
+                write!(f, "event=server_died id={id} requests={requests} cleared={cleared}")
             }
             LogEvent::Suspect { culprit, crashes } => {
                 write!(f, "event=suspect culprit={culprit} crashes={crashes}")
@@ -358,9 +370,16 @@
             LogEvent::Quarantined { culprit, crashes, source } => {
                 write!(f, "event=quarantined culprit={culprit} crashes={crashes} source={source}")
             }
+            LogEvent::Cleared { culprit, crashes, outcome } => {
+                let outcome = outcome.name();
+                write!(f, "event=cleared culprit={culprit} crashes={crashes} outcome={outcome}")
+            }
             LogEvent::Released { culprit } => {
                 write!(f, "event=released culprit={culprit}")
             }
+            LogEvent::QuarantineDropped { culprit } => {
+                write!(f, "event=quarantine_dropped culprit={culprit}")
+            }
             LogEvent::Watching(watching) => write!(f, "event=watching value={watching}"),
             LogEvent::Source { host } => write!(f, "event=source host={host}"),
             LogEvent::SourceLost { host, reason } => {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -18,6 +18,7 @@
     servers_lost: Counter<u64>,
     servers_died: Counter<u64>,
     quarantines: Counter<u64>,
+    crashes_cleared: Counter<u64>,
     streams_broken: Counter<u64>,
     callers_closed: Counter<u64>,
 }
@@ -39,6 +40,7 @@
             servers_lost: meter.u64_counter("relay_servers_lost").build(),
             servers_died: meter.u64_counter("relay_servers_died").build(),
             quarantines: meter.u64_counter("relay_quarantines").build(),
+            crashes_cleared: meter.u64_counter("relay_crashes_cleared").build(),
             streams_broken: meter.u64_counter("relay_streams_broken").build(),
             callers_closed: meter.u64_counter("relay_callers_closed").build(),
             scrape,
@@ -85,6 +87,12 @@
         self.quarantines.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts crashes of which an answer cleared a culprit; `kind` is `content` or `part`.
+    pub fn crashes_cleared(&self, kind: &'static str, crashes: usize) {
+        let crashes = u64::try_from(crashes).unwrap_or(u64::MAX);
+        self.crashes_cleared.add(crashes, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Counts a stream that could not be completed; `reason` is a kind of refusal or `plain_answer`.
     pub fn stream_broken(&self, reason: &'static str) {
         self.streams_broken.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/relay/tests/logs.rs
+++ b/crates/relay/tests/logs.rs
@@ -21,6 +21,7 @@
 use foxtailhoist_rollout::shift::ShiftPhase;
 use foxtailhoist_route::backends::RegistrationChange;
 use foxtailhoist_route::blame::Culprit;
+use foxtailhoist_route::in_flight::AttemptOutcome;
 
 /// A writer whose calls block until released.
 struct StalledWriter {
@@ -147,10 +148,17 @@
             "shift_withdrawn",
             "bad",
         ),
-        (LogEvent::ServerDied { id: "i", requests: 2 }, "server_died", "requests"),
+        (LogEvent::ServerDied { id: "i", requests: 2, cleared: 1 }, "server_died", "cleared"),
+        (LogEvent::ServerDied { id: "i", requests: 2, cleared: 1 }, "server_died", "requests"),
         (LogEvent::Suspect { culprit, crashes: 1 }, "suspect", "crashes"),
         (LogEvent::Quarantined { culprit, crashes: 3, source: "own" }, "quarantined", "source"),
+        (
+            LogEvent::Cleared { culprit, crashes: 2, outcome: AttemptOutcome::Whole },
+            "cleared",
+            "outcome",
+        ),
         (LogEvent::Released { culprit }, "released", "culprit"),
+        (LogEvent::QuarantineDropped { culprit }, "quarantine_dropped", "culprit"),
         (LogEvent::Watching(false), "watching", "value"),
         (LogEvent::Source { host: "h" }, "source", "host"),
         (LogEvent::SourceLost { host: "h", reason: "ended" }, "source_lost", "reason"),
--- a/crates/route/src/blame.rs
+++ b/crates/route/src/blame.rs
@@ -91,8 +91,8 @@
     Suspected(usize),
     /// The same, and it is quarantined from now on.
     Quarantined(usize),
-    /// The culprit is cleared of a crash; tells whether that ended its quarantine.
-    Cleared { was_quarantined: bool },
+    /// The culprit is cleared of this many crashes; tells whether that ended its quarantine.
+    Cleared { crashes: usize, was_quarantined: bool },
 }
 
 /// Findings on all culprits.
@@ -103,6 +103,8 @@
     sound: SoundAnswers,
     /// Findings to share, each with the rounds left.
     news: VecDeque<(CrashFinding, u8)>,
+    /// Quarantined culprits dropped for lack of room since they were last taken.
+    dropped: Vec<Culprit>,
 }
 
 /// Findings on one culprit.
@@ -198,7 +200,7 @@
             Verdict::Cleared => {
                 let was_quarantined =
                     suspected < QUARANTINE_CRASHES && self.quarantined.remove(&culprit);
-                BlameChange::Cleared { was_quarantined }
+                BlameChange::Cleared { crashes: 1, was_quarantined }
             }
         }
     }
@@ -210,14 +212,14 @@
             return BlameChange::None;
         };
         let suspected: Vec<CrashId> = blame.suspected().map(|(crash, _)| crash).collect();
-        let mut was_quarantined = false;
+        let (crashes, mut was_quarantined) = (suspected.len(), false);
         for crash in suspected {
             let (content, verdict) = (0, Verdict::Cleared);
             let finding = CrashFinding { culprit, position: 0, content, crash, verdict };
             let change = self.merge(finding, now);
-            was_quarantined |= change == BlameChange::Cleared { was_quarantined: true };
+            was_quarantined |= matches!(change, BlameChange::Cleared { was_quarantined: true, .. });
         }
-        BlameChange::Cleared { was_quarantined }
+        BlameChange::Cleared { crashes, was_quarantined }
     }
 
     /// Whether a sound answer speaks for a content or a part.
@@ -250,6 +252,11 @@
             && culprits(content, parts).any(|(culprit, _)| self.is_quarantined(culprit, now))
     }
 
+    /// Removes and returns the quarantined culprits that were dropped for lack of room.
+    pub(crate) fn take_dropped(&mut self) -> Vec<Culprit> {
+        std::mem::take(&mut self.dropped)
+    }
+
     pub(crate) fn has_news(&self) -> bool {
         !self.news.is_empty()
     }
@@ -323,7 +330,9 @@
             let oldest = self.culprits.iter().min_by_key(|(_, blame)| blame.updated);
             if let Some(oldest) = oldest.map(|(culprit, _)| *culprit) {
                 self.culprits.remove(&oldest);
-                self.quarantined.remove(&oldest);
+                if self.quarantined.remove(&oldest) {
+                    self.dropped.push(oldest);
+                }
             }
         }
         let blame = self.culprits.entry(culprit).or_insert_with(|| Blame::new(now));
--- a/crates/route/src/dispatch/crashes.rs
+++ b/crates/route/src/dispatch/crashes.rs
@@ -57,7 +57,7 @@
     ) {
         let is_answered = matches!(outcome, AttemptOutcome::Whole | AttemptOutcome::Failed);
         if is_answered && !req.times.may_be_cut() {
-            self.record_sound_answer(req, now);
+            self.record_sound_answer(req, outcome, now);
             return;
         }
         // A break may be noticed late, so a long answer that broke is neither suspected nor sound.
@@ -87,10 +87,19 @@
         });
     }
 
-    fn record_sound_answer(&mut self, req: &InFlightRequest, now: Instant) {
+    fn record_sound_answer(
+        &mut self,
+        req: &InFlightRequest,
+        outcome: AttemptOutcome,
+        now: Instant,
+    ) {
         for (culprit, _) in culprits(req.fingerprint, &req.parts) {
             let change = self.blame.record_sound_answer(culprit, now);
-            if change == (BlameChange::Cleared { was_quarantined: true }) {
+            let BlameChange::Cleared { crashes: crashes @ 1.., was_quarantined } = change else {
+                continue;
+            };
+            self.notifications.push(Notification::Cleared { culprit, crashes, outcome });
+            if was_quarantined {
                 self.notifications.push(Notification::Released { culprit });
             }
         }
@@ -113,19 +122,20 @@
         // An answer whose head was lost may have begun just before the crash, or may have waited.
         interrupted.sort_by_key(|answer| answer.answering.unwrap_or(BEGINNING));
         interrupted.truncate(MAX_SUSPECTS_PER_CRASH);
-        self.notifications.push(Notification::ServerDied {
-            server: server.to_owned(),
-            requests: interrupted.len(),
-        });
-        let mut findings = Vec::new();
+        let requests = interrupted.len();
+        let (mut findings, mut cleared) = (Vec::new(), 0);
         for InterruptedAnswer { content, parts, crash, .. } in interrupted {
             for (culprit, position) in culprits(content, &parts) {
-                if !self.blame.is_sound(culprit, now) {
+                if self.blame.is_sound(culprit, now) {
+                    cleared += 1;
+                } else {
                     let verdict = Verdict::Suspected;
                     findings.push(CrashFinding { culprit, position, content, crash, verdict });
                 }
             }
         }
+        let server = server.to_owned();
+        self.notifications.push(Notification::ServerDied { server, requests, cleared });
         self.merge_findings(findings, true, now);
     }
 
@@ -140,6 +150,9 @@
         for finding in findings {
             self.merge_finding(finding, is_own, now);
         }
+        for culprit in self.blame.take_dropped() {
+            self.notifications.push(Notification::QuarantineDropped { culprit });
+        }
     }
 
     /// Whether there are findings to share.
@@ -179,7 +192,7 @@
             BlameChange::Quarantined(crashes) => {
                 self.notifications.push(Notification::Quarantined { culprit, crashes, is_own });
             }
-            BlameChange::Cleared { was_quarantined: true } => {
+            BlameChange::Cleared { was_quarantined: true, .. } => {
                 self.notifications.push(Notification::Released { culprit });
             }
             BlameChange::None | BlameChange::Suspected(_) | BlameChange::Cleared { .. } => {}
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -198,14 +198,19 @@
     ServerLeaving { server: BackendServerId },
     /// A server asked for no requests for the stated time; `applied` is the time that it gets none.
     ServerPaused { server: BackendServerId, stated: Duration, applied: Duration },
-    /// A server was found dead that was beginning to answer this many requests of this host.
-    ServerDied { server: BackendServerId, requests: usize },
+    /// A server was found dead that was beginning to answer this many requests of this host; of their contents and
+    /// parts, `cleared` are not suspected, because of earlier sound answers.
+    ServerDied { server: BackendServerId, requests: usize, cleared: usize },
     /// This host noted a culprit in another crash; these are its crashes on all hosts.
     Suspect { culprit: Culprit, crashes: usize },
     /// A culprit was quarantined; `is_own` tells whether this host saw the last of its crashes.
     Quarantined { culprit: Culprit, crashes: usize, is_own: bool },
+    /// An answer with this outcome cleared a culprit of crashes.
+    Cleared { culprit: Culprit, crashes: usize, outcome: AttemptOutcome },
     /// A quarantined culprit was answered soundly on a host that did not know of its crashes.
     Released { culprit: Culprit },
+    /// The findings on a quarantined culprit were dropped for lack of room.
+    QuarantineDropped { culprit: Culprit },
 }
 
 impl Dispatcher {
