Do not take an error for a sound answer

Cause: any answer but a broken one cleared its content and the parts of its prompt of all crashes, and for 60 s of later ones, on all hosts; so did 429, 500, 503 and 504, as Failed or, passed on to the caller, as Whole. An error shows that the server lives, not that it ran the request. Class: absence of one fault taken for evidence against another.

Change: only a whole answer of 2xx with its own framing is sound. An error not older than 500 ms when its server is found dead is noted for the crash, as an answer that was dropped is. Broken answers go first among the 16 that are noted, and a server that answers many errors keeps 16 of them.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -324,9 +324,9 @@
                         });
                     }
                 }
-                Notification::Cleared { culprit, crashes, outcome } => {
+                Notification::Cleared { culprit, crashes } => {
                     self.metrics.crashes_cleared(culprit.kind_name(), crashes);
-                    self.log.write(&LogEvent::Cleared { culprit, crashes, outcome });
+                    self.log.write(&LogEvent::Cleared { culprit, crashes });
                 }
                 Notification::Released { culprit } => {
                     self.log.write(&LogEvent::Released { culprit });
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -140,11 +140,10 @@
         /// Who saw the last crash: `own`, `peer` or, for a record without the crashes, `store`.
         source: &'static str,
     },
-    /// An answer of this host cleared a culprit of crashes.
+    /// A sound answer of this host cleared a culprit of crashes.
     Cleared {
         culprit: Culprit,
         crashes: usize,
-        outcome: AttemptOutcome,
     },
     /// A quarantined culprit was answered soundly elsewhere.
     Released {
@@ -370,9 +369,8 @@
             LogEvent::Quarantined { culprit, crashes, source } => {
                 write!(f, "event=quarantined culprit={culprit} crashes={crashes} source={source}")
             }
-            LogEvent::Cleared { culprit, crashes, outcome } => {
-                let outcome = outcome.name();
-                write!(f, "event=cleared culprit={culprit} crashes={crashes} outcome={outcome}")
+            LogEvent::Cleared { culprit, crashes } => {
+                write!(f, "event=cleared culprit={culprit} crashes={crashes}")
             }
             LogEvent::Released { culprit } => {
                 write!(f, "event=released culprit={culprit}")
--- a/crates/relay/tests/logs.rs
+++ b/crates/relay/tests/logs.rs
@@ -21,7 +21,6 @@
 use foxtailhoist_rollout::shift::ShiftPhase;
 use foxtailhoist_route::backends::RegistrationChange;
 use foxtailhoist_route::blame::Culprit;
-use foxtailhoist_route::in_flight::AttemptOutcome;
 
 /// A writer whose calls block until released.
 struct StalledWriter {
@@ -152,11 +151,7 @@
         (LogEvent::ServerDied { id: "i", requests: 2, cleared: 1 }, "server_died", "requests"),
         (LogEvent::Suspect { culprit, crashes: 1 }, "suspect", "crashes"),
         (LogEvent::Quarantined { culprit, crashes: 3, source: "own" }, "quarantined", "source"),
-        (
-            LogEvent::Cleared { culprit, crashes: 2, outcome: AttemptOutcome::Whole },
-            "cleared",
-            "outcome",
-        ),
+        (LogEvent::Cleared { culprit, crashes: 2 }, "cleared", "crashes"),
         (LogEvent::Released { culprit }, "released", "culprit"),
         (LogEvent::QuarantineDropped { culprit }, "quarantine_dropped", "culprit"),
         (LogEvent::Watching(false), "watching", "value"),
--- a/crates/route/src/attempt_times.rs
+++ b/crates/route/src/attempt_times.rs
@@ -9,6 +9,7 @@
 use foxtailhoist_model::Pace;
 use foxtailhoist_model::PaceKind;
 
+use crate::dispatch::AnswerHead;
 use crate::in_flight::Attempt;
 use crate::in_flight::AttemptOutcome;
 
@@ -24,8 +25,8 @@
     number: u32,
     sent: Option<Instant>,
     head: Option<Instant>,
-    /// Whether only the end of the connection ends the answer.
-    ends_with_connection: bool,
+    /// Whether the head shows that the server ran the request, and the framing where its answer ends.
+    is_sound_head: bool,
     first_event: Option<Instant>,
     last_event: Option<Instant>,
     gaps: u32,
@@ -38,14 +39,15 @@
         AttemptTimes { number: attempt.number, sent: Some(now), ..AttemptTimes::default() }
     }
 
-    pub(crate) fn record_head(&mut self, ends_with_connection: bool, now: Instant) {
+    pub(crate) fn record_head(&mut self, head: &AnswerHead, now: Instant) {
         self.head = Some(now);
-        self.ends_with_connection = ends_with_connection;
+        self.is_sound_head = (200..300).contains(&head.status) && !head.ends_with_connection;
     }
 
-    /// Whether a whole answer may also have ended because its server did.
-    pub(crate) fn may_be_cut(&self) -> bool {
-        self.ends_with_connection
+    /// Whether a whole answer to an attempt shows that its server ran the request and survived. An error may come before the
+    /// request is run, and an answer without framing may have ended because its server did.
+    pub(crate) fn is_sound_if_whole(&self, attempt: &Attempt) -> bool {
+        self.is_sound_head && attempt.number == self.number
     }
 
     /// Time since the head of an attempt's answer arrived; `None` if none has. An earlier attempt that was set aside
--- a/crates/route/src/dispatch/crashes.rs
+++ b/crates/route/src/dispatch/crashes.rs
@@ -27,19 +27,20 @@
 const BEGINNING: Duration = Duration::from_millis(500);
 /// Time after an answer broke off in which its server must be found dead for the request to be suspected.
 const SUSPICION_WINDOW: Duration = Duration::from_millis(1_500);
-/// Maximum number of requests noted for one crash: those whose answers began last.
+/// Maximum number of requests noted for one crash: those whose answers broke, the ones that began last first.
 const MAX_SUSPECTS_PER_CRASH: usize = 16;
 /// Number of servers with interrupted answers from which on expired answers are removed.
 const MAX_INTERRUPTED_SERVERS: usize = 256;
 const CRASH_SEED: u64 = 0x6372_6173;
 
-/// An answer that broke off near its beginning.
+/// An answer that broke off near its beginning, or that ended early without showing that its server ran the request.
 #[derive(Clone, Debug)]
 pub(super) struct InterruptedAnswer {
     content: Fingerprint,
     parts: Vec<PromptPart>,
     /// Identifies the crash, if there was one.
     crash: CrashId,
+    broke: bool,
     /// Time since its head; `None` if it had not arrived.
     answering: Option<Duration>,
     /// When it is too late to find the server dead because of this answer.
@@ -55,9 +56,8 @@
         outcome: AttemptOutcome,
         now: Instant,
     ) {
-        let is_answered = matches!(outcome, AttemptOutcome::Whole | AttemptOutcome::Failed);
-        if is_answered && !req.times.may_be_cut() {
-            self.record_sound_answer(req, outcome, now);
+        if outcome == AttemptOutcome::Whole && req.times.is_sound_if_whole(attempt) {
+            self.record_sound_answer(req, now);
             return;
         }
         // A break may be noticed late, so a long answer that broke is neither suspected nor sound.
@@ -67,7 +67,7 @@
         }
         let window = match outcome {
             AttemptOutcome::Broken => SUSPICION_WINDOW,
-            // The server may crash just after the answer was dropped, or have ended it by crashing.
+            // The server may crash just after the answer was dropped or an error, or have ended it by crashing.
             AttemptOutcome::Dropped | AttemptOutcome::Whole | AttemptOutcome::Failed => BEGINNING,
             _ => return,
         };
@@ -78,27 +78,31 @@
         }
         let interrupted = self.interrupted_answers.entry(attempt.server.clone()).or_default();
         interrupted.retain(|answer| answer.is_recent(now));
+        let broke = outcome == AttemptOutcome::Broken;
+        if !broke && interrupted.len() >= MAX_SUSPECTS_PER_CRASH {
+            // A server that answers errors may do so very often.
+            let Some(oldest) = interrupted.iter().position(|answer| !answer.broke) else {
+                return;
+            };
+            interrupted.remove(oldest);
+        }
         interrupted.push(InterruptedAnswer {
             content: req.fingerprint,
             parts: req.parts.clone(),
             crash: crash_id(attempt),
+            broke,
             answering,
             expires: now + window,
         });
     }
 
-    fn record_sound_answer(
-        &mut self,
-        req: &InFlightRequest,
-        outcome: AttemptOutcome,
-        now: Instant,
-    ) {
+    fn record_sound_answer(&mut self, req: &InFlightRequest, now: Instant) {
         for (culprit, _) in culprits(req.fingerprint, &req.parts) {
             let change = self.blame.record_sound_answer(culprit, now);
             let BlameChange::Cleared { crashes: crashes @ 1.., was_quarantined } = change else {
                 continue;
             };
-            self.notifications.push(Notification::Cleared { culprit, crashes, outcome });
+            self.notifications.push(Notification::Cleared { culprit, crashes });
             if was_quarantined {
                 self.notifications.push(Notification::Released { culprit });
             }
@@ -120,7 +124,7 @@
             return;
         }
         // An answer whose head was lost may have begun just before the crash, or may have waited.
-        interrupted.sort_by_key(|answer| answer.answering.unwrap_or(BEGINNING));
+        interrupted.sort_by_key(|answer| (!answer.broke, answer.answering.unwrap_or(BEGINNING)));
         interrupted.truncate(MAX_SUSPECTS_PER_CRASH);
         let requests = interrupted.len();
         let (mut findings, mut cleared) = (Vec::new(), 0);
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -205,8 +205,8 @@
     Suspect { culprit: Culprit, crashes: usize },
     /// A culprit was quarantined; `is_own` tells whether this host saw the last of its crashes.
     Quarantined { culprit: Culprit, crashes: usize, is_own: bool },
-    /// An answer with this outcome cleared a culprit of crashes.
-    Cleared { culprit: Culprit, crashes: usize, outcome: AttemptOutcome },
+    /// A sound answer cleared a culprit of crashes.
+    Cleared { culprit: Culprit, crashes: usize },
     /// A quarantined culprit was answered soundly on a host that did not know of its crashes.
     Released { culprit: Culprit },
     /// The findings on a quarantined culprit were dropped for lack of room.
@@ -427,7 +427,7 @@
             return HeadVerdict::Drop(AttemptOutcome::Garbled);
         }
         self.backends.head_received(attempt, &req.parts, elapsed, now);
-        req.times.record_head(head.ends_with_connection, now);
+        req.times.record_head(head, now);
         self.first_event_wait_ended(req, true, now);
         if !req.answer_started {
             self.sample_latency_pressure(req, attempt, elapsed, now);
--- a/crates/route/tests/dispatch_crashes.rs
+++ b/crates/route/tests/dispatch_crashes.rs
@@ -152,8 +152,8 @@
     assert!(!is_quarantined(&harness));
 }
 
-/// Sends a request with [`CONTENT`] to a server that answers with this status.
-fn answer(harness: &mut Harness, status: u16) {
+/// Sends a request with [`CONTENT`] to a server that answers with this status; returns the server.
+fn answer(harness: &mut Harness, status: u16) -> String {
     let arrival = arrival(harness);
     let mut req = harness.admit(arrival).expect("admitted");
     let attempt = harness.send(&mut req);
@@ -163,10 +163,10 @@
         HeadVerdict::Drop(outcome) => outcome,
     };
     harness.dispatcher.attempt_ended(&mut req, &attempt, true, outcome, harness.now);
+    attempt.server
 }
 
 /// Guards against a request that crashes servers being cleared by a server that answers it with an error.
-#[ignore = "issue 26, see KNOWN-RED.txt"]
 #[rstest]
 fn an_error_clears_nothing(
     #[values(400, 429, 500, 503, 504)] status: u16,
@@ -184,6 +184,41 @@
     assert!(is_quarantined(&harness));
 }
 
+/// Guards against a request not being noted that its server answers with an error and then crashes under.
+#[test]
+fn a_crash_after_an_error_blames_its_request() {
+    let mut harness = harness();
+    for _ in 0..3 {
+        let server = answer(&mut harness, 500);
+        harness.advance(millis(60));
+        harness.dispatcher.server_died(&server, harness.now);
+        harness.dispatcher.backends_mut().deregister(&server);
+        harness.register(registration(&format!("{server}-again"), "llm", LOCAL_DC));
+    }
+    assert!(is_quarantined(&harness));
+}
+
+/// Guards against the request under which a server crashes going unnoted among many that it answered with errors.
+#[test]
+fn many_errors_do_not_hide_the_request_that_crashes_a_server() {
+    let mut harness = harness();
+    for id in ["engine-2", "engine-3"] {
+        harness.dispatcher.backends_mut().deregister(id);
+    }
+    for _ in 0..3 {
+        for _ in 0..100 {
+            let mut req = harness.admitted("/chat/1");
+            let attempt = harness.send(&mut req);
+            let head = AnswerHead { status: 500, ..good_head() };
+            harness.head(&mut req, &attempt, head);
+            let (outcome, now) = (AttemptOutcome::Failed, harness.now);
+            harness.dispatcher.attempt_ended(&mut req, &attempt, true, outcome, now);
+        }
+        crash(&mut harness, CrashAt::AfterHead);
+    }
+    assert!(is_quarantined(&harness));
+}
+
 /// Guards against a request that was answered before it began to crash servers, or is answered by some of them, going on to
 /// more.
 #[ignore = "issue 26, see KNOWN-RED.txt"]
