Read the limits that servers name, and log them

A limit is a decimal number of requests a second. Of several in one answer the lowest counts; one that cannot be read (a sign, an exponent, no number) neither names nor ends a limit; zero is one. A limit holds for one incarnation of the server, until an answer without one to a request that was sent after it was stated last. It is noted beside what else servers state of themselves, logged as event=server_limited and counted. No decision uses it yet.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -302,6 +302,10 @@
                 Notification::ServerPaused { server, stated, applied } => {
                     self.log.write(&LogEvent::ServerPaused { id: &server, stated, applied });
                 }
+                Notification::ServerLimited { server, per_second } => {
+                    self.metrics.server_limited();
+                    self.log.write(&LogEvent::ServerLimited { id: &server, per_second });
+                }
                 Notification::ServerDied { server, requests, sound } => {
                     self.metrics.server_died();
                     self.log.write(&LogEvent::ServerDied { id: &server, requests, sound });
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -101,6 +101,11 @@
         stated: Duration,
         applied: Duration,
     },
+    /// A server named another limit than before, in requests a second, or none any more.
+    ServerLimited {
+        id: &'a str,
+        per_second: Option<f64>,
+    },
     /// A probe could not connect to a silent server.
     ServerLost {
         id: &'a str,
@@ -330,6 +335,10 @@
                 stated.as_millis(),
                 applied.as_millis()
             ),
+            LogEvent::ServerLimited { id, per_second } => match per_second {
+                Some(limit) => write!(f, "event=server_limited id={id} per_second={limit}"),
+                None => write!(f, "event=server_limited id={id} per_second=none"),
+            },
             LogEvent::ServerLost { id, silence } => {
                 write!(f, "event=server_lost id={id} silent_ms={}", silence.as_millis())
             }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -17,6 +17,7 @@
     store_calls: Counter<u64>,
     servers_lost: Counter<u64>,
     servers_died: Counter<u64>,
+    server_limits: Counter<u64>,
     quarantines: Counter<u64>,
     crashes_cleared: Counter<u64>,
     streams_broken: Counter<u64>,
@@ -39,6 +40,7 @@
             store_calls: meter.u64_counter("relay_store_calls").build(),
             servers_lost: meter.u64_counter("relay_servers_lost").build(),
             servers_died: meter.u64_counter("relay_servers_died").build(),
+            server_limits: meter.u64_counter("relay_server_limits").build(),
             quarantines: meter.u64_counter("relay_quarantines").build(),
             crashes_cleared: meter.u64_counter("relay_crashes_cleared").build(),
             streams_broken: meter.u64_counter("relay_streams_broken").build(),
@@ -82,6 +84,11 @@
         self.servers_died.add(1, &[]);
     }
 
+    /// Counts a limit that a server named, changed or ended.
+    pub fn server_limited(&self) {
+        self.server_limits.add(1, &[]);
+    }
+
     /// Counts a culprit that was quarantined because of crashes; `kind` is `content` or `part`.
     pub fn quarantined(&self, kind: &'static str) {
         self.quarantines.add(1, &[KeyValue::new("kind", kind)]);
--- a/crates/relay/tests/logs.rs
+++ b/crates/relay/tests/logs.rs
@@ -147,6 +147,12 @@
             "shift_withdrawn",
             "bad",
         ),
+        (
+            LogEvent::ServerLimited { id: "i", per_second: Some(1.5) },
+            "server_limited",
+            "per_second",
+        ),
+        (LogEvent::ServerLimited { id: "i", per_second: None }, "server_limited", "id"),
         (LogEvent::ServerDied { id: "i", requests: 2, sound: 1 }, "server_died", "sound"),
         (LogEvent::ServerDied { id: "i", requests: 2, sound: 1 }, "server_died", "requests"),
         (LogEvent::Suspect { culprit, crashes: 1 }, "suspect", "crashes"),
--- a/crates/route/src/attempt_times.rs
+++ b/crates/route/src/attempt_times.rs
@@ -44,6 +44,11 @@
         self.is_sound_head = (200..300).contains(&head.status) && !head.ends_with_connection;
     }
 
+    /// When an attempt was sent, unless a later one was.
+    pub(crate) fn sent_at(&self, attempt: &Attempt) -> Option<Instant> {
+        self.sent.filter(|_| attempt.number == self.number)
+    }
+
     /// Whether a whole answer to an attempt shows that its server ran the request and survived. An error may come before the
     /// request is run, and an answer without framing may have ended because its server did.
     pub(crate) fn is_sound_if_whole(&self, attempt: &Attempt) -> bool {
--- a/crates/route/src/backends/mod.rs
+++ b/crates/route/src/backends/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod choose;
 mod health;
 pub mod probe;
+pub mod rate_limit;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -30,6 +31,8 @@
 use crate::backends::health::DataCentreHealth;
 use crate::backends::health::Health;
 use crate::backends::probe::Reachability;
+use crate::backends::rate_limit::KnownLimit;
+use crate::backends::rate_limit::StatedLimit;
 use crate::in_flight::Attempt;
 use crate::in_flight::AttemptOutcome;
 use crate::in_flight::PromptPart;
@@ -106,6 +109,7 @@
     is_leaving: bool,
     /// End of the time for which it wants no requests.
     full_until: Option<Instant>,
+    limit: KnownLimit,
 }
 
 /// State of one server.
@@ -332,6 +336,32 @@
         !was_full
     }
 
+    /// Records what the head of an attempt's answer states of the server's limit; returns whether that is new. The answer to
+    /// a request that was sent before the limit was last stated does not end it.
+    pub(crate) fn record_stated_limit(
+        &mut self,
+        attempt: &Attempt,
+        stated: StatedLimit,
+        sent: Option<Instant>,
+        now: Instant,
+    ) -> bool {
+        let Some(server) = self.incarnation_mut(attempt) else {
+            return false;
+        };
+        let limit = &mut server.statements.limit;
+        match stated {
+            StatedLimit::PerSecond(per_second) => limit.state(per_second, now),
+            StatedLimit::None => sent.is_some_and(|sent| limit.end(sent)),
+            StatedLimit::Unreadable => false,
+        }
+    }
+
+    /// Requests a second that a server takes from all hosts together, if it named a limit.
+    #[must_use]
+    pub fn stated_limit(&self, id: &str) -> Option<f64> {
+        self.servers.get(id).and_then(|server| server.statements.limit.per_second)
+    }
+
     /// Records the end of an attempt; `had_head` tells whether [`Backends::head_received`] was called for it.
     pub(crate) fn attempt_ended(
         &mut self,
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -38,6 +38,7 @@
 use crate::backends::choose::VersionFilter;
 use crate::backends::probe::PROBE_AFTER;
 use crate::backends::probe::Probe;
+use crate::backends::rate_limit::StatedLimit;
 use crate::blame::BlameTable;
 use crate::blame::Culprit;
 use crate::exposure::Exposure;
@@ -163,6 +164,8 @@
     pub ends_with_connection: bool,
     /// Time for which a server that rejected the request wants no other.
     pub retry_after: Option<Duration>,
+    /// What the server states of the rate that it takes.
+    pub stated_limit: StatedLimit,
     /// The model's confidence in its answer, from 0 to 100.
     pub confidence: Option<u8>,
 }
@@ -198,6 +201,8 @@
     ServerLeaving { server: BackendServerId },
     /// A server asked for no requests for the stated time; `applied` is the time that it gets none.
     ServerPaused { server: BackendServerId, stated: Duration, applied: Duration },
+    /// A server named a limit of requests a second in an answer, another than before, or `None` any more.
+    ServerLimited { server: BackendServerId, per_second: Option<f64> },
     /// A server was found dead that was beginning to answer this many requests of this host; of their contents and
     /// parts, `sound` were answered soundly of late.
     ServerDied { server: BackendServerId, requests: usize, sound: usize },
@@ -418,7 +423,7 @@
         if head.status == 421 {
             return HeadVerdict::Drop(AttemptOutcome::Misdirected);
         }
-        self.apply_server_statements(attempt, head, now);
+        self.apply_server_statements(req, attempt, head, now);
         if head.not_run {
             let retry_after = head.retry_after.unwrap_or(RETRY_AFTER_MIN).min(RETRY_AFTER_MAX);
             return HeadVerdict::Drop(AttemptOutcome::Full { retry_after });
@@ -608,7 +613,19 @@
     }
 
     /// Applies what a server states of itself in the head of an answer, whatever the answer is.
-    fn apply_server_statements(&mut self, attempt: &Attempt, head: &AnswerHead, now: Instant) {
+    fn apply_server_statements(
+        &mut self,
+        req: &InFlightRequest,
+        attempt: &Attempt,
+        head: &AnswerHead,
+        now: Instant,
+    ) {
+        let sent = req.times.sent_at(attempt);
+        if self.backends.record_stated_limit(attempt, head.stated_limit, sent, now) {
+            let server = attempt.server.clone();
+            let per_second = self.backends.stated_limit(&server);
+            self.notifications.push(Notification::ServerLimited { server, per_second });
+        }
         let server = &attempt.server;
         if head.is_leaving && self.backends.mark_leaving(attempt) {
             self.notifications.push(Notification::ServerLeaving { server: server.clone() });
