Soak: servers that answer errors, beside requests that crash servers

Drawn apart from the other faults, so that the faults of a seed stay the same: a server answers up to 39 requests in a row with 429, 500, 503 or 504, without stating whether it ran them.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,7 +2,7 @@
 //!
 //! A seed determines the faults: hosts that are killed, stopped, paused and reloaded by signals; connections to
 //! servers and to the store that a proxy delays, refuses, resets or stalls in one or both directions; servers that
-//! fail; requests that crash each server that begins to answer them; a store that is down, slow, discards its history or
+//! fail or answer errors; requests that crash each server that begins to answer them; a store that is down, slow, discards its history or
 //! comes back from a copy. Callers check every answer during the faults and after all are repaired; at the end, the
 //! answers are compared with what the servers ran, and requests that crash servers must no longer reach any.
 //!
@@ -72,6 +72,8 @@
 const MAX_FAULT_PAUSE_MS: u64 = 700;
 /// Probability of a restore of the store after each other fault.
 const RESTORE_PROBABILITY: f64 = 0.15;
+/// Probability of a server that answers errors after each other fault.
+const ERRORS_PROBABILITY: f64 = 0.4;
 
 /// The stand-ins, proxies and entry hosts of a run.
 pub struct World {
@@ -99,8 +101,9 @@
         .map(|number| tokio::task::spawn_local(callers.clone().run(number as u64)))
         .collect();
     let end = Instant::now() + Duration::from_secs(seconds());
-    // Drawn separately, so that the other faults of a seed stay the same.
+    // Each drawn separately, so that the other faults of a seed stay the same.
     let mut restores = ChaCha8Rng::seed_from_u64(!seed);
+    let mut statements = ChaCha8Rng::seed_from_u64(seed ^ 0x7374_6174);
     let mut version = 1;
     let crashing = CrashingRequests::draw(seed, seconds());
     let sender = crashing.as_ref().map(|crashing| crashing.start(&world));
@@ -112,6 +115,11 @@
             println!("soak seed={seed} fault={:?}", Fault::RestoreStore);
             Fault::RestoreStore.inject(&mut world, &mut version, &mut restores).await;
         }
+        if statements.random_bool(ERRORS_PROBABILITY) {
+            let fault = Fault::draw_errors(&mut statements);
+            println!("soak seed={seed} fault={fault:?}");
+            fault.inject(&mut world, &mut version, &mut statements).await;
+        }
         let pause = Duration::from_millis(rng.random_range(50..MAX_FAULT_PAUSE_MS));
         tokio::time::sleep(pause).await;
     }
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -19,6 +19,8 @@
 const MAX_AWAY_MS: u64 = 900;
 /// Maximum delay until what a restored store lacks is written again, in milliseconds.
 const MAX_REWRITE_DELAY_MS: u64 = 1_800;
+/// Upper bound of the requests in a row that a server answers with an error.
+const MAX_ERRORS: usize = 40;
 /// Upper bound of the time for which a host is suspended, in milliseconds.
 const MAX_SUSPENSION_MS: u64 = 1_500;
 
@@ -32,6 +34,11 @@
     PauseHost,
     ReloadHost,
     Server(Behaviour),
+    /// A server answers its next requests with an error.
+    ServerErrors {
+        status: u16,
+        requests: usize,
+    },
     /// A sound server sends nothing on any connection for a time.
     ServerSilence(Duration),
     ServerConnection(ConnectionFault),
@@ -72,6 +79,12 @@
         }
     }
 
+    /// Draws a server that answers errors.
+    pub fn draw_errors(rng: &mut ChaCha8Rng) -> Fault {
+        let status = [429, 500, 503, 504][rng.random_range(0..4)];
+        Fault::ServerErrors { status, requests: rng.random_range(1..MAX_ERRORS) }
+    }
+
     pub async fn inject(self, world: &mut World, version: &mut u64, rng: &mut ChaCha8Rng) {
         let host = rng.random_range(0..world.hosts.len());
         let server = rng.random_range(0..world.engines.len());
@@ -100,6 +113,9 @@
                 world.hosts.signal(host, Signal::CONT);
             }
             Fault::ReloadHost => world.hosts.signal(host, Signal::HUP),
+            Fault::ServerErrors { status, requests } => {
+                world.engines[server].0.next(&vec![Behaviour::Error(status); requests]);
+            }
             Fault::Server(behaviour) => world.engines[server].0.always(behaviour),
             Fault::ServerSilence(time) => world.engines[server].0.fall_silent(time),
             Fault::ServerConnection(fault) => world.engines[server].1.set(fault),
