Keep to the limits that servers name, all hosts together

Change: time is divided into rounds of a second, and the limit's requests of a round are dealt to the hosts by a hash that all of them compute alike. The share is one more condition where a server is chosen, so it holds for every kind of attempt. Hosts tell each other of limits and their ends.

--- a/crates/peers/src/feeds.rs
+++ b/crates/peers/src/feeds.rs
@@ -125,6 +125,13 @@
         others.map(|(_, entry)| entry.address).collect()
     }
 
+    /// Names of all hosts in the fleet; the seeds' addresses while no other host is known.
+    #[must_use]
+    pub fn host_names(&self) -> Vec<&EntryHostId> {
+        let knows_others = self.hosts.keys().any(|host| *host != self.own);
+        if knows_others { self.hosts.keys().collect() } else { self.seeds.keys().collect() }
+    }
+
     /// Number of hosts in the fleet and in the own data centre, this host included.
     #[must_use]
     pub fn host_counts(&self) -> (usize, usize) {
--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -21,6 +21,7 @@
 use foxtailhoist_rollout::shift::baseline::Finding;
 use foxtailhoist_rollout::shift::baseline::Observation;
 use foxtailhoist_rollout::shift::shared::HostEvidence;
+use foxtailhoist_route::backends::rate_limit::LimitFinding;
 use foxtailhoist_route::blame::CrashFinding;
 use foxtailhoist_route::blame::Culprit;
 use foxtailhoist_route::dispatch::AnswerEvidence;
@@ -133,8 +134,8 @@
     /// Quarantined culprits to report.
     pub(crate) suspects: RefCell<VecDeque<SuspectReport>>,
     pub(crate) suspects_changed: Notify,
-    /// Signalled when there are findings on crashes to share.
-    pub(crate) crash_news: Notify,
+    /// Signalled when there are findings on crashes or limits of servers to share.
+    pub(crate) news: Notify,
     /// Highest era of the store seen so far.
     store_era: Cell<StoreEra>,
     /// Signalled when the store turns out to have been restored from a copy.
@@ -187,7 +188,7 @@
             was_ready: Cell::new(false),
             suspects: RefCell::default(),
             suspects_changed: Notify::new(),
-            crash_news: Notify::new(),
+            news: Notify::new(),
             store_era: Cell::default(),
             store_restored: Notify::new(),
             has_unreadable_era: Cell::default(),
@@ -302,9 +303,10 @@
                 Notification::ServerPaused { server, stated, applied } => {
                     self.log.write(&LogEvent::ServerPaused { id: &server, stated, applied });
                 }
-                Notification::ServerLimited { server, per_second } => {
+                Notification::ServerLimited { server, per_second, is_own } => {
                     self.metrics.server_limited();
-                    self.log.write(&LogEvent::ServerLimited { id: &server, per_second });
+                    let source = if is_own { "own" } else { "peer" };
+                    self.log.write(&LogEvent::ServerLimited { id: &server, per_second, source });
                 }
                 Notification::ServerDied { server, requests, sound } => {
                     self.metrics.server_died();
@@ -340,11 +342,18 @@
                 }
             }
         }
-        if self.dispatcher.borrow().has_crash_news() {
-            self.crash_news.notify_one();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        if dispatcher.has_crash_news() || dispatcher.take_has_new_limits() {
+            self.news.notify_one();
         }
     }
 
+    /// Adds other hosts' findings on limits of servers.
+    pub(crate) fn merge_limit_findings(&self, findings: &[LimitFinding]) {
+        self.dispatcher.borrow_mut().merge_limit_findings(findings, Instant::now());
+        self.handle_notifications();
+    }
+
     /// Adds other hosts' findings on crashes.
     pub(crate) fn merge_crash_findings(&self, findings: Vec<CrashFinding>) {
         self.dispatcher.borrow_mut().merge_crash_findings(findings, Instant::now());
--- a/crates/relay/src/duties.rs
+++ b/crates/relay/src/duties.rs
@@ -56,6 +56,7 @@
         let now_ms = unix_ms();
         detect_resume(&core, last, now, now_ms);
         last = (now, now_ms);
+        core.dispatcher.borrow_mut().set_unix_time(now, Duration::from_millis(now_ms));
         let expired = core.dispatcher.borrow_mut().backends_mut().expire_missing(now);
         for id in expired {
             core.log.write(&LogEvent::Server { id: &id, change: RegistrationChange::Removed });
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -39,6 +39,7 @@
 use crate::gossip;
 use crate::gossip::CRASHES_PATH;
 use crate::gossip::EVIDENCE_PATH;
+use crate::gossip::LIMITS_PATH;
 use crate::log_event::LogEvent;
 use crate::mirror::Frame;
 use crate::store::StoreClient;
@@ -154,8 +155,13 @@
         *response.status_mut() = gossip::receive(core, request.into_body()).await;
         return response;
     }
-    if request.uri().path() == CRASHES_PATH {
-        let reply = gossip::receive_crashes(core, request.into_body()).await;
+    let path = request.uri().path();
+    if path == CRASHES_PATH || path == LIMITS_PATH {
+        let reply = if path == CRASHES_PATH {
+            gossip::receive_crashes(core, request.into_body()).await
+        } else {
+            gossip::receive_limits(core, request.into_body()).await
+        };
         let is_readable = reply.is_ok();
         let body = Full::new(Bytes::from(reply.unwrap_or_default()));
         let mut response = Response::new(FeedBody::Left(body));
@@ -266,6 +272,7 @@
     let plan = core.feeds.borrow().plan(Instant::now());
     let (fleet, near) = core.feeds.borrow().host_counts();
     core.dispatcher.borrow_mut().set_host_counts(fleet, near);
+    core.dispatcher.borrow_mut().set_hosts(&core.cfg.host, &core.feeds.borrow().host_names());
     core.watching.send_if_modified(|watching| {
         let changed = *watching != plan.watches;
         *watching = plan.watches;
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -1,15 +1,18 @@
-//! Exchange between entry hosts: evidence on new versions, in rounds, while traffic shifts; findings on crashes, at once.
+//! Exchange between entry hosts: evidence on new versions, in rounds, while traffic shifts; findings on crashes and on limits
+//! of servers, at once.
 //!
-//! Neither needs the store, so both go on while it is away.
+//! None of them needs the store, so all go on while it is away.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use foxtailhoist_model::ServiceId;
 use foxtailhoist_model::VersionId;
 use foxtailhoist_rollout::shift::shared::HostEvidence;
+use foxtailhoist_route::backends::rate_limit::LimitFinding;
 use foxtailhoist_route::blame::CrashFinding;
 use http::Method;
 use http::Request;
@@ -31,10 +34,11 @@
 
 pub(crate) const EVIDENCE_PATH: &str = "/evidence";
 pub(crate) const CRASHES_PATH: &str = "/crashes";
+pub(crate) const LIMITS_PATH: &str = "/limits";
 /// Interval between rounds; the evidence of a large fleet spreads in about six of them.
 const ROUND_INTERVAL: Duration = Duration::from_millis(400);
-/// Time in which findings on crashes are collected before they are sent.
-const CRASH_NEWS_DELAY: Duration = Duration::from_millis(20);
+/// Time in which findings are collected before they are sent.
+const NEWS_DELAY: Duration = Duration::from_millis(20);
 /// Hosts that get the news of a round.
 const FANOUT: usize = 2;
 const SEND_TIMEOUT: Duration = Duration::from_millis(300);
@@ -49,6 +53,14 @@
     hosts: Vec<HostEvidence>,
 }
 
+/// Findings on limits of servers.
+#[derive(Debug, Serialize, Deserialize)]
+struct LimitMessage {
+    findings: Vec<LimitFinding>,
+    /// Whether the sender wants to know all limits in force.
+    asks: bool,
+}
+
 /// Passes on evidence until the process ends.
 pub(crate) async fn run(core: Rc<Core>) {
     loop {
@@ -65,27 +77,37 @@
     }
 }
 
-/// Passes on findings on crashes until the process ends: at once, and again in the next rounds. A host that has started, or
-/// was suspended, asks the others for theirs.
-pub(crate) async fn run_crashes(core: Rc<Core>) {
-    let mut has_asked = false;
+/// Passes on findings on crashes and on limits of servers until the process ends: at once, and again in the next rounds. A
+/// host that has started, or was suspended, asks the others for theirs.
+pub(crate) async fn run_news(core: Rc<Core>) {
+    let mut asks = true;
     loop {
-        if has_asked && !core.dispatcher.borrow().has_crash_news() {
+        let has_news = {
+            let dispatcher = core.dispatcher.borrow();
+            dispatcher.has_crash_news() || dispatcher.has_limit_news()
+        };
+        if !asks && !has_news {
             tokio::select! {
-                () = core.crash_news.notified() => {}
-                () = core.resumed.notified() => {}
+                () = core.news.notified() => {}
+                () = core.resumed.notified() => asks = true,
             }
         }
-        tokio::time::sleep(CRASH_NEWS_DELAY).await;
+        tokio::time::sleep(NEWS_DELAY).await;
         // A host that has just started may not know the others yet.
         if !core.feeds.borrow().other_addresses().is_empty() {
-            let findings = core.dispatcher.borrow_mut().take_crash_news();
-            exchange_crashes(&core, &findings);
-            has_asked = true;
+            let crashes = core.dispatcher.borrow_mut().take_crash_news();
+            if asks || !crashes.is_empty() {
+                exchange_crashes(&core, &crashes);
+            }
+            let limits = core.dispatcher.borrow_mut().take_limit_news(Instant::now());
+            if asks || !limits.is_empty() {
+                exchange_limits(&core, &LimitMessage { findings: limits, asks });
+            }
+            asks = false;
         }
         tokio::select! {
             () = tokio::time::sleep(ROUND_INTERVAL) => {}
-            () = core.crash_news.notified() => {}
+            () = core.news.notified() => {}
         }
     }
 }
@@ -112,6 +134,19 @@
     rmp_serde::to_vec(&reply).map_err(|_| UnreadableMessage)
 }
 
+/// Handles a peer's findings on limits; returns those in force if it asks.
+pub(crate) async fn receive_limits(
+    core: &Core,
+    body: Incoming,
+) -> Result<Vec<u8>, UnreadableMessage> {
+    let LimitMessage { findings, asks } = decode(body).await?;
+    let known =
+        if asks { core.dispatcher.borrow().limit_findings(Instant::now()) } else { Vec::new() };
+    core.merge_limit_findings(&findings);
+    let reply = LimitMessage { findings: known, asks: false };
+    rmp_serde::to_vec(&reply).map_err(|_| UnreadableMessage)
+}
+
 /// A message that cannot be read, for example from another release.
 pub(crate) struct UnreadableMessage;
 
@@ -149,6 +184,23 @@
     }
 }
 
+/// Sends findings on limits of servers to a few other hosts, and adds what they reply.
+fn exchange_limits(core: &Rc<Core>, message: &LimitMessage) {
+    let Some(body) = encode(LIMITS_PATH, message) else {
+        return;
+    };
+    for peer in some_peers(core) {
+        let (core, body) = (core.clone(), body.clone());
+        spawn_local(async move {
+            if let Some(reply) = send(peer, LIMITS_PATH, body).await
+                && let Ok(reply) = rmp_serde::from_slice::<LimitMessage>(&reply)
+            {
+                core.merge_limit_findings(&reply.findings);
+            }
+        });
+    }
+}
+
 fn encode<T: Serialize>(path: &str, message: &T) -> Option<Bytes> {
     match rmp_serde::to_vec(message) {
         Ok(body) => Some(Bytes::from(body)),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -98,7 +98,7 @@
         spawn_local(feed::run(core.clone(), core.cfg.is_first_start));
         spawn_local(feed::serve(core.clone(), peers));
         spawn_local(gossip::run(core.clone()));
-        spawn_local(gossip::run_crashes(core.clone()));
+        spawn_local(gossip::run_news(core.clone()));
         spawn_local(duties::run_periodic(core.clone()));
         spawn_local(duties::report_suspects(core.clone()));
         spawn_local(listen::accept_callers(core.clone(), callers));
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -105,6 +105,8 @@
     ServerLimited {
         id: &'a str,
         per_second: Option<f64>,
+        /// Who was told by the server: `own` or `peer`.
+        source: &'static str,
     },
     /// A probe could not connect to a silent server.
     ServerLost {
@@ -335,10 +337,10 @@
                 stated.as_millis(),
                 applied.as_millis()
             ),
-            LogEvent::ServerLimited { id, per_second } => match per_second {
-                Some(limit) => write!(f, "event=server_limited id={id} per_second={limit}"),
-                None => write!(f, "event=server_limited id={id} per_second=none"),
-            },
+            LogEvent::ServerLimited { id, per_second, source } => {
+                let limit = per_second.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+                write!(f, "event=server_limited id={id} per_second={limit} source={source}")
+            }
             LogEvent::ServerLost { id, silence } => {
                 write!(f, "event=server_lost id={id} silent_ms={}", silence.as_millis())
             }
--- a/crates/relay/tests/logs.rs
+++ b/crates/relay/tests/logs.rs
@@ -148,11 +148,15 @@
             "bad",
         ),
         (
-            LogEvent::ServerLimited { id: "i", per_second: Some(1.5) },
+            LogEvent::ServerLimited { id: "i", per_second: Some(1.5), source: "own" },
             "server_limited",
             "per_second",
         ),
-        (LogEvent::ServerLimited { id: "i", per_second: None }, "server_limited", "id"),
+        (
+            LogEvent::ServerLimited { id: "i", per_second: None, source: "peer" },
+            "server_limited",
+            "id",
+        ),
         (LogEvent::ServerDied { id: "i", requests: 2, sound: 1 }, "server_died", "sound"),
         (LogEvent::ServerDied { id: "i", requests: 2, sound: 1 }, "server_died", "requests"),
         (LogEvent::Suspect { culprit, crashes: 1 }, "suspect", "crashes"),
--- a/crates/route/src/backends/choose.rs
+++ b/crates/route/src/backends/choose.rs
@@ -10,6 +10,7 @@
 //! version that fails only under load would otherwise fail after the trial.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 use std::time::Instant;
 
 use foxtailhoist_model::BackendServerId;
@@ -38,6 +39,10 @@
 const RECENT_PAUSE_MS: f64 = 150.0;
 /// Additional cost of a server that is still warming up.
 const WARM_UP_MS: f64 = 100.0;
+/// Additional cost of the last request that a server's limit leaves to this host; less of those before it.
+const LIMITED_MS: f64 = 30.0;
+/// Age from which on a limit adds no cost, so that a server is not avoided for a limit that it no longer names.
+const LIMIT_RETRY_AGE: Duration = Duration::from_secs(2);
 /// Assumed time of a request on an idle server of average speed, without prefill.
 const BASE_TIME_MS: f64 = 30.0;
 /// Seed of the rendezvous hash over prompt parts and servers.
@@ -118,7 +123,9 @@
             candidates.truncate(count.max(MIN_TRIAL_SERVERS));
         }
         candidates.retain(|server| {
-            !query.avoid.contains(&server.registration.id) && !server.is_full(now)
+            !query.avoid.contains(&server.registration.id)
+                && !server.is_full(now)
+                && !server.is_limited(now)
         });
         // A pause only lowers the preference: if no other server is left, a paused server is used.
         let is_preferred = |server: &&Server| {
@@ -153,15 +160,15 @@
         })
     }
 
-    /// Earliest time at which a server that the query allows wants requests again; `None` if one does now or if there
-    /// is none.
+    /// Earliest time at which a server that the query allows takes requests again, after a pause that it asked for or by
+    /// its limit; `None` if one does now or if there is none.
     pub(crate) fn all_paused_until(&self, query: &Query<'_>, now: Instant) -> Option<Instant> {
         let allowed = self.members(query.service).filter(|server| {
             server.accepts_new_work()
                 && query.versions.allows(&server.registration.version)
                 && !query.avoid.contains(&server.registration.id)
         });
-        let ends = allowed.map(|server| server.statements.full_until.filter(|until| now < *until));
+        let ends = allowed.map(|server| server.closed_until(now));
         ends.collect::<Option<Vec<Instant>>>()?.into_iter().min()
     }
 
@@ -199,6 +206,11 @@
         if server.health.paused_recently(now) {
             cost_ms += RECENT_PAUSE_MS;
         }
+        // Its next answer tells whether the limit is still in force.
+        let is_limit_old = server.statements.limit.age(now) >= LIMIT_RETRY_AGE;
+        if let Some(share) = server.share.filter(|_| !is_limit_old) {
+            cost_ms += share.load_with_one_more() * LIMITED_MS;
+        }
         if now < server.warm_at {
             cost_ms += WARM_UP_MS;
         }
--- a/crates/route/src/backends/mod.rs
+++ b/crates/route/src/backends/mod.rs
@@ -19,6 +19,7 @@
 
 use foxtailhoist_model::BackendServerId;
 use foxtailhoist_model::DataCentreId;
+use foxtailhoist_model::EntryHostId;
 use foxtailhoist_model::ModelId;
 use foxtailhoist_model::Presence;
 use foxtailhoist_model::ServiceId;
@@ -31,7 +32,11 @@
 use crate::backends::health::DataCentreHealth;
 use crate::backends::health::Health;
 use crate::backends::probe::Reachability;
+use crate::backends::rate_limit::Dealer;
 use crate::backends::rate_limit::KnownLimit;
+use crate::backends::rate_limit::LimitFinding;
+use crate::backends::rate_limit::Share;
+use crate::backends::rate_limit::SharedLimit;
 use crate::backends::rate_limit::StatedLimit;
 use crate::in_flight::Attempt;
 use crate::in_flight::AttemptOutcome;
@@ -42,6 +47,12 @@
 
 /// Number of removed servers whose statements are remembered.
 const MAX_STATEMENTS: usize = 256;
+/// Maximum number of servers whose limits are shared with other hosts at once.
+const MAX_LIMIT_NEWS: usize = 256;
+/// Rounds in which a limit is passed on after it became known.
+const ROUNDS_PER_LIMIT: u8 = 3;
+/// Maximum age of a message between hosts; what it says may be that much older.
+const MAX_MESSAGE_AGE: Duration = Duration::from_millis(300);
 
 /// Registration of a backend server in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -92,6 +103,13 @@
     /// Approximate number of entry hosts that send to the same servers; this host's load is multiplied by it to
     /// estimate the total load.
     hosts_per_server: f64,
+    dealer: Dealer,
+    /// Servers that named a limit.
+    limited: BTreeSet<BackendServerId>,
+    /// Servers whose limits are to be shared with other hosts, each with the rounds left.
+    limit_news: BTreeMap<BackendServerId, u8>,
+    /// Whether limits to share were added since that was last asked.
+    has_new_limits: bool,
 }
 
 /// What a removed server stated of itself in its answers.
@@ -126,6 +144,9 @@
     /// Time of the last head or event of any answer.
     last_activity: Option<Instant>,
     statements: Statements,
+    /// This host's share of the server's limit, if it has one.
+    share: Option<Share>,
+    shared_limit: SharedLimit,
     health: Health,
     reachability: Reachability,
     cache: PrefixCacheEstimate,
@@ -153,6 +174,10 @@
             next_generation: 0,
             removed: BTreeMap::new(),
             hosts_per_server: 1.0,
+            dealer: Dealer::default(),
+            limited: BTreeSet::new(),
+            limit_news: BTreeMap::new(),
+            has_new_limits: false,
         }
     }
 
@@ -161,6 +186,16 @@
         self.hosts_per_server = hosts.max(1) as f64;
     }
 
+    /// Sets the entry hosts of the fleet, which share the limits that servers name.
+    pub(crate) fn set_hosts(&mut self, own: &EntryHostId, all: &[&EntryHostId]) {
+        self.dealer.set_hosts(own, all);
+    }
+
+    /// Sets the Unix time of a moment.
+    pub(crate) fn set_unix_time(&mut self, now: Instant, unix: Duration) {
+        self.dealer.set_unix_time(now, unix);
+    }
+
     /// Adds or updates a server's registration.
     pub fn register(&mut self, registration: Registration, now: Instant) -> RegistrationChange {
         let known = self.servers.get_mut(&registration.id);
@@ -192,6 +227,9 @@
             && removed.started_ms == server.registration.started_ms
         {
             server.statements = removed.statements;
+            if server.limit().is_some() {
+                self.limited.insert(server.registration.id.clone());
+            }
         }
         self.servers.insert(server.registration.id.clone(), server);
         change
@@ -268,6 +306,9 @@
     pub(crate) fn attempt_started(&mut self, attempt: &Attempt) {
         if let Some(server) = self.incarnation_mut(attempt) {
             server.in_flight += 1;
+            if let Some(share) = &mut server.share {
+                share.use_one();
+            }
             server.pending_prefill_tokens += attempt.prefill_tokens;
         }
     }
@@ -349,17 +390,118 @@
             return false;
         };
         let limit = &mut server.statements.limit;
-        match stated {
+        let is_new = match stated {
             StatedLimit::PerSecond(per_second) => limit.state(per_second, now),
             StatedLimit::None => sent.is_some_and(|sent| limit.end(sent)),
-            StatedLimit::Unreadable => false,
+            StatedLimit::Unreadable => return false,
+        };
+        self.limit_stated(&attempt.server, now);
+        is_new
+    }
+
+    /// Adds other hosts' findings on limits; returns the servers whose limits they changed.
+    pub(crate) fn merge_limit_findings(
+        &mut self,
+        findings: &[LimitFinding],
+        now: Instant,
+    ) -> Vec<BackendServerId> {
+        let mut changed = Vec::new();
+        for finding in findings {
+            let known = self.servers.get_mut(&finding.server);
+            let Some(server) =
+                known.filter(|server| server.registration.started_ms == finding.started_ms)
+            else {
+                continue;
+            };
+            let Some(as_of) = now.checked_sub(finding.age) else {
+                continue;
+            };
+            let limit = &mut server.statements.limit;
+            let is_new = match finding.per_second {
+                Some(per_second) if per_second.is_finite() && per_second >= 0.0 => {
+                    limit.state(per_second, as_of)
+                }
+                Some(_) => false,
+                None => as_of.checked_sub(MAX_MESSAGE_AGE).is_some_and(|as_of| limit.end(as_of)),
+            };
+            if is_new {
+                changed.push(finding.server.clone());
+                self.limit_stated(&finding.server, now);
+            }
         }
+        changed
+    }
+
+    /// Findings on limits to pass on to other hosts in this round.
+    pub(crate) fn take_limit_news(&mut self, now: Instant) -> Vec<LimitFinding> {
+        let news = self.limit_news.keys().filter_map(|id| self.limit_finding(id, now)).collect();
+        self.limit_news.retain(|_, rounds| {
+            *rounds -= 1;
+            *rounds > 0
+        });
+        news
+    }
+
+    pub(crate) fn has_limit_news(&self) -> bool {
+        !self.limit_news.is_empty()
+    }
+
+    /// Whether findings on limits to share were added since the last call.
+    pub(crate) fn take_has_new_limits(&mut self) -> bool {
+        std::mem::take(&mut self.has_new_limits)
+    }
+
+    /// Findings on limits in force, for a host that may have missed them.
+    pub(crate) fn limit_findings(&self, now: Instant) -> Vec<LimitFinding> {
+        let limited = self.servers.iter().filter(|(_, server)| server.limit().is_some());
+        let findings = limited.filter_map(|(id, _)| self.limit_finding(id, now));
+        findings.take(MAX_LIMIT_NEWS).collect()
+    }
+
+    fn limit_finding(&self, id: &str, now: Instant) -> Option<LimitFinding> {
+        let server = self.servers.get(id)?;
+        let KnownLimit { per_second, as_of } = server.statements.limit;
+        Some(LimitFinding {
+            server: server.registration.id.clone(),
+            started_ms: server.registration.started_ms,
+            per_second,
+            age: now.saturating_duration_since(as_of?),
+        })
+    }
+
+    /// Takes note that a server's limit was stated, and takes it into the news for other hosts if they should be told.
+    fn limit_stated(&mut self, id: &BackendServerId, now: Instant) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        let per_second = server.limit();
+        if per_second.is_some() {
+            self.limited.insert(id.clone());
+        }
+        let is_full = self.limit_news.len() >= MAX_LIMIT_NEWS && !self.limit_news.contains_key(id);
+        if !is_full && server.shared_limit.share(per_second, now) {
+            self.limit_news.insert(id.clone(), ROUNDS_PER_LIMIT);
+            self.has_new_limits = true;
+        }
+    }
+
+    /// Brings this host's shares of the limits of servers up to date.
+    pub(crate) fn update_shares(&mut self, now: Instant) {
+        self.limited.retain(|id| {
+            let Some(server) = self.servers.get_mut(id) else {
+                return false;
+            };
+            let limit = server.limit();
+            server.share = limit
+                .and_then(|per_second| Share::at(&self.dealer, id, per_second, server.share, now));
+            limit.is_some()
+        });
     }
 
     /// Requests a second that a server takes from all hosts together, if it named a limit.
     #[must_use]
     pub fn stated_limit(&self, id: &str) -> Option<f64> {
-        self.servers.get(id).and_then(|server| server.statements.limit.per_second)
+        self.servers.get(id).and_then(Server::limit)
     }
 
     /// Records the end of an attempt; `had_head` tells whether [`Backends::head_received`] was called for it.
@@ -494,6 +636,8 @@
             pending_prefill_tokens: 0,
             last_activity: None,
             statements: Statements::default(),
+            share: None,
+            shared_limit: SharedLimit::default(),
             health: Health::new(now),
             reachability: Reachability::default(),
             cache: PrefixCacheEstimate::default(),
@@ -522,6 +666,23 @@
     fn is_full(&self, now: Instant) -> bool {
         self.statements.full_until.is_some_and(|until| now < until)
     }
+
+    /// Requests a second that the server takes from all hosts together, if it named a limit.
+    fn limit(&self) -> Option<f64> {
+        self.statements.limit.per_second
+    }
+
+    /// Whether the server named a limit of which this host has no share left.
+    fn is_limited(&self, now: Instant) -> bool {
+        self.limit().is_some() && !self.share.is_some_and(|share| share.has_room(now))
+    }
+
+    /// When the server takes requests again, if it takes none now because of its own statements.
+    fn closed_until(&self, now: Instant) -> Option<Instant> {
+        let full = self.statements.full_until.filter(|until| now < *until);
+        let limited = self.is_limited(now).then(|| self.share.map_or(now, |share| share.opens()));
+        full.max(limited)
+    }
 }
 
 /// Adds a sample, clamped to four times the average, to a moving average; returns the ratio of the unclamped sample to
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 
 mod cascade;
 mod crashes;
+mod limits;
 mod overload;
 mod refusal;
 
@@ -16,6 +17,7 @@
 
 use foxtailhoist_model::BackendServerId;
 use foxtailhoist_model::DataCentreId;
+use foxtailhoist_model::EntryHostId;
 use foxtailhoist_model::ErrorKind;
 use foxtailhoist_model::ModelId;
 use foxtailhoist_model::Pace;
@@ -201,8 +203,9 @@
     ServerLeaving { server: BackendServerId },
     /// A server asked for no requests for the stated time; `applied` is the time that it gets none.
     ServerPaused { server: BackendServerId, stated: Duration, applied: Duration },
-    /// A server named a limit of requests a second in an answer, another than before, or `None` any more.
-    ServerLimited { server: BackendServerId, per_second: Option<f64> },
+    /// A server named a limit of requests a second, another than before, or `None` any more; `is_own` tells whether in an
+    /// answer to this host.
+    ServerLimited { server: BackendServerId, per_second: Option<f64>, is_own: bool },
     /// A server was found dead that was beginning to answer this many requests of this host; of their contents and
     /// parts, `sound` were answered soundly of late.
     ServerDied { server: BackendServerId, requests: usize, sound: usize },
@@ -285,6 +288,16 @@
         self.backends.set_host_count(local);
     }
 
+    /// Sets the entry hosts of the fleet, which share the limits that servers name.
+    pub fn set_hosts(&mut self, own: &EntryHostId, all: &[&EntryHostId]) {
+        self.backends.set_hosts(own, all);
+    }
+
+    /// Sets the Unix time of a moment; all hosts divide time alike by it.
+    pub fn set_unix_time(&mut self, now: Instant, unix: Duration) {
+        self.backends.set_unix_time(now, unix);
+    }
+
     /// Sets which versions of a service accept new work.
     pub fn set_version_rule(&mut self, service: ServiceId, rule: VersionRule) {
         let live = self.backends.live_versions(&service);
@@ -374,6 +387,7 @@
     /// Returns the next step for a request without an attempt in flight.
     pub fn next_step(&mut self, req: &mut InFlightRequest, now: Instant) -> Step {
         self.update_versions(&req.service);
+        self.backends.update_shares(now);
         let choice = match self.plan_attempt(req, 0.0, now) {
             Ok(choice) => choice,
             Err(NoAttempt::Expired) => return Step::Refuse(self.refuse_expired(req)),
@@ -620,12 +634,7 @@
         head: &AnswerHead,
         now: Instant,
     ) {
-        let sent = req.times.sent_at(attempt);
-        if self.backends.record_stated_limit(attempt, head.stated_limit, sent, now) {
-            let server = attempt.server.clone();
-            let per_second = self.backends.stated_limit(&server);
-            self.notifications.push(Notification::ServerLimited { server, per_second });
-        }
+        self.record_stated_limit(req, attempt, head.stated_limit, now);
         let server = &attempt.server;
         if head.is_leaving && self.backends.mark_leaving(attempt) {
             self.notifications.push(Notification::ServerLeaving { server: server.clone() });
