Count each death of a server while the store is away

Cause: a crash is known by the server's id and start time, and while the store is away no entry tells of a new start. So further deaths were the same crash, which had already been excused. Class: identity taken from a source that may be away.

Change: a finding carries the deaths known under its crash. A host that sees a server die 1.5 s or more after the last known death counts another; the highest number holds on all hosts, and each death counts like a crash of its own.

The message between hosts has one more field: hosts of different releases do not read each other's findings on crashes.

--- a/crates/route/src/blame.rs
+++ b/crates/route/src/blame.rs
@@ -50,6 +50,10 @@
 const MAX_SOUND: usize = 4_096;
 /// Maximum number of crashes noted for one culprit.
 const MAX_CRASHES: usize = 16;
+/// Maximum number of deaths noted under the id of one crash.
+const MAX_DEATHS: usize = 8;
+/// Time from a server's death within which another sign of it is taken for the same death.
+const MIN_RESTART: Duration = Duration::from_millis(1_500);
 /// Maximum number of findings waiting to be shared; the oldest are dropped first.
 const MAX_NEWS: usize = 512;
 /// Maximum number of culprits in the reply to another host's findings.
@@ -87,6 +91,9 @@
     /// Content that the server was beginning to answer.
     pub content: Fingerprint,
     pub crash: CrashId,
+    /// Deaths of the server known under this id: while the store is away, a server that crashes again is the same to the
+    /// hosts.
+    pub deaths: u8,
     pub verdict: Verdict,
 }
 
@@ -127,8 +134,8 @@
 #[derive(Clone, Debug)]
 struct Sighting {
     verdict: Verdict,
-    /// When this host learned of the crash.
-    noted: Instant,
+    /// When this host learned of each death of the server, [`MAX_DEATHS`] at most.
+    deaths: Vec<Instant>,
     /// Contents with the culprit that the server was beginning to answer, [`MIN_CONTENTS`] at most.
     contents: BTreeSet<Fingerprint>,
 }
@@ -189,7 +196,12 @@
 
 impl BlameTable {
     /// Adds a finding of this host or of another one.
-    pub(crate) fn merge(&mut self, finding: CrashFinding, now: Instant) -> BlameChange {
+    pub(crate) fn merge(
+        &mut self,
+        finding: CrashFinding,
+        is_own: bool,
+        now: Instant,
+    ) -> BlameChange {
         let CrashFinding { culprit, content, crash, verdict, .. } = finding;
         let blame = self.blame(culprit, now);
         blame.position = blame.position.max(finding.position);
@@ -197,13 +209,15 @@
         if !is_known && !blame.has_room(verdict) {
             return BlameChange::None;
         }
-        let sighting = blame.crashes.entry(crash).or_insert_with(|| Sighting::new(verdict, now));
-        let is_news = sighting.merge(verdict, content);
+        let sighting = blame.crashes.entry(crash).or_insert_with(|| Sighting::new(verdict));
+        let deaths = if is_own { sighting.own_deaths(now) } else { finding.deaths };
+        let is_news = sighting.merge(verdict, content, deaths, now);
         if is_known && !is_news {
             return BlameChange::None;
         }
-        let suspected = blame.suspected().count();
-        self.add_news(finding);
+        let deaths = sighting.deaths();
+        let suspected = blame.suspected_deaths();
+        self.add_news(CrashFinding { deaths, ..finding });
         match verdict {
             Verdict::Suspected if !self.quarantined.contains(&culprit) => {
                 if self.is_convicted(culprit, now) {
@@ -230,9 +244,9 @@
         let suspected: Vec<CrashId> = blame.suspected().map(|(crash, _)| crash).collect();
         let (crashes, mut was_quarantined) = (suspected.len(), false);
         for crash in suspected {
-            let (content, verdict) = (0, Verdict::Cleared);
-            let finding = CrashFinding { culprit, position: 0, content, crash, verdict };
-            let change = self.merge(finding, now);
+            let (content, deaths, verdict) = (0, 0, Verdict::Cleared);
+            let finding = CrashFinding { culprit, position: 0, content, crash, deaths, verdict };
+            let change = self.merge(finding, false, now);
             was_quarantined |= matches!(change, BlameChange::Cleared { was_quarantined: true, .. });
         }
         BlameChange::Cleared { crashes, was_quarantined }
@@ -303,6 +317,7 @@
                     position,
                     content: *content,
                     crash,
+                    deaths: sighting.deaths(),
                     verdict: Verdict::Suspected,
                 })
             })
@@ -315,10 +330,10 @@
         let Some(blame) = self.culprits.get(&culprit) else {
             return false;
         };
-        if blame.suspected().count() >= MAX_CRASHES {
+        if blame.suspected_deaths() >= MAX_CRASHES {
             return true;
         }
-        let mut unexplained: Vec<&Sighting> = match culprit {
+        let unexplained: Vec<&Sighting> = match culprit {
             Culprit::Content(_) => blame.suspected().map(|(_, sighting)| sighting).collect(),
             Culprit::Part(_) => blame
                 .suspected()
@@ -326,16 +341,25 @@
                 .map(|(_, sighting)| sighting)
                 .collect(),
         };
-        unexplained.sort_by_key(|sighting| sighting.noted);
         let excused_bursts = self.sound.answers(culprit, now).min(MAX_EXCUSED_BURSTS);
-        let counted = without_bursts(&unexplained, excused_bursts);
+        let Some(counted_from) = end_of_bursts(&unexplained, excused_bursts) else {
+            return false;
+        };
         let min_contents = match culprit {
             Culprit::Content(_) => 1,
             Culprit::Part(_) => MIN_CONTENTS,
         };
-        let contents: BTreeSet<Fingerprint> =
-            counted.iter().flat_map(|sighting| sighting.contents.iter().copied()).collect();
-        counted.len() >= QUARANTINE_CRASHES && contents.len() >= min_contents
+        let is_counted = |at: &&Instant| **at >= counted_from;
+        let mut deaths = 0;
+        let mut contents = BTreeSet::new();
+        for sighting in unexplained {
+            let counted = sighting.deaths.iter().filter(is_counted).count();
+            deaths += counted;
+            if counted > 0 {
+                contents.extend(sighting.contents.iter().copied());
+            }
+        }
+        deaths >= QUARANTINE_CRASHES && contents.len() >= min_contents
     }
 
     /// Whether a quarantined part is suspected of a crash. A content does not explain crashes: each of its requests may
@@ -398,6 +422,11 @@
             && replaced.is_some_and(|crash| self.crashes.remove(&crash).is_some())
     }
 
+    /// Number of deaths in the crashes of which the culprit is suspected.
+    fn suspected_deaths(&self) -> usize {
+        self.suspected().map(|(_, sighting)| sighting.deaths.len()).sum()
+    }
+
     /// Crashes of which the culprit is suspected.
     fn suspected(&self) -> impl Iterator<Item = (CrashId, &Sighting)> + '_ {
         let suspected =
@@ -407,18 +436,36 @@
 }
 
 impl Sighting {
-    fn new(verdict: Verdict, now: Instant) -> Sighting {
-        Sighting { verdict, noted: now, contents: BTreeSet::new() }
+    fn new(verdict: Verdict) -> Sighting {
+        Sighting { verdict, deaths: Vec::new(), contents: BTreeSet::new() }
+    }
+
+    fn deaths(&self) -> u8 {
+        u8::try_from(self.deaths.len()).unwrap_or(u8::MAX)
+    }
+
+    /// Deaths of the server, with one that this host sees now.
+    fn own_deaths(&self, now: Instant) -> u8 {
+        let is_same = self
+            .deaths
+            .last()
+            .is_some_and(|last| now.saturating_duration_since(*last) < MIN_RESTART);
+        self.deaths() + u8::from(!is_same)
     }
 
     /// Merges a finding; returns whether anything changes.
-    fn merge(&mut self, verdict: Verdict, content: Fingerprint) -> bool {
+    fn merge(&mut self, verdict: Verdict, content: Fingerprint, deaths: u8, now: Instant) -> bool {
         let is_stronger = verdict > self.verdict;
         self.verdict = self.verdict.max(verdict);
         let is_suspected = self.verdict == Verdict::Suspected;
         let has_room = is_suspected && self.contents.len() < MIN_CONTENTS;
         let is_new_content = has_room && self.contents.insert(content);
-        is_stronger || is_new_content
+        let deaths = usize::from(deaths).min(MAX_DEATHS);
+        let is_new_death = is_suspected && deaths > self.deaths.len();
+        if is_new_death {
+            self.deaths.resize(deaths, now);
+        }
+        is_stronger || is_new_content || is_new_death
     }
 }
 
@@ -451,15 +498,15 @@
     }
 }
 
-/// Leaves out the first bursts of crashes, which are in order of time.
-fn without_bursts<'a>(crashes: &'a [&'a Sighting], bursts: usize) -> &'a [&'a Sighting] {
-    let mut rest = crashes;
+/// When the first death after a number of bursts of crashes was noted, if there was one.
+fn end_of_bursts(crashes: &[&Sighting], bursts: usize) -> Option<Instant> {
+    let mut times: Vec<Instant> =
+        crashes.iter().flat_map(|crash| crash.deaths.iter().copied()).collect();
+    times.sort();
+    let mut rest = &times[..];
     for _ in 0..bursts {
-        let Some(first) = rest.first() else {
-            break;
-        };
-        let end = rest.partition_point(|crash| crash.noted < first.noted + BURST_LEN);
-        rest = &rest[end..];
+        let first = *rest.first()?;
+        rest = &rest[rest.partition_point(|time| *time < first + BURST_LEN)..];
     }
-    rest
+    rest.first().copied()
 }
--- a/crates/route/src/dispatch/crashes.rs
+++ b/crates/route/src/dispatch/crashes.rs
@@ -132,7 +132,8 @@
             for (culprit, position) in culprits(content, &parts) {
                 sound += usize::from(self.blame.is_sound(culprit, now));
                 let verdict = Verdict::Suspected;
-                findings.push(CrashFinding { culprit, position, content, crash, verdict });
+                let deaths = 1;
+                findings.push(CrashFinding { culprit, position, content, crash, deaths, verdict });
             }
         }
         let server = server.to_owned();
@@ -186,7 +187,7 @@
 
     fn merge_finding(&mut self, finding: CrashFinding, is_own: bool, now: Instant) {
         let culprit = finding.culprit;
-        match self.blame.merge(finding, now) {
+        match self.blame.merge(finding, is_own, now) {
             BlameChange::Suspected(crashes) if is_own => {
                 self.notifications.push(Notification::Suspect { culprit, crashes });
             }
--- a/crates/route/tests/dispatch_crashes.rs
+++ b/crates/route/tests/dispatch_crashes.rs
@@ -60,7 +60,7 @@
 }
 
 fn finding(culprit: Culprit, crash: u64, verdict: Verdict) -> CrashFinding {
-    CrashFinding { culprit, position: 0, content: CONTENT, crash, verdict }
+    CrashFinding { culprit, position: 0, content: CONTENT, crash, deaths: 1, verdict }
 }
 
 fn is_quarantined(harness: &Harness) -> bool {
@@ -274,6 +274,61 @@
     assert!(is_quarantined(&harness));
 }
 
+/// Guards against crashes of a server going uncounted after the first, because the store is away and no new entry tells that it
+/// has started again.
+#[test]
+fn a_content_that_crashes_one_server_again_and_again_is_refused() {
+    let mut seen = harness();
+    let mut told = harness();
+    for id in ["engine-2", "engine-3"] {
+        seen.dispatcher.backends_mut().deregister(id);
+    }
+    for _ in 0..3 {
+        assert!(!is_quarantined(&seen));
+        let arrival = arrival(&mut seen);
+        let mut req = seen.admit(arrival).expect("admitted");
+        let attempt = seen.send(&mut req);
+        seen.head(&mut req, &attempt, good_head());
+        seen.advance(millis(60));
+        let (outcome, now) = (AttemptOutcome::Broken, seen.now);
+        seen.dispatcher.attempt_ended(&mut req, &attempt, true, outcome, now);
+        seen.dispatcher.server_died(&attempt.server, now);
+        told.now = now;
+        told.dispatcher.merge_crash_findings(seen.dispatcher.take_crash_news(), now);
+        seen.advance(millis(3_000));
+    }
+    assert!(is_quarantined(&seen));
+    assert!(is_quarantined(&told));
+}
+
+/// Guards against the signs of one death counting as several, on the host that sees them and on those that it tells again.
+#[test]
+fn the_signs_of_one_death_count_once() {
+    let mut harness = harness();
+    for id in ["engine-2", "engine-3"] {
+        harness.dispatcher.backends_mut().deregister(id);
+    }
+    let mut running = Vec::new();
+    for _ in 0..3 {
+        let arrival = arrival(&mut harness);
+        let mut req = harness.admit(arrival).expect("admitted");
+        let attempt = harness.send(&mut req);
+        running.push((req, attempt));
+    }
+    for (req, attempt) in &mut running {
+        let (outcome, now) = (AttemptOutcome::Broken, harness.now);
+        harness.dispatcher.attempt_ended(req, attempt, false, outcome, now);
+        harness.dispatcher.server_died(&attempt.server, now);
+        harness.advance(millis(600));
+    }
+    let news = harness.dispatcher.take_crash_news();
+    for _ in 0..3 {
+        harness.advance(millis(3_000));
+        harness.dispatcher.merge_crash_findings(news.clone(), harness.now);
+    }
+    assert!(!is_quarantined(&harness));
+}
+
 /// Guards against a quarantine being forgotten because servers crash for other reasons.
 #[test]
 fn a_quarantine_outlasts_any_number_of_other_crashes() {
@@ -288,6 +343,7 @@
             position: 0,
             content,
             crash: other,
+            deaths: 1,
             verdict: Verdict::Suspected,
         };
         harness.dispatcher.merge_crash_findings(vec![suspected], harness.now);
@@ -503,6 +559,7 @@
         position: 1,
         content,
         crash,
+        deaths: 1,
         verdict,
     };
     let cleared = (0..40).map(|crash| of(crash, crash, Verdict::Cleared)).collect();
@@ -522,6 +579,7 @@
         position: 1,
         content,
         crash,
+        deaths: 1,
         verdict: Verdict::Suspected,
     };
     for (crash, content) in [(1, 10), (2, 10), (3, 10), (1, 11)] {
