Try parts that may have been blamed wrongly

Cause: what no host knows as sound is convicted by three crashes with three contents, and then nothing can clear it, since its requests do not run. Class: a decision that suppresses the evidence against itself.

Change: one request in 2 s, from all hosts together, is sent with a quarantined part, at least 1 s after the last crash, one attempt each; who may send it is dealt like the limits of servers. From the fifth crash on a trial follows after 60, 120 and 240 s, then none, so that at most three requests follow the fifth crash. A sound answer clears the part on all hosts.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -334,6 +334,9 @@
                     self.metrics.crashes_cleared(culprit.kind_name(), crashes);
                     self.log.write(&LogEvent::Cleared { culprit, crashes });
                 }
+                Notification::Trial { request, culprit } => {
+                    self.log.write(&LogEvent::Trial { request: &request, culprit });
+                }
                 Notification::Released { culprit } => {
                     self.log.write(&LogEvent::Released { culprit });
                 }
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -152,6 +152,11 @@
         culprit: Culprit,
         crashes: usize,
     },
+    /// A request with a quarantined part is sent, to learn whether the part still crashes servers.
+    Trial {
+        request: &'a str,
+        culprit: Culprit,
+    },
     /// A quarantined culprit was answered soundly elsewhere.
     Released {
         culprit: Culprit,
@@ -383,6 +388,9 @@
             LogEvent::Cleared { culprit, crashes } => {
                 write!(f, "event=cleared culprit={culprit} crashes={crashes}")
             }
+            LogEvent::Trial { request, culprit } => {
+                write!(f, "event=trial request={request} culprit={culprit}")
+            }
             LogEvent::Released { culprit } => {
                 write!(f, "event=released culprit={culprit}")
             }
--- a/crates/relay/tests/logs.rs
+++ b/crates/relay/tests/logs.rs
@@ -162,6 +162,7 @@
         (LogEvent::Suspect { culprit, crashes: 1 }, "suspect", "crashes"),
         (LogEvent::Quarantined { culprit, crashes: 3, source: "own" }, "quarantined", "source"),
         (LogEvent::Cleared { culprit, crashes: 2 }, "cleared", "crashes"),
+        (LogEvent::Trial { request: "r", culprit }, "trial", "request"),
         (LogEvent::Released { culprit }, "released", "culprit"),
         (LogEvent::QuarantineDropped { culprit }, "quarantine_dropped", "culprit"),
         (LogEvent::Watching(false), "watching", "value"),
--- a/crates/route/src/backends/mod.rs
+++ b/crates/route/src/backends/mod.rs
@@ -191,6 +191,10 @@
         self.dealer.set_hosts(own, all);
     }
 
+    pub(crate) fn dealer(&self) -> &Dealer {
+        &self.dealer
+    }
+
     /// Sets the Unix time of a moment.
     pub(crate) fn set_unix_time(&mut self, now: Instant, unix: Duration) {
         self.dealer.set_unix_time(now, unix);
--- a/crates/route/src/blame.rs
+++ b/crates/route/src/blame.rs
@@ -10,6 +10,9 @@
 //! servers that ended for another reason, often several at once, so there the host waits for more crashes, spread over
 //! time. It keeps this to itself: no answer of the past clears anything on other hosts.
 //!
+//! A part may still be blamed wrongly, for instance after all hosts have started anew, and what would clear it is refused. So
+//! the hosts together send a few of its requests as trials, one attempt each, fewer the more servers have crashed.
+//!
 //! All requests with a part contain the parts that they share with sound ones, too. A later part of a prompt is in fewer
 //! requests than an earlier one, so it is blamed first, and crashes that a blamed part explains do not count against
 //! others.
@@ -25,6 +28,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::backends::rate_limit::Dealer;
+use crate::backends::rate_limit::Share;
 use crate::in_flight::PromptPart;
 
 /// Crashes of which a culprit must be suspected to be quarantined.
@@ -44,6 +49,16 @@
 const BURST_LEN: Duration = Duration::from_secs(1);
 /// Age from which on the record of a sound answer is renewed.
 const SOUND_RENEWAL_AGE: Duration = Duration::from_secs(10);
+/// Trials of a quarantined part on all hosts, a second.
+const TRIAL_RATE: f64 = 0.5;
+/// Time after a crash before the next trial, while fewer servers than [`TOLERATED_CRASHES`] have crashed.
+const TRIAL_DELAY: Duration = Duration::from_secs(1);
+/// The same once so many have crashed; doubles with each further crash.
+const LATE_TRIAL_DELAY: Duration = Duration::from_secs(60);
+/// Crashes under requests with a part after which hardly any more may follow.
+const TOLERATED_CRASHES: usize = 5;
+/// Crashes that trials may cause beyond these.
+const MAX_LATE_TRIALS: usize = 3;
 /// Maximum number of culprits with findings.
 const MAX_CULPRITS: usize = 4_096;
 /// Maximum number of contents and parts that are remembered as answered soundly.
@@ -129,6 +144,8 @@
     /// Index of a part in its prompt, as last seen.
     position: u8,
     updated: Instant,
+    /// This host's share of the trials.
+    trials: Option<Share>,
 }
 
 #[derive(Clone, Debug)]
@@ -241,6 +258,10 @@
         let Some(blame) = self.culprits.get(&culprit) else {
             return BlameChange::None;
         };
+        if blame.suspected().next().is_none() && self.quarantined.remove(&culprit) {
+            // The store's record does not name the crashes.
+            return BlameChange::Cleared { crashes: 1, was_quarantined: true };
+        }
         let suspected: Vec<CrashId> = blame.suspected().map(|(crash, _)| crash).collect();
         let (crashes, mut was_quarantined) = (suspected.len(), false);
         for crash in suspected {
@@ -287,6 +308,39 @@
         std::mem::take(&mut self.dropped)
     }
 
+    /// Takes a trial for a request that is quarantined for parts of its prompt only; returns these parts, or nothing if
+    /// none is due on this host.
+    pub(crate) fn take_trial(
+        &mut self,
+        content: Fingerprint,
+        parts: &[PromptPart],
+        dealer: &Dealer,
+        now: Instant,
+    ) -> Vec<Culprit> {
+        let quarantined: Vec<Culprit> = culprits(content, parts)
+            .map(|(culprit, _)| culprit)
+            .filter(|culprit| self.is_quarantined(*culprit, now))
+            .collect();
+        let mut are_due = true;
+        for culprit in &quarantined {
+            are_due &= self.culprits.get_mut(culprit).is_some_and(|blame| {
+                matches!(culprit, Culprit::Part(_))
+                    && blame.is_trial_due(now)
+                    && blame.has_trial(*culprit, dealer, now)
+            });
+        }
+        if !are_due {
+            return Vec::new();
+        }
+        for culprit in &quarantined {
+            let blame = self.culprits.get_mut(culprit);
+            if let Some(trials) = blame.and_then(|blame| blame.trials.as_mut()) {
+                trials.use_one();
+            }
+        }
+        quarantined
+    }
+
     pub(crate) fn has_news(&self) -> bool {
         !self.news.is_empty()
     }
@@ -406,7 +460,7 @@
 
 impl Blame {
     fn new(now: Instant) -> Blame {
-        Blame { crashes: BTreeMap::new(), position: 0, updated: now }
+        Blame { crashes: BTreeMap::new(), position: 0, updated: now, trials: None }
     }
 
     /// Whether another crash can be noted. A suspicion takes the place of a clearance; a clearance takes none, since hosts
@@ -422,6 +476,26 @@
             && replaced.is_some_and(|crash| self.crashes.remove(&crash).is_some())
     }
 
+    /// Whether enough time has passed since the last crash for another trial.
+    fn is_trial_due(&self, now: Instant) -> bool {
+        let deaths = self.suspected_deaths();
+        let late = deaths.saturating_sub(TOLERATED_CRASHES);
+        let delay = if deaths < TOLERATED_CRASHES {
+            TRIAL_DELAY
+        } else if late < MAX_LATE_TRIALS {
+            LATE_TRIAL_DELAY * (1 << late)
+        } else {
+            return false;
+        };
+        now.saturating_duration_since(self.updated) >= delay
+    }
+
+    /// Whether this host has a share in the trials of a culprit now.
+    fn has_trial(&mut self, culprit: Culprit, dealer: &Dealer, now: Instant) -> bool {
+        self.trials = Share::at(dealer, &culprit.to_string(), TRIAL_RATE, self.trials, now);
+        self.trials.is_some_and(|trials| trials.has_room(now))
+    }
+
     /// Number of deaths in the crashes of which the culprit is suspected.
     fn suspected_deaths(&self) -> usize {
         self.suspected().map(|(_, sighting)| sighting.deaths.len()).sum()
--- a/crates/route/src/dispatch/crashes.rs
+++ b/crates/route/src/dispatch/crashes.rs
@@ -18,6 +18,7 @@
 use crate::blame::Culprit;
 use crate::blame::Verdict;
 use crate::blame::culprits;
+use crate::in_flight::Arrival;
 use crate::in_flight::Attempt;
 use crate::in_flight::AttemptOutcome;
 use crate::in_flight::InFlightRequest;
@@ -109,6 +110,17 @@
         }
     }
 
+    /// Takes a trial for a quarantined request, if one is due on this host.
+    pub(super) fn take_trial(&mut self, arrival: &Arrival, now: Instant) -> bool {
+        let dealer = self.backends.dealer();
+        let parts = self.blame.take_trial(arrival.fingerprint, &arrival.parts, dealer, now);
+        for culprit in &parts {
+            let (request, culprit) = (arrival.id.clone(), *culprit);
+            self.notifications.push(Notification::Trial { request, culprit });
+        }
+        !parts.is_empty()
+    }
+
     /// Returns the probe that tells whether a server has crashed, if answers broke off there near their beginning.
     pub fn take_crash_probe(&mut self, attempt: &Attempt, now: Instant) -> Option<Probe> {
         let interrupted = self.interrupted_answers.get(&attempt.server)?;
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -48,6 +48,7 @@
 use crate::in_flight::Arrival;
 use crate::in_flight::Attempt;
 use crate::in_flight::AttemptOutcome;
+use crate::in_flight::CallerRequestId;
 use crate::in_flight::ExecutionStatus;
 use crate::in_flight::InFlightRequest;
 use crate::latency_pressure::LatencyPressure;
@@ -215,6 +216,8 @@
     Quarantined { culprit: Culprit, crashes: usize, is_own: bool },
     /// A sound answer cleared a culprit of crashes.
     Cleared { culprit: Culprit, crashes: usize },
+    /// A request with a quarantined part is sent as a trial.
+    Trial { request: CallerRequestId, culprit: Culprit },
     /// A quarantined culprit was answered soundly on a host that did not know of its crashes.
     Released { culprit: Culprit },
     /// The findings on a quarantined culprit were dropped for lack of room.
@@ -315,7 +318,7 @@
     ///
     /// The refusal is the final answer; the request was not sent to any server.
     pub fn admit(&mut self, arrival: Arrival, now: Instant) -> Result<InFlightRequest, Refusal> {
-        let Some(table) = &self.table else {
+        let Some(table) = self.table.clone() else {
             return Err(refusal(ErrorKind::ConfigurationStale, Some(RETRY_AFTER_MAX)));
         };
         let Some(route) = table.find(&arrival.host, &arrival.path) else {
@@ -326,7 +329,10 @@
             Identity::Anonymous => None,
             Identity::Workspace(workspace) => Some(workspace),
         };
-        if self.blame.is_request_quarantined(arrival.fingerprint, &arrival.parts, now) {
+        let is_quarantined =
+            self.blame.is_request_quarantined(arrival.fingerprint, &arrival.parts, now);
+        let is_trial = is_quarantined && self.take_trial(&arrival, now);
+        if is_quarantined && !is_trial {
             return Err(refusal(ErrorKind::Quarantined, None));
         }
         let request_hash = stable_hash(REQUEST_HASH_SEED, &[arrival.id.as_bytes()]);
@@ -362,6 +368,7 @@
             session: arrival.session,
             request_hash,
             fingerprint: arrival.fingerprint,
+            is_trial,
             tried_servers: Vec::new(),
             last_event: arrival.last_event,
             answer_started: false,
@@ -616,7 +623,9 @@
         if !req.may_be_sent() || req.attempts >= req.route.max_attempts.max(1) {
             return Err(NoAttempt::Exhausted);
         }
-        if self.blame.is_request_quarantined(req.fingerprint, &req.parts, now) {
+        let is_first_of_trial = req.is_trial && req.attempts == 0;
+        if !is_first_of_trial && self.blame.is_request_quarantined(req.fingerprint, &req.parts, now)
+        {
             return Err(NoAttempt::Quarantined);
         }
         let choice = self.choose(req, now).map_err(NoAttempt::NoServer)?;
--- a/crates/route/src/in_flight.rs
+++ b/crates/route/src/in_flight.rs
@@ -148,6 +148,8 @@
     /// Uniformly distributed hash of the request id; replaces the session hash where there is none.
     pub(crate) request_hash: u64,
     pub(crate) fingerprint: Fingerprint,
+    /// Whether it is sent once to learn whether the quarantined parts of its prompt still crash servers.
+    pub(crate) is_trial: bool,
     /// Servers that the request was sent to or that were unreachable.
     pub(crate) tried_servers: Vec<BackendServerId>,
     /// Last event that the caller received.
--- a/crates/route/tests/dispatch_crashes.rs
+++ b/crates/route/tests/dispatch_crashes.rs
@@ -2,7 +2,11 @@
 
 mod fleet;
 
+use std::time::Duration;
+
+use foxtailhoist_model::EntryHostId;
 use foxtailhoist_model::ErrorKind;
+use foxtailhoist_route::backends::Registration;
 use foxtailhoist_route::backends::RegistrationChange;
 use foxtailhoist_route::blame::CrashFinding;
 use foxtailhoist_route::blame::Culprit;
@@ -589,3 +593,106 @@
     harness.dispatcher.merge_crash_findings(vec![of(2, 12)], harness.now);
     assert!(harness.dispatcher.is_quarantined(PART_CULPRIT, harness.now));
 }
+
+/// Hosts of one fleet that know nothing yet.
+fn fleet_of(hosts: usize) -> Vec<Harness> {
+    let names: Vec<EntryHostId> = (0..hosts).map(|number| format!("host-{number}")).collect();
+    let start = harness().now;
+    let hosts = names.iter().map(|own| {
+        let mut host = harness();
+        host.now = start;
+        host.dispatcher.set_hosts(own, &names.iter().collect::<Vec<_>>());
+        host.dispatcher.set_unix_time(start, Duration::from_secs(1_800_000_000));
+        host
+    });
+    hosts.collect()
+}
+
+/// Lets each host tell all others what it knows of crashes.
+fn tell_all(hosts: &mut [Harness]) {
+    for number in 0..hosts.len() {
+        let news = hosts[number].dispatcher.take_crash_news();
+        for (other, host) in hosts.iter_mut().enumerate() {
+            if other != number && !news.is_empty() {
+                host.dispatcher.merge_crash_findings(news.clone(), host.now);
+            }
+        }
+    }
+}
+
+/// Lets three servers crash under requests that share only their first part, and tells all hosts.
+fn blame_first_part(hosts: &mut [Harness]) {
+    for part in [601, 602, 603] {
+        crash_with_parts(&mut hosts[0], &[&[part]]);
+    }
+    let now = hosts[0].now;
+    for host in hosts.iter_mut() {
+        host.now = now;
+        for id in ["engine-1", "engine-2", "engine-3"] {
+            host.register(Registration {
+                started_ms: Some(2),
+                ..registration(id, "llm", LOCAL_DC)
+            });
+        }
+    }
+    tell_all(hosts);
+    assert!(hosts.iter().all(|host| host.dispatcher.is_quarantined(FIRST_PART, host.now)));
+}
+
+/// Guards against all requests being refused for minutes because servers ended at once, while no host had answered any yet,
+/// that were answering requests with the first part of all prompts.
+#[rstest]
+fn a_part_that_was_blamed_wrongly_is_served_again(#[values(1, 6)] hosts: usize) {
+    let mut hosts = fleet_of(hosts);
+    blame_first_part(&mut hosts);
+    for _ in 0..100 {
+        for host in &mut hosts {
+            host.advance(millis(100));
+            let arrival = arrival_with_parts(host, &[604]);
+            if let Ok(mut req) = host.admit(arrival) {
+                let attempt = host.send(&mut req);
+                host.head(&mut req, &attempt, good_head());
+                host.end(&mut req, &attempt, AttemptOutcome::Whole);
+            }
+        }
+        tell_all(&mut hosts);
+    }
+    for host in &hosts {
+        assert!(!host.dispatcher.is_quarantined(FIRST_PART, host.now));
+    }
+}
+
+/// Guards against trials of a part that crashes servers crashing many more of them.
+#[rstest]
+fn trials_of_a_part_that_crashes_servers_are_few(#[values(1, 6)] hosts: usize) {
+    let mut hosts = fleet_of(hosts);
+    blame_first_part(&mut hosts);
+    let mut crashes = 3;
+    // Until the quarantine of a part expires.
+    for tenth in 0..6_000 {
+        for number in 0..hosts.len() {
+            let host = &mut hosts[number];
+            host.advance(millis(100));
+            let arrival = arrival_with_parts(host, &[604]);
+            let Ok(mut req) = host.admit(arrival) else {
+                continue;
+            };
+            let attempt = host.send(&mut req);
+            let now = host.now;
+            host.dispatcher.attempt_ended(&mut req, &attempt, false, AttemptOutcome::Broken, now);
+            host.dispatcher.server_died(&attempt.server, now);
+            assert_eq!(host.refusal(&mut req).kind, ErrorKind::Quarantined);
+            let server = registration(&attempt.server, "llm", LOCAL_DC);
+            let started_ms = Some(1_000 + crashes);
+            for host in &mut hosts {
+                host.register(Registration { started_ms, ..server.clone() });
+            }
+            crashes += 1;
+            tell_all(&mut hosts);
+        }
+        // Five crashes, three requests more.
+        let allowed = if tenth < 600 { 5 } else { 8 };
+        assert!(crashes <= allowed, "{crashes} crashes after {tenth} tenths of a second");
+    }
+    assert!(crashes > 3);
+}
