Soak: servers that name limits, and a check that hosts keep to them together

Half of what servers state beside other faults are limits: rising and falling, zero, unreadable, ended.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,9 +2,10 @@
 //!
 //! A seed determines the faults: hosts that are killed, stopped, paused and reloaded by signals; connections to
 //! servers and to the store that a proxy delays, refuses, resets or stalls in one or both directions; servers that
-//! fail or answer errors; requests that crash each server that begins to answer them; a store that is down, slow, discards its history or
+//! fail, answer errors or name limits; requests that crash each server that begins to answer them; a store that is down, slow, discards its history or
 //! comes back from a copy. Callers check every answer during the faults and after all are repaired; at the end, the
-//! answers are compared with what the servers ran, and requests that crash servers must no longer reach any.
+//! answers are compared with what the servers ran, requests that crash servers must no longer reach any, and the hosts must
+//! keep to limits together.
 //!
 //! `SOAK_SEEDS=7,8,9 SOAK_SECONDS=30 cargo test --test soak` runs the given seeds; `SOAK_SEEDS=fresh:20` runs 20
 //! random ones.
@@ -70,10 +71,14 @@
 const CALLERS: usize = 6;
 /// Upper bound of the pause between two faults, in milliseconds.
 const MAX_FAULT_PAUSE_MS: u64 = 700;
+/// Probability that a seed ends with a check that all hosts together keep to limits.
+const LIMIT_CHECK_PROBABILITY: f64 = 0.5;
+/// Time of that check: until all hosts must know of the limits, and a span in which requests are counted.
+const LIMIT_CHECK: Duration = Duration::from_millis(8_500);
 /// Probability of a restore of the store after each other fault.
 const RESTORE_PROBABILITY: f64 = 0.15;
-/// Probability of a server that answers errors after each other fault.
-const ERRORS_PROBABILITY: f64 = 0.4;
+/// Probability of a server that answers errors or names a limit after each other fault.
+const STATEMENT_PROBABILITY: f64 = 0.4;
 
 /// The stand-ins, proxies and entry hosts of a run.
 pub struct World {
@@ -115,8 +120,8 @@
             println!("soak seed={seed} fault={:?}", Fault::RestoreStore);
             Fault::RestoreStore.inject(&mut world, &mut version, &mut restores).await;
         }
-        if statements.random_bool(ERRORS_PROBABILITY) {
-            let fault = Fault::draw_errors(&mut statements);
+        if statements.random_bool(STATEMENT_PROBABILITY) {
+            let fault = Fault::draw_statement(&mut statements);
             println!("soak seed={seed} fault={fault:?}");
             fault.inject(&mut world, &mut version, &mut statements).await;
         }
@@ -131,6 +136,9 @@
         sender.abort();
         crashing.check(&world).await;
     }
+    if statements.random_bool(LIMIT_CHECK_PROBABILITY) {
+        check_limits(&world, seed, &mut statements).await;
+    }
     callers.stop();
     for task in tasks {
         task.await.expect("a caller task panicked");
@@ -141,6 +149,25 @@
     world.hosts.close();
 }
 
+/// Checks that the hosts keep to the limits of one server of each service together, while the callers go on.
+async fn check_limits(world: &World, seed: u64, rng: &mut ChaCha8Rng) {
+    let limited = [rng.random_range(0..SERVERS), rng.random_range(SERVERS..2 * SERVERS)];
+    for number in limited {
+        let limit = ["0.5", "1.2", "2.5"][rng.random_range(0..3)];
+        world.engines[number].0.forget_limits();
+        world.engines[number].0.set_limit(Some(limit));
+    }
+    tokio::time::sleep(LIMIT_CHECK).await;
+    for number in limited {
+        let worst = world.engines[number].0.worst_limit_window();
+        println!("soak seed={seed} worst_limit_window={worst:?}");
+        if let Some((requests, allowed)) = worst {
+            assert!(requests as f64 <= allowed, "{requests} requests in 4 s, {allowed} allowed");
+        }
+        world.engines[number].0.set_limit(None);
+    }
+}
+
 impl World {
     pub fn registrations(&self) -> Vec<(&'static str, String, Value)> {
         registrations(&self.engines)
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -19,6 +19,20 @@
 const MAX_AWAY_MS: u64 = 900;
 /// Maximum delay until what a restored store lacks is written again, in milliseconds.
 const MAX_REWRITE_DELAY_MS: u64 = 1_800;
+/// Probability that a statement is a limit; otherwise it is an error.
+const LIMIT_PROBABILITY: f64 = 0.5;
+/// Limits that servers name: rising and falling, zero, unreadable, ended.
+const LIMITS: [Option<&str>; 9] = [
+    Some("0.4"),
+    Some("1.5"),
+    Some("4"),
+    Some("20"),
+    Some("0"),
+    Some("many"),
+    Some("-1"),
+    None,
+    None,
+];
 /// Upper bound of the requests in a row that a server answers with an error.
 const MAX_ERRORS: usize = 40;
 /// Upper bound of the time for which a host is suspended, in milliseconds.
@@ -39,6 +53,8 @@
         status: u16,
         requests: usize,
     },
+    /// A server names a limit in its answers, or none any more.
+    ServerLimit(Option<&'static str>),
     /// A sound server sends nothing on any connection for a time.
     ServerSilence(Duration),
     ServerConnection(ConnectionFault),
@@ -79,8 +95,12 @@
         }
     }
 
-    /// Draws a server that answers errors.
-    pub fn draw_errors(rng: &mut ChaCha8Rng) -> Fault {
+    /// Draws what a server states in its answers.
+    pub fn draw_statement(rng: &mut ChaCha8Rng) -> Fault {
+        if rng.random_bool(LIMIT_PROBABILITY) {
+            let limit = LIMITS[rng.random_range(0..LIMITS.len())];
+            return Fault::ServerLimit(limit);
+        }
         let status = [429, 500, 503, 504][rng.random_range(0..4)];
         Fault::ServerErrors { status, requests: rng.random_range(1..MAX_ERRORS) }
     }
@@ -116,6 +136,7 @@
             Fault::ServerErrors { status, requests } => {
                 world.engines[server].0.next(&vec![Behaviour::Error(status); requests]);
             }
+            Fault::ServerLimit(limit) => world.engines[server].0.set_limit(limit),
             Fault::Server(behaviour) => world.engines[server].0.always(behaviour),
             Fault::ServerSilence(time) => world.engines[server].0.fall_silent(time),
             Fault::ServerConnection(fault) => world.engines[server].1.set(fault),
@@ -147,6 +168,7 @@
     world.store_proxy.set(ConnectionFault::None);
     for (engine, proxy) in &world.engines {
         engine.always(Behaviour::Answer);
+        engine.set_limit(None);
         proxy.set(ConnectionFault::None);
     }
 }
