--- a/crates/route/src/backends/mod.rs
+++ b/crates/route/src/backends/mod.rs
@@ -32,12 +32,12 @@
 use crate::backends::health::DataCentreHealth;
 use crate::backends::health::Health;
 use crate::backends::probe::Reachability;
-use crate::backends::rate_limit::Dealer;
 use crate::backends::rate_limit::KnownLimit;
 use crate::backends::rate_limit::LimitFinding;
-use crate::backends::rate_limit::Share;
 use crate::backends::rate_limit::SharedLimit;
 use crate::backends::rate_limit::StatedLimit;
+use crate::deal::Dealer;
+use crate::deal::Share;
 use crate::in_flight::Attempt;
 use crate::in_flight::AttemptOutcome;
 use crate::in_flight::PromptPart;
@@ -495,10 +495,10 @@
             let Some(server) = self.servers.get_mut(id) else {
                 return false;
             };
-            let limit = server.limit();
-            server.share = limit
-                .and_then(|per_second| Share::at(&self.dealer, id, per_second, server.share, now));
-            limit.is_some()
+            let rate = server.statements.limit.rate();
+            server.share =
+                rate.and_then(|rate| Share::at(&self.dealer, id, rate, server.share, now));
+            rate.is_some()
         });
     }
 
--- a/crates/route/src/blame.rs
+++ b/crates/route/src/blame.rs
@@ -28,8 +28,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::backends::rate_limit::Dealer;
-use crate::backends::rate_limit::Share;
+use crate::deal::Dealer;
+use crate::deal::Share;
 use crate::in_flight::PromptPart;
 
 /// Crashes of which a culprit must be suspected to be quarantined.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod blame;
 mod budget;
 mod config;
+mod deal;
 mod destination;
 pub mod dispatch;
 pub mod event;
