Do not blame a part for many crashes that another part explains

Callers would see: all requests with the first part of their prompts refused, once a later part that crashes servers has crashed 16 of them before any sound answer.

Evidence: crashes_that_another_part_explains_count_for_nothing_however_many failed before.

Change: the limit only ends the excuse; explained crashes and the number of contents count as always.

--- a/crates/route/src/blame.rs
+++ b/crates/route/src/blame.rs
@@ -384,9 +384,6 @@
         let Some(blame) = self.culprits.get(&culprit) else {
             return false;
         };
-        if blame.suspected_deaths() >= MAX_CRASHES {
-            return true;
-        }
         let unexplained: Vec<&Sighting> = match culprit {
             Culprit::Content(_) => blame.suspected().map(|(_, sighting)| sighting).collect(),
             Culprit::Part(_) => blame
@@ -395,7 +392,13 @@
                 .map(|(_, sighting)| sighting)
                 .collect(),
         };
-        let excused_bursts = self.sound.answers(culprit, now).min(MAX_EXCUSED_BURSTS);
+        let deaths: usize = unexplained.iter().map(|sighting| sighting.deaths.len()).sum();
+        // No more crashes than these are kept, so the next ones would not count.
+        let excused_bursts = if deaths < MAX_CRASHES {
+            self.sound.answers(culprit, now).min(MAX_EXCUSED_BURSTS)
+        } else {
+            0
+        };
         let Some(counted_from) = end_of_bursts(&unexplained, excused_bursts) else {
             return false;
         };
--- a/crates/route/tests/dispatch_crashes.rs
+++ b/crates/route/tests/dispatch_crashes.rs
@@ -333,6 +333,26 @@
     assert!(!is_quarantined(&harness));
 }
 
+/// Guards against the parts beside one that crashes servers being blamed because it has crashed very many.
+#[test]
+fn crashes_that_another_part_explains_count_for_nothing_however_many() {
+    let mut harness = harness();
+    for crash in 0..40 {
+        let of = |culprit, position| CrashFinding {
+            culprit,
+            position,
+            content: crash,
+            crash,
+            deaths: 1,
+            verdict: Verdict::Suspected,
+        };
+        let findings = vec![of(PART_CULPRIT, 1), of(FIRST_PART, 0)];
+        harness.dispatcher.merge_crash_findings(findings, harness.now);
+    }
+    assert!(harness.dispatcher.is_quarantined(PART_CULPRIT, harness.now));
+    assert!(!harness.dispatcher.is_quarantined(FIRST_PART, harness.now));
+}
+
 /// Guards against a quarantine being forgotten because servers crash for other reasons.
 #[test]
 fn a_quarantine_outlasts_any_number_of_other_crashes() {
