Count the time to a trial from the last crash

Callers would see: requests with a part that was blamed wrongly refused for as long as hosts tell each other of the crashes again.

Cause: the delay before a trial ran from the last update of the record, which findings that are already known renew.

Evidence: a_part_that_was_blamed_wrongly_is_served_again, with hosts that are told again of what they know, failed before.

--- a/crates/route/src/blame.rs
+++ b/crates/route/src/blame.rs
@@ -490,7 +490,10 @@
         } else {
             return false;
         };
-        now.saturating_duration_since(self.updated) >= delay
+        // Findings that are passed on again renew the record, but not the crashes.
+        let crashes = self.suspected().flat_map(|(_, sighting)| sighting.deaths.iter());
+        let last_crash = crashes.max().unwrap_or(&self.updated);
+        now.saturating_duration_since(*last_crash) >= delay
     }
 
     /// Whether this host has a share in the trials of a culprit now.
--- a/crates/route/tests/dispatch_crashes.rs
+++ b/crates/route/tests/dispatch_crashes.rs
@@ -665,9 +665,13 @@
 fn a_part_that_was_blamed_wrongly_is_served_again(#[values(1, 6)] hosts: usize) {
     let mut hosts = fleet_of(hosts);
     blame_first_part(&mut hosts);
+    let mut known = hosts[0].dispatcher.quarantined_findings();
+    known.truncate(1);
     for _ in 0..100 {
         for host in &mut hosts {
             host.advance(millis(100));
+            // Hosts are told again of what they know.
+            host.dispatcher.merge_crash_findings(known.clone(), host.now);
             let arrival = arrival_with_parts(host, &[604]);
             if let Ok(mut req) = host.admit(arrival) {
                 let attempt = host.send(&mut req);
