Explain refusals and attempts by what servers state of themselves

explain shows the last pause, leave and limit of an attempt's server beside its entry, and a refusal for lack of servers that take requests says for how long, so that a limit can be told from an overload.

--- a/crates/report/src/timeline.rs
+++ b/crates/report/src/timeline.rs
@@ -9,6 +9,9 @@
 use std::fmt;
 use std::time::Duration;
 
+/// Events that tell what a host knew of a server.
+const SERVER_EVENTS: [&str; 4] = ["server", "server_leaving", "server_paused", "server_limited"];
+
 /// Milliseconds in a day.
 const DAY_MS: i64 = 86_400_000;
 
@@ -85,7 +88,8 @@
     fn known_states(&self, line: &Line) -> Vec<KnownState> {
         let server = line.fields.get("server");
         let is_relevant = |other: &&Line| {
-            let is_server = other.is("server") && other.fields.get("id") == server;
+            let is_server =
+                SERVER_EVENTS.contains(&other.event()) && other.fields.get("id") == server;
             let is_store = other.is("store_lost") || other.is("store_regained");
             other.is("configured") || (server.is_some() && is_server) || is_store
         };
--- a/crates/route/src/dispatch/mod.rs
+++ b/crates/route/src/dispatch/mod.rs
@@ -805,6 +805,9 @@
         if let Some(until) = paused_until.filter(|_| is_pause_too_long) {
             let left = until.saturating_duration_since(now);
             refusal.retry_after = refusal.retry_after.map(|wait| wait.max(left));
+            if refusal.message.is_empty() {
+                refusal.message = format!("servers take no request for {} ms", left.as_millis());
+            }
         }
         Step::Refuse(refusal)
     }
--- a/crates/route/tests/server_limits.rs
+++ b/crates/route/tests/server_limits.rs
@@ -343,6 +343,7 @@
         req = host.admitted("/look/1");
     };
     assert!(refusal.retry_after > Some(millis(300)), "{refusal:?}");
+    assert!(refusal.message.starts_with("servers take no request for"), "{refusal:?}");
 }
 
 /// Guards against a host that does not know the time, since it has just started, sending beside the others.
