Test hosts: start on other ports if another process took one

Its host had exited at once: "cannot listen on 127.0.0.1:29030: Address already in use". The test had found the port free a moment before; ports are unique within a test process, so another process took it. Which one is not known.

The hosts of a run now count as started once all of them listen; if one exits before, all are started again on other ports, three times at most. The checks of the tests are as before.

--- a/tests/soak/hosts.rs
+++ b/tests/soak/hosts.rs
@@ -6,17 +6,25 @@
 use std::fs::File;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 
 use rustix::process::Pid;
 use rustix::process::Signal;
 use rustix::process::kill_process;
 
+/// Maximum number of attempts to start the hosts.
+const MAX_STARTS: usize = 3;
+/// Maximum time until all hosts listen.
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Entry-host processes of one run; dropping kills them.
 pub struct Hosts {
     hosts: Vec<Host>,
@@ -25,6 +33,8 @@
 struct Host {
     callers: SocketAddr,
     readiness: SocketAddr,
+    /// The address that a process listens on last.
+    peers: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -32,8 +42,34 @@
 
 impl Hosts {
     /// Starts `count` processes that use the store at an address; `name` separates their files from those of other
-    /// runs.
+    /// runs. Another process may take a free port before a host listens on it, so the hosts are then started on others.
     pub fn start(count: usize, store: SocketAddr, name: &str) -> Hosts {
+        for _ in 0..MAX_STARTS {
+            let mut hosts = Hosts::start_once(count, store, name);
+            if hosts.until_listening() {
+                return hosts;
+            }
+        }
+        panic!("the hosts do not listen");
+    }
+
+    /// Waits until all processes listen; returns whether none has exited.
+    fn until_listening(&mut self) -> bool {
+        let deadline = Instant::now() + START_TIMEOUT;
+        self.hosts.iter_mut().all(|host| {
+            while TcpStream::connect(host.peers).is_err() {
+                let child = host.child.as_mut().expect("a started process");
+                let has_exited = child.try_wait().expect("a child of this process").is_some();
+                if has_exited || Instant::now() >= deadline {
+                    return false;
+                }
+                std::thread::sleep(Duration::from_millis(10));
+            }
+            true
+        })
+    }
+
+    fn start_once(count: usize, store: SocketAddr, name: &str) -> Hosts {
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&directory).expect("a directory for settings and logs");
         let ports: Vec<[SocketAddr; 3]> = (0..count).map(|_| free_addresses()).collect();
@@ -55,6 +91,7 @@
             hosts.hosts.push(Host {
                 callers: *callers,
                 readiness: *readiness,
+                peers: *peers,
                 settings,
                 log,
                 child: None,
@@ -114,7 +151,7 @@
             return;
         };
         while child.try_wait().expect("a child of this process").is_none() {
-            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
         }
     }
 
