--- a/tests/soak/hosts.rs
+++ b/tests/soak/hosts.rs
@@ -56,7 +56,7 @@
     /// Waits until all processes listen; returns whether none has exited.
     fn until_listening(&mut self) -> bool {
         let deadline = Instant::now() + START_TIMEOUT;
-        self.hosts.iter_mut().all(|host| {
+        let are_listening = self.hosts.iter_mut().all(|host| {
             while TcpStream::connect(host.peers).is_err() {
                 let child = host.child.as_mut().expect("a started process");
                 let has_exited = child.try_wait().expect("a child of this process").is_some();
@@ -66,7 +66,12 @@
                 std::thread::sleep(Duration::from_millis(10));
             }
             true
-        })
+        });
+        // One of them may have been another process's.
+        std::thread::sleep(Duration::from_millis(50));
+        let mut children = self.hosts.iter_mut().filter_map(|host| host.child.as_mut());
+        are_listening
+            && children.all(|child| child.try_wait().expect("a child of this process").is_none())
     }
 
     fn start_once(count: usize, store: SocketAddr, name: &str) -> Hosts {
