Report a version that is found good late soon

Cause: a version found good late may complete from 0.94 of the time on, once it has taken all traffic. Each host then waited up to 0.05 of the time for another one to report it.

Change: near the deadline the range of these waits is 0.015 of the time. More hosts may then write at once; all but one get a conflict.

--- a/crates/relay/src/duties.rs
+++ b/crates/relay/src/duties.rs
@@ -29,11 +29,6 @@
 const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(1_000);
 /// Timeout of a call that writes.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Longest range of the delays after which hosts send a report that any of them may send; with different delays, usually
-/// only one host sends it.
-const MAX_REPORT_SPREAD: Duration = Duration::from_millis(900);
-/// Range of these delays as a fraction of the ordered duration, so that short shifts complete in time.
-const REPORT_SPREAD_FRACTION: f64 = 0.05;
 /// Delay before a report is retried.
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(1_200);
 /// Delay before a suspect report that failed is sent again.
@@ -147,7 +142,7 @@
                 if report.phase == ShiftPhase::RolledBack {
                     core.log.write(&LogEvent::ShiftWithdrawn { service, target, shift });
                 }
-                now + report_delay(core, &report, shift)
+                now + report_delay(core, &report, shift, now)
             }
         };
         if due <= now {
@@ -163,13 +158,12 @@
 }
 
 /// How long this host waits before it sends a report; a withdrawal is reported at once.
-fn report_delay(core: &Core, report: &ShiftReport, shift: &Shift) -> Duration {
+fn report_delay(core: &Core, report: &ShiftReport, shift: &Shift, now: Instant) -> Duration {
     if shift.is_withdrawn() {
         return Duration::ZERO;
     }
     let parts = [core.cfg.host.as_bytes(), report.service.as_bytes()];
-    let spread = shift.order().duration.mul_f64(REPORT_SPREAD_FRACTION).min(MAX_REPORT_SPREAD);
-    spread.mul_f64(stable_hash(SPREAD_SEED, &parts) as f64 / u64::MAX as f64)
+    shift.report_spread(now).mul_f64(stable_hash(SPREAD_SEED, &parts) as f64 / u64::MAX as f64)
 }
 
 async fn report_shift(core: Rc<Core>, report: ShiftReport) {
--- a/crates/rollout/src/shift.rs
+++ b/crates/rollout/src/shift.rs
@@ -46,6 +46,13 @@
 const MIN_SETTLING_FRACTION: f64 = 0.05;
 /// Fraction of the ordered duration by which completion is reported if the shorter settling time allows it.
 const LATE_COMPLETION_FRACTION: f64 = 0.94;
+/// Longest range of the delays after which hosts send a report that any of them may send; with different delays, usually
+/// only one host sends it.
+const MAX_REPORT_SPREAD: Duration = Duration::from_millis(900);
+/// Range of these delays as a fraction of the ordered duration, so that short shifts complete in time.
+const REPORT_SPREAD_FRACTION: f64 = 0.05;
+/// The same for a report near the deadline.
+const LATE_REPORT_SPREAD_FRACTION: f64 = 0.015;
 /// Fraction of the ordered duration at which a version is rolled back that is still not known to be good.
 const UNPROVEN_FRACTION: f64 = 0.92;
 /// Fraction of the ordered duration for which a host follows a shift before it may find the target unproven: a host that
@@ -324,6 +331,14 @@
         })
     }
 
+    /// Range of the delays after which hosts send a report that any of them may send.
+    #[must_use]
+    pub fn report_spread(&self, now: Instant) -> Duration {
+        let is_late = self.elapsed_fraction(now) >= LATE_COMPLETION_FRACTION;
+        let fraction = if is_late { LATE_REPORT_SPREAD_FRACTION } else { REPORT_SPREAD_FRACTION };
+        self.order.duration.mul_f64(fraction).min(MAX_REPORT_SPREAD)
+    }
+
     /// Answers of the target and of all other versions, for the log.
     #[must_use]
     pub fn counts(&self) -> (OutcomeCount, OutcomeCount) {
--- a/crates/rollout/tests/shift.rs
+++ b/crates/rollout/tests/shift.rs
@@ -122,6 +122,21 @@
     assert_eq!(report.phase, ShiftPhase::Completed);
 }
 
+/// Guards against a good version that misses its deadline because each host waits for another one to report it.
+#[rstest]
+fn a_version_found_good_late_is_reported_soon(#[values(6, 12, 60)] seconds: u64) {
+    let start = Instant::now();
+    let duration = Duration::from_secs(seconds);
+    let mut shift = Shift::new(in_progress(seconds), start, NOW_MS);
+    let _ = shift.rule(start + duration.mul_f64(0.89));
+    observe_good(&mut shift);
+    let _ = shift.rule(start + duration.mul_f64(0.89));
+    let due = start + duration.mul_f64(0.941);
+    assert!(shift.due_report(true, due, NOW_MS).is_some());
+    // Writing it to the store takes its time, too.
+    assert!(due + shift.report_spread(due) <= start + duration.mul_f64(0.96));
+}
+
 #[test]
 fn reports_follow_the_schedule() {
     let start = Instant::now();
