Try a part that crashes servers at most twice after the fifth crash

With requests far apart, a part is blamed at the third different one, each of which may crash three servers before the first crash is found: nine in all, three of them late, which is what the target allows. From seven crashes on there is no trial any more.

--- a/crates/route/src/blame.rs
+++ b/crates/route/src/blame.rs
@@ -58,7 +58,7 @@
 /// Crashes under requests with a part after which hardly any more may follow.
 const TOLERATED_CRASHES: usize = 5;
 /// Crashes that trials may cause beyond these.
-const MAX_LATE_TRIALS: usize = 3;
+const MAX_LATE_TRIALS: usize = 2;
 /// Maximum number of culprits with findings.
 const MAX_CULPRITS: usize = 4_096;
 /// Maximum number of contents and parts that are remembered as answered soundly.
