--- a/crates/route/src/blame.rs
+++ b/crates/route/src/blame/mod.rs
@@ -17,6 +17,8 @@
 //! requests than an earlier one, so it is blamed first, and crashes that a blamed part explains do not count against
 //! others.
 
+mod sound_answers;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
@@ -28,6 +30,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use self::sound_answers::SoundAnswers;
 use crate::deal::Dealer;
 use crate::deal::Share;
 use crate::in_flight::PromptPart;
@@ -40,15 +43,11 @@
 const CONTENT_TTL: Duration = Duration::from_secs(3_600);
 /// The same for a part, whose quarantine affects more callers.
 const PART_TTL: Duration = Duration::from_secs(600);
-/// Time for which a sound answer speaks for its content and parts.
-const SOUND_TTL: Duration = Duration::from_secs(60);
 /// Bursts of crashes that sound answers before them excuse, one for each answer. A release may let a request crash servers
 /// that used to be answered often.
 const MAX_EXCUSED_BURSTS: usize = 2;
 /// Maximum time from the first to the last crash of a burst, which may have one cause.
 const BURST_LEN: Duration = Duration::from_secs(1);
-/// Age from which on the record of a sound answer is renewed.
-const SOUND_RENEWAL_AGE: Duration = Duration::from_secs(10);
 /// Trials of a quarantined part on all hosts, a second.
 const TRIAL_RATE: f64 = 0.5;
 /// Time after a crash before the next trial, while fewer servers than [`TOLERATED_CRASHES`] have crashed.
@@ -61,8 +60,6 @@
 const MAX_LATE_TRIALS: usize = 2;
 /// Maximum number of culprits with findings.
 const MAX_CULPRITS: usize = 4_096;
-/// Maximum number of contents and parts that are remembered as answered soundly.
-const MAX_SOUND: usize = 4_096;
 /// Maximum number of crashes noted for one culprit.
 const MAX_CRASHES: usize = 16;
 /// Maximum number of deaths noted under the id of one crash.
@@ -157,22 +154,6 @@
     contents: BTreeSet<Fingerprint>,
 }
 
-/// Contents and parts that were answered soundly lately.
-#[derive(Debug, Default)]
-struct SoundAnswers {
-    by_culprit: BTreeMap<Culprit, SoundRecord>,
-    /// In order of time, for eviction.
-    order: VecDeque<(Culprit, Instant)>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct SoundRecord {
-    /// Answers without a pause of [`SOUND_TTL`] between them.
-    answers: usize,
-    /// When the record was renewed last.
-    at: Instant,
-}
-
 /// Everything in a request that may be to blame, with the positions of its parts.
 pub(crate) fn culprits(
     content: Fingerprint,
@@ -549,35 +530,6 @@
     }
 }
 
-impl SoundAnswers {
-    fn insert(&mut self, culprit: Culprit, now: Instant) {
-        let record = self.by_culprit.entry(culprit).or_insert(SoundRecord { answers: 0, at: now });
-        let age = now.saturating_duration_since(record.at);
-        let is_new = record.answers == 0;
-        record.answers = if age >= SOUND_TTL { 1 } else { record.answers.saturating_add(1) };
-        if !is_new && age < SOUND_RENEWAL_AGE {
-            return;
-        }
-        record.at = now;
-        self.order.push_back((culprit, now));
-        while self.order.len() > MAX_SOUND {
-            let Some((oldest, at)) = self.order.pop_front() else {
-                return;
-            };
-            if self.by_culprit.get(&oldest).is_some_and(|record| record.at == at) {
-                self.by_culprit.remove(&oldest);
-            }
-        }
-    }
-
-    /// Number of sound answers of late.
-    fn answers(&self, culprit: Culprit, now: Instant) -> usize {
-        let is_recent =
-            |record: &&SoundRecord| now.saturating_duration_since(record.at) < SOUND_TTL;
-        self.by_culprit.get(&culprit).filter(is_recent).map_or(0, |record| record.answers)
-    }
-}
-
 /// When the first death after a number of bursts of crashes was noted, if there was one.
 fn end_of_bursts(crashes: &[&Sighting], bursts: usize) -> Option<Instant> {
     let mut times: Vec<Instant> =
