Release a part once a later one explains its crashes

Cause: on a host that had just started, the first part met three crashes before the part at fault had. Once quarantined, it explained the crashes for the later part, which then was not blamed there, and the conviction stood when the other hosts blamed the later part. A second later the store's record of it refused all these requests on all hosts, also on those whose own findings spoke against it. Class: a conclusion that is not drawn again when its premises change.

Change: only a part that is as late in its prompts, or later, explains crashes for another. When a part is quarantined, earlier ones whose crashes it explains are released. The store's record does not quarantine a part on a host that knows of three crashes and does not blame it for them.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -383,7 +383,9 @@
             let mut dispatcher = core.dispatcher.borrow_mut();
             if crashes >= QUARANTINE_CRASHES && !dispatcher.is_quarantined(culprit, now) {
                 dispatcher.quarantine(culprit, now);
-                core.log.write(&LogEvent::Quarantined { culprit, crashes, source: "store" });
+                if dispatcher.is_quarantined(culprit, now) {
+                    core.log.write(&LogEvent::Quarantined { culprit, crashes, source: "store" });
+                }
             }
         }
         Content::Host(entry) => core.feeds.borrow_mut().add_host(name, entry),
--- a/crates/route/src/blame/mod.rs
+++ b/crates/route/src/blame/mod.rs
@@ -259,8 +259,11 @@
         self.sound.answers(culprit, now) > 0
     }
 
-    /// Quarantines a culprit that the store's record names.
+    /// Quarantines a culprit that the store's record names, unless this host knows better.
     pub(crate) fn quarantine(&mut self, culprit: Culprit, now: Instant) {
+        if self.refutes(culprit, now) {
+            return;
+        }
         self.blame(culprit, now);
         self.quarantined.insert(culprit);
     }
@@ -369,7 +372,7 @@
             Culprit::Content(_) => blame.suspected().map(|(_, sighting)| sighting).collect(),
             Culprit::Part(_) => blame
                 .suspected()
-                .filter(|(crash, _)| !self.is_explained(*crash))
+                .filter(|(crash, _)| !self.is_explained(*crash, culprit, blame.position))
                 .map(|(_, sighting)| sighting)
                 .collect(),
         };
@@ -400,16 +403,44 @@
         deaths >= QUARANTINE_CRASHES && contents.len() >= min_contents
     }
 
-    /// Whether a quarantined part is suspected of a crash. A content does not explain crashes: each of its requests may
-    /// have met the three that quarantine it only because of a part.
-    fn is_explained(&self, crash: CrashId) -> bool {
-        self.quarantined.iter().any(|culprit| {
-            let blame = self.culprits.get(culprit);
-            matches!(culprit, Culprit::Part(_))
+    /// Whether another quarantined part, which is not earlier in its prompts than `position`, is suspected of a crash. A
+    /// content does not explain crashes: each of its requests may have met the three that quarantine it only because of a
+    /// part.
+    fn is_explained(&self, crash: CrashId, culprit: Culprit, position: u8) -> bool {
+        self.quarantined.iter().any(|other| {
+            let blame = self.culprits.get(other).filter(|blame| blame.position >= position);
+            matches!(other, Culprit::Part(_))
+                && *other != culprit
                 && blame.is_some_and(|blame| blame.suspected().any(|(known, _)| known == crash))
         })
     }
 
+    /// Releases the parts whose crashes a part explains that was quarantined after them.
+    pub(crate) fn release_explained(&mut self, by: Culprit, now: Instant) -> Vec<Culprit> {
+        let Some(position) = self.culprits.get(&by).map(|blame| blame.position) else {
+            return Vec::new();
+        };
+        let is_explained = |culprit: &Culprit| {
+            let blame = self.culprits.get(culprit);
+            let is_earlier = blame.is_some_and(|blame| blame.position < position);
+            is_earlier && self.refutes(*culprit, now)
+        };
+        let released: Vec<Culprit> =
+            self.quarantined.iter().copied().filter(is_explained).collect();
+        for culprit in &released {
+            self.quarantined.remove(culprit);
+        }
+        released
+    }
+
+    /// Whether this host knows of enough crashes to judge a part, and they do not suffice to blame it.
+    fn refutes(&self, culprit: Culprit, now: Instant) -> bool {
+        let blame = self.culprits.get(&culprit);
+        let knows_enough =
+            blame.is_some_and(|blame| blame.suspected_deaths() >= QUARANTINE_CRASHES);
+        matches!(culprit, Culprit::Part(_)) && knows_enough && !self.is_convicted(culprit, now)
+    }
+
     /// The findings on a culprit, which count as updated now.
     fn blame(&mut self, culprit: Culprit, now: Instant) -> &mut Blame {
         if self.culprits.len() >= MAX_CULPRITS && !self.culprits.contains_key(&culprit) {
--- a/crates/route/src/dispatch/crashes.rs
+++ b/crates/route/src/dispatch/crashes.rs
@@ -205,6 +205,9 @@
             }
             BlameChange::Quarantined(crashes) => {
                 self.notifications.push(Notification::Quarantined { culprit, crashes, is_own });
+                for culprit in self.blame.release_explained(culprit, now) {
+                    self.notifications.push(Notification::Released { culprit });
+                }
             }
             BlameChange::Cleared { was_quarantined: true, .. } => {
                 self.notifications.push(Notification::Released { culprit });
--- a/crates/route/tests/dispatch_crashes.rs
+++ b/crates/route/tests/dispatch_crashes.rs
@@ -333,6 +333,35 @@
     assert!(!is_quarantined(&harness));
 }
 
+/// Guards against the first part of all prompts staying refused because it was blamed before the part that crashes servers, which
+/// fewer requests have, and against the store's record of that refusing it on hosts that know better.
+#[test]
+fn a_part_is_released_once_a_later_one_explains_its_crashes() {
+    let mut harness = harness();
+    let of = |culprit, position, crash| CrashFinding {
+        culprit,
+        position,
+        content: crash,
+        crash,
+        deaths: 1,
+        verdict: Verdict::Suspected,
+    };
+    // The third server was only in the way.
+    let first = [of(FIRST_PART, 0, 1), of(FIRST_PART, 0, 2), of(FIRST_PART, 0, 3)];
+    let later = [of(PART_CULPRIT, 1, 1), of(PART_CULPRIT, 1, 2)];
+    harness.dispatcher.merge_crash_findings([&first[..], &later[..]].concat(), harness.now);
+    assert!(harness.dispatcher.is_quarantined(FIRST_PART, harness.now));
+    harness.advance(millis(50));
+    let next = vec![of(FIRST_PART, 0, 4), of(PART_CULPRIT, 1, 4)];
+    harness.dispatcher.merge_crash_findings(next, harness.now);
+    assert!(harness.dispatcher.is_quarantined(PART_CULPRIT, harness.now));
+    assert!(!harness.dispatcher.is_quarantined(FIRST_PART, harness.now));
+    let released = Notification::Released { culprit: FIRST_PART };
+    assert!(harness.dispatcher.take_notifications().contains(&released));
+    harness.dispatcher.quarantine(FIRST_PART, harness.now);
+    assert!(!harness.dispatcher.is_quarantined(FIRST_PART, harness.now));
+}
+
 /// Guards against the parts beside one that crashes servers being blamed because it has crashed very many.
 #[test]
 fn crashes_that_another_part_explains_count_for_nothing_however_many() {
