Share findings on crashes only if sound answers do not clear them first

Cause: since earlier sound answers no longer hide a suspicion, each crash made each host share findings on all parts of the requests that it cut, popular ones included; each next sound answer made findings that cleared them; and each answer woke the exchange, at most 20 ms after the last. Class: a message for each event, with no bound on their rate, on the path that a failure loads.

Change: a host keeps its own finding on what it answered soundly lately back for a second and does not share it, nor its clearance, if it is cleared by then; on the host it counts at once. Two rounds are at least 100 ms apart, however much is new.

--- a/crates/relay/src/core.rs
+++ b/crates/relay/src/core.rs
@@ -346,7 +346,7 @@
             }
         }
         let mut dispatcher = self.dispatcher.borrow_mut();
-        if dispatcher.has_crash_news() || dispatcher.take_has_new_limits() {
+        if dispatcher.has_crash_news(Instant::now()) || dispatcher.take_has_new_limits() {
             self.news.notify_one();
         }
     }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -39,6 +39,8 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(400);
 /// Time in which findings are collected before they are sent.
 const NEWS_DELAY: Duration = Duration::from_millis(20);
+/// Minimum time between two rounds, however much is new.
+const MIN_NEWS_INTERVAL: Duration = Duration::from_millis(100);
 /// Hosts that get the news of a round.
 const FANOUT: usize = 2;
 const SEND_TIMEOUT: Duration = Duration::from_millis(300);
@@ -84,7 +86,7 @@
     loop {
         let has_news = {
             let dispatcher = core.dispatcher.borrow();
-            dispatcher.has_crash_news() || dispatcher.has_limit_news()
+            dispatcher.has_crash_news(Instant::now()) || dispatcher.has_limit_news()
         };
         if !asks && !has_news {
             tokio::select! {
@@ -95,7 +97,7 @@
         tokio::time::sleep(NEWS_DELAY).await;
         // A host that has just started may not know the others yet.
         if !core.feeds.borrow().other_addresses().is_empty() {
-            let crashes = core.dispatcher.borrow_mut().take_crash_news();
+            let crashes = core.dispatcher.borrow_mut().take_crash_news(Instant::now());
             if asks || !crashes.is_empty() {
                 exchange_crashes(&core, &crashes);
             }
@@ -105,6 +107,7 @@
             }
             asks = false;
         }
+        tokio::time::sleep(MIN_NEWS_INTERVAL).await;
         tokio::select! {
             () = tokio::time::sleep(ROUND_INTERVAL) => {}
             () = core.news.notified() => {}
--- a/crates/route/src/blame/mod.rs
+++ b/crates/route/src/blame/mod.rs
@@ -66,6 +66,9 @@
 const MAX_DEATHS: usize = 8;
 /// Time from a server's death within which another sign of it is taken for the same death.
 const MIN_RESTART: Duration = Duration::from_millis(1_500);
+/// Time for which a finding on a culprit with sound answers of late is kept back: most are cleared by the next ones, and many
+/// requests have such parts.
+const SHARE_DELAY: Duration = Duration::from_secs(1);
 /// Maximum number of findings waiting to be shared; the oldest are dropped first.
 const MAX_NEWS: usize = 512;
 /// Maximum number of culprits in the reply to another host's findings.
@@ -130,6 +133,8 @@
     sound: SoundAnswers,
     /// Findings to share, each with the rounds left.
     news: VecDeque<(CrashFinding, u8)>,
+    /// Own findings on culprits with sound answers of late, each with the time to share it unless it is cleared before.
+    deferred: VecDeque<(CrashFinding, Instant)>,
     /// Quarantined culprits dropped for lack of room since they were last taken.
     dropped: Vec<Culprit>,
 }
@@ -150,6 +155,8 @@
     verdict: Verdict,
     /// When this host learned of each death of the server, [`MAX_DEATHS`] at most.
     deaths: Vec<Instant>,
+    /// Whether other hosts may know of it.
+    is_shared: bool,
     /// Contents with the culprit that the server was beginning to answer, [`MIN_CONTENTS`] at most.
     contents: BTreeSet<Fingerprint>,
 }
@@ -201,6 +208,7 @@
         now: Instant,
     ) -> BlameChange {
         let CrashFinding { culprit, content, crash, verdict, .. } = finding;
+        let is_sound = self.sound.answers(culprit, now) > 0;
         let blame = self.blame(culprit, now);
         blame.position = blame.position.max(finding.position);
         let is_known = blame.crashes.contains_key(&crash);
@@ -213,9 +221,18 @@
         if is_known && !is_news {
             return BlameChange::None;
         }
-        let deaths = sighting.deaths();
+        let is_deferred = is_own && verdict == Verdict::Suspected && is_sound;
+        // Nobody else knows of a crash that is cleared before it is shared.
+        let is_shared =
+            !is_deferred && (!is_own || verdict == Verdict::Suspected || sighting.is_shared);
+        sighting.is_shared |= is_shared;
+        let finding = CrashFinding { deaths: sighting.deaths(), ..finding };
         let suspected = blame.suspected_deaths();
-        self.add_news(CrashFinding { deaths, ..finding });
+        if is_shared {
+            self.add_news(finding);
+        } else if is_deferred && self.deferred.len() < MAX_NEWS {
+            self.deferred.push_back((finding, now + SHARE_DELAY));
+        }
         match verdict {
             Verdict::Suspected if !self.quarantined.contains(&culprit) => {
                 if self.is_convicted(culprit, now) {
@@ -248,7 +265,7 @@
         for crash in suspected {
             let (content, deaths, verdict) = (0, 0, Verdict::Cleared);
             let finding = CrashFinding { culprit, position: 0, content, crash, deaths, verdict };
-            let change = self.merge(finding, false, now);
+            let change = self.merge(finding, true, now);
             was_quarantined |= matches!(change, BlameChange::Cleared { was_quarantined: true, .. });
         }
         BlameChange::Cleared { crashes, was_quarantined }
@@ -325,12 +342,20 @@
         quarantined
     }
 
-    pub(crate) fn has_news(&self) -> bool {
-        !self.news.is_empty()
+    pub(crate) fn has_news(&self, now: Instant) -> bool {
+        !self.news.is_empty() || self.deferred.front().is_some_and(|(_, due)| *due <= now)
     }
 
     /// Findings to pass on in this round.
-    pub(crate) fn take_news(&mut self) -> Vec<CrashFinding> {
+    pub(crate) fn take_news(&mut self, now: Instant) -> Vec<CrashFinding> {
+        while let Some((finding, _)) = self.deferred.pop_front_if(|(_, due)| *due <= now) {
+            let blame = self.culprits.get_mut(&finding.culprit);
+            let sighting = blame.and_then(|blame| blame.crashes.get_mut(&finding.crash));
+            if let Some(sighting) = sighting.filter(|known| known.verdict == Verdict::Suspected) {
+                sighting.is_shared = true;
+                self.add_news(finding);
+            }
+        }
         let news = self.news.iter().map(|(finding, _)| *finding).collect();
         self.news.retain_mut(|(_, rounds)| {
             *rounds -= 1;
@@ -529,7 +554,7 @@
 
 impl Sighting {
     fn new(verdict: Verdict) -> Sighting {
-        Sighting { verdict, deaths: Vec::new(), contents: BTreeSet::new() }
+        Sighting { verdict, deaths: Vec::new(), is_shared: false, contents: BTreeSet::new() }
     }
 
     fn deaths(&self) -> u8 {
--- a/crates/route/src/dispatch/crashes.rs
+++ b/crates/route/src/dispatch/crashes.rs
@@ -171,14 +171,14 @@
 
     /// Whether there are findings to share.
     #[must_use]
-    pub fn has_crash_news(&self) -> bool {
-        self.blame.has_news()
+    pub fn has_crash_news(&self, now: Instant) -> bool {
+        self.blame.has_news(now)
     }
 
     /// Findings to pass on to other hosts in this round.
     #[must_use]
-    pub fn take_crash_news(&mut self) -> Vec<CrashFinding> {
-        self.blame.take_news()
+    pub fn take_crash_news(&mut self, now: Instant) -> Vec<CrashFinding> {
+        self.blame.take_news(now)
     }
 
     /// Findings on quarantined culprits, for a host that may have missed them.
--- a/crates/route/tests/dispatch_crashes.rs
+++ b/crates/route/tests/dispatch_crashes.rs
@@ -298,7 +298,7 @@
         seen.dispatcher.attempt_ended(&mut req, &attempt, true, outcome, now);
         seen.dispatcher.server_died(&attempt.server, now);
         told.now = now;
-        told.dispatcher.merge_crash_findings(seen.dispatcher.take_crash_news(), now);
+        told.dispatcher.merge_crash_findings(seen.dispatcher.take_crash_news(seen.now), now);
         seen.advance(millis(3_000));
     }
     assert!(is_quarantined(&seen));
@@ -325,7 +325,7 @@
         harness.dispatcher.server_died(&attempt.server, now);
         harness.advance(millis(600));
     }
-    let news = harness.dispatcher.take_crash_news();
+    let news = harness.dispatcher.take_crash_news(harness.now);
     for _ in 0..3 {
         harness.advance(millis(3_000));
         harness.dispatcher.merge_crash_findings(news.clone(), harness.now);
@@ -427,7 +427,7 @@
     let mut told = harness();
     crash(&mut seen, CrashAt::AfterHead);
     crash(&mut seen, CrashAt::AfterHead);
-    let findings = seen.dispatcher.take_crash_news();
+    let findings = seen.dispatcher.take_crash_news(seen.now);
     // Each crash blames the content and the part that it shares with others.
     assert_eq!(findings.len(), 4);
     for _ in 0..2 {
@@ -438,7 +438,7 @@
     told.dispatcher.merge_crash_findings(vec![third], told.now);
     assert!(is_quarantined(&told));
     // What a host learns it passes on, for hosts that missed it.
-    assert_eq!(told.dispatcher.take_crash_news().len(), 5);
+    assert_eq!(told.dispatcher.take_crash_news(told.now).len(), 5);
 }
 
 /// Guards against a host refusing a content that another one knows to be sound.
@@ -534,16 +534,16 @@
     for _ in 0..3 {
         crash_with_parts(&mut harness, &[&[PART]]);
     }
-    let findings = harness.dispatcher.take_crash_news();
+    let findings = harness.dispatcher.take_crash_news(harness.now);
     let mut other = fleet::harness();
     serve_with_parts(&mut other, &[PART]);
     other.dispatcher.merge_crash_findings(findings, other.now);
     assert!(!other.dispatcher.is_quarantined(PART_CULPRIT, other.now));
-    let before = other.dispatcher.take_crash_news();
+    let before = other.dispatcher.take_crash_news(other.now);
     harness.dispatcher.merge_crash_findings(before, harness.now);
     assert!(harness.dispatcher.is_quarantined(PART_CULPRIT, harness.now));
     serve_with_parts(&mut other, &[PART]);
-    let answers = other.dispatcher.take_crash_news();
+    let answers = other.dispatcher.take_crash_news(other.now);
     harness.dispatcher.merge_crash_findings(answers, harness.now);
     assert!(!harness.dispatcher.is_quarantined(PART_CULPRIT, harness.now));
 }
@@ -660,7 +660,7 @@
 /// Lets each host tell all others what it knows of crashes.
 fn tell_all(hosts: &mut [Harness]) {
     for number in 0..hosts.len() {
-        let news = hosts[number].dispatcher.take_crash_news();
+        let news = hosts[number].dispatcher.take_crash_news(hosts[number].now);
         for (other, host) in hosts.iter_mut().enumerate() {
             if other != number && !news.is_empty() {
                 host.dispatcher.merge_crash_findings(news.clone(), host.now);
