--- a/crates/route/tests/dispatch_crashes.rs
+++ b/crates/route/tests/dispatch_crashes.rs
@@ -333,6 +333,28 @@
     assert!(!is_quarantined(&harness));
 }
 
+/// Guards against hosts telling each other of each crash beside popular parts, and of their clearance, which takes the links of a
+/// large fleet, and against them not telling of a crash that nothing clears.
+#[rstest]
+#[case::cleared(true)]
+#[case::not_cleared(false)]
+fn a_crash_is_shared_unless_sound_answers_clear_it_first(#[case] is_cleared: bool) {
+    let mut harness = harness();
+    serve_with_parts(&mut harness, &[600]);
+    crash_with_parts(&mut harness, &[&[PART]]);
+    let is_told = |harness: &mut Harness, culprit| {
+        let news = harness.dispatcher.take_crash_news(harness.now);
+        news.iter().any(|finding| finding.culprit == culprit)
+    };
+    assert!(!is_told(&mut harness, FIRST_PART));
+    assert!(is_told(&mut harness, PART_CULPRIT));
+    if is_cleared {
+        serve_with_parts(&mut harness, &[600]);
+    }
+    harness.advance(millis(1_000));
+    assert_eq!(is_told(&mut harness, FIRST_PART), !is_cleared);
+}
+
 /// Guards against the first part of all prompts staying refused because it was blamed before the part that crashes servers, which
 /// fewer requests have, and against the store's record of that refusing it on hosts that know better.
 #[test]
