Review case 1: one entry of another writer exhausts the memory of all hosts

The platform lets other writers store entries beside those of the servers, with fields of any type. Hosts turn a whole answer of the store into JSON values before they look at what an entry says, so one well-formed entry of the maximum size takes more memory than the machine has. The script starts three hosts against small stand-ins; the platform's stand-in kills a process that exceeds its memory and starts it again.

--- /dev/null
+++ b/review/standin/main.rs
@@ -0,0 +1,55 @@
+//! Cases of the independent review. Each plays one run and tells whether the rule held: exit code 0 if it did, 1 if it
+//! was broken, 2 if the run could not be made.
+
+mod client;
+mod engine;
+mod hosts;
+mod http;
+mod json;
+mod large_entry;
+mod record;
+mod store;
+mod world;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use crate::record::Record;
+
+/// Result of a run.
+pub enum Outcome {
+    Held,
+    Broken,
+    /// It could not be made, for this reason.
+    NotRun(String),
+}
+
+fn main() -> ExitCode {
+    let mut words = std::env::args().skip(1);
+    let (Some(case), Some(folder)) = (words.next(), words.next()) else {
+        eprintln!("usage: review-standin CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = Record::create(&PathBuf::from(&folder).join("record.txt"));
+    let outcome = match case.as_str() {
+        "large-entry" => large_entry::run(&record, has_trouble),
+        _ => Outcome::NotRun(format!("no case {case}")),
+    };
+    let code = match outcome {
+        Outcome::Held => {
+            record.say("result: the rule held");
+            0
+        }
+        Outcome::Broken => {
+            record.say("result: the rule was broken");
+            1
+        }
+        Outcome::NotRun(reason) => {
+            record.say(&format!("result: not run: {reason}"));
+            2
+        }
+    };
+    record.flush();
+    ExitCode::from(code)
+}
