--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,6 +1,7 @@
 //! Cases of the independent review. Each plays one run and tells whether the rule held: exit code 0 if it did, 1 if it
 //! was broken, 2 if the run could not be made.
 
+mod bad_entry;
 mod client;
 mod engine;
 mod hosts;
@@ -33,6 +34,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create(&PathBuf::from(&folder).join("record.txt"));
     let outcome = match case.as_str() {
+        "bad-entry" => bad_entry::run(&record, has_trouble),
         "large-entry" => large_entry::run(&record, has_trouble),
         _ => Outcome::NotRun(format!("no case {case}")),
     };
