--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 
 mod bad_entry;
 mod client;
+mod dead_engine;
 mod engine;
 mod hosts;
 mod http;
@@ -10,6 +11,7 @@
 mod large_entry;
 mod record;
 mod store;
+mod stream_engine;
 mod world;
 
 use std::path::PathBuf;
@@ -31,10 +33,21 @@
         eprintln!("usage: review-standin CASE FOLDER");
         return ExitCode::from(2);
     };
+    if case == "engine" {
+        let is_chunked = words.next().is_some_and(|framing| framing == "chunks");
+        let framing = if is_chunked {
+            stream_engine::Framing::Chunks
+        } else {
+            stream_engine::Framing::Connection
+        };
+        stream_engine::run(&folder, framing);
+        return ExitCode::SUCCESS;
+    }
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create(&PathBuf::from(&folder).join("record.txt"));
     let outcome = match case.as_str() {
         "bad-entry" => bad_entry::run(&record, has_trouble),
+        "dead-engine" => dead_engine::run(&record, has_trouble),
         "large-entry" => large_entry::run(&record, has_trouble),
         _ => Outcome::NotRun(format!("no case {case}")),
     };
