--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 mod hosts;
 mod http;
 mod json;
+mod large_bodies;
 mod large_entry;
 mod record;
 mod store;
@@ -49,6 +50,7 @@
         "bad-entry" => bad_entry::run(&record, has_trouble),
         "dead-engine" => dead_engine::run(&record, has_trouble),
         "large-entry" => large_entry::run(&record, has_trouble),
+        "large-bodies" => large_bodies::run(&record, has_trouble),
         _ => Outcome::NotRun(format!("no case {case}")),
     };
     let code = match outcome {
