Review case 5: brittle servers fall over

Servers that say that they are brittle fall over once they turn too many requests away. Nothing reads that statement, so the hosts bring all servers of a service down in each jump of the traffic. The engines of the script are processes that exit.

--- a/review/play.sh
+++ b/review/play.sh
@@ -8,7 +8,7 @@
 # Nothing that was started is left, even if the stand-in itself failed.
 for process in $(sed -n 's/.* process=\([0-9]*\)$/\1/p' "$folder/record.txt" 2>/dev/null); do
     case "$(readlink "/proc/$process/exe" 2>/dev/null)" in
-        */foxtailhoist*) kill -KILL "$process" 2>/dev/null ;;
+        */foxtailhoist* | */review/standin*) kill -KILL "$process" 2>/dev/null ;;
     esac
 done
 case $code in
--- a/review/standin/dead_engine.rs
+++ b/review/standin/dead_engine.rs
@@ -10,13 +10,12 @@
 
 use crate::Outcome;
 use crate::client::fresh_id;
+use crate::engine_process::EngineProcess;
 use crate::hosts::Hosts;
 use crate::http::Conn;
 use crate::record::Record;
 use crate::store::Store;
 use crate::stream_engine::EVENTS;
-use crate::stream_engine::EngineProcess;
-use crate::stream_engine::Framing;
 use crate::stream_engine::event;
 
 const ZONES: [&str; 3] = ["nashua", "lowell", "concord"];
@@ -57,13 +56,16 @@
 
 pub fn run(record: &Record, has_trouble: bool) -> Outcome {
     let framing = match std::env::var("VARIANT").as_deref() {
-        Ok("chunks") => Framing::Chunks,
-        _ => Framing::Connection,
+        Ok("chunks") => "chunks",
+        _ => "connection",
     };
     let store = Store::start();
     let config = include_str!("config.json").replace("{timeout}", "1000");
     store.put("config", "main", config.as_bytes());
-    let engines = (0..ENGINES).map(|n| EngineProcess::start(&format!("i-{n}"), framing, record));
+    let engines = (0..ENGINES).map(|number| {
+        let id = format!("i-{number}");
+        EngineProcess::start(&id, &["stream-engine", &id, framing], record)
+    });
     let mut engines = match engines.collect::<io::Result<Vec<EngineProcess>>>() {
         Ok(engines) => engines,
         Err(e) => return Outcome::NotRun(format!("an engine did not start: {e}")),
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,9 +2,12 @@
 //! was broken, 2 if the run could not be made.
 
 mod bad_entry;
+mod brittle;
+mod brittle_engine;
 mod client;
 mod dead_engine;
 mod engine;
+mod engine_process;
 mod hosts;
 mod http;
 mod json;
@@ -17,8 +20,10 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use crate::record::Record;
+use crate::stream_engine::Framing;
 
 /// Result of a run.
 pub enum Outcome {
@@ -34,20 +39,24 @@
         eprintln!("usage: review-standin CASE FOLDER");
         return ExitCode::from(2);
     };
-    if case == "engine" {
-        let is_chunked = words.next().is_some_and(|framing| framing == "chunks");
-        let framing = if is_chunked {
-            stream_engine::Framing::Chunks
-        } else {
-            stream_engine::Framing::Connection
-        };
-        stream_engine::run(&folder, framing);
-        return ExitCode::SUCCESS;
+    // The engines that are processes of their own.
+    let option = words.next().unwrap_or_default();
+    match case.as_str() {
+        "stream-engine" => {
+            let is_chunked = option == "chunks";
+            let framing = if is_chunked { Framing::Chunks } else { Framing::Connection };
+            stream_engine::run(&folder, framing);
+        }
+        "brittle-engine" => {
+            brittle_engine::run(&folder, option.parse().ok().map(Duration::from_millis));
+        }
+        _ => {}
     }
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create(&PathBuf::from(&folder).join("record.txt"));
     let outcome = match case.as_str() {
         "bad-entry" => bad_entry::run(&record, has_trouble),
+        "brittle" => brittle::run(&record, has_trouble),
         "dead-engine" => dead_engine::run(&record, has_trouble),
         "large-entry" => large_entry::run(&record, has_trouble),
         "large-bodies" => large_bodies::run(&record, has_trouble),
--- a/review/standin/stream_engine.rs
+++ b/review/standin/stream_engine.rs
@@ -3,23 +3,14 @@
 //! It prints its address, then a line for each request that it runs.
 
 use std::io;
-use std::io::BufRead;
-use std::io::BufReader;
 use std::io::Write;
-use std::net::SocketAddr;
 use std::net::TcpListener;
-use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
 use std::thread;
 use std::time::Duration;
-use std::time::SystemTime;
 
 use crate::http;
 use crate::http::Conn;
 use crate::http::Message;
-use crate::record::Record;
-use crate::store::Store;
 
 /// Events of each stream.
 pub const EVENTS: u64 = 30;
@@ -33,60 +24,6 @@
     Connection,
 }
 
-/// A running engine process; dropping kills it.
-pub struct EngineProcess {
-    pub id: String,
-    pub address: SocketAddr,
-    born: u128,
-    child: Child,
-}
-
-impl EngineProcess {
-    pub fn start(id: &str, framing: Framing, record: &Record) -> io::Result<EngineProcess> {
-        let framing = if framing == Framing::Chunks { "chunks" } else { "connection" };
-        let mut child = Command::new(std::env::current_exe()?)
-            .args(["engine", id, framing])
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .spawn()?;
-        record.write(&format!("started engine={id} process={}", child.id()));
-        let stdout = child.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?;
-        let mut lines = BufReader::new(stdout).lines();
-        let address = lines.next().ok_or(io::ErrorKind::UnexpectedEof)??;
-        let address = address.parse().map_err(|_| io::ErrorKind::InvalidData)?;
-        let (record, server) = (record.clone(), id.to_owned());
-        thread::spawn(move || {
-            for line in lines.map_while(Result::ok) {
-                record.write(&format!("run {line} server={server}"));
-            }
-        });
-        let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-        let born = born.map_or(0, |born| born.as_millis());
-        Ok(EngineProcess { id: id.to_owned(), address, born, child })
-    }
-
-    /// Writes this engine's entry; `template` holds an entry with placeholders.
-    pub fn register(&self, store: &Store, template: &str, service: &str, zone: &str) {
-        let entry = template
-            .replace("{service}", service)
-            .replace("{address}", &self.address.to_string())
-            .replace("{zone}", zone)
-            .replace("{born}", &self.born.to_string());
-        store.put("servers", &self.id, entry.as_bytes());
-    }
-
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-impl Drop for EngineProcess {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
 /// Text of an event.
 pub fn event(request: &str, number: u64) -> String {
     format!("id: {number}\ndata: {request} {number}\n\n")
