Review case 1: lists in pages of the size that the platform states, deeper records

The stand-in's store returned a list of slightly more than its page size. The records of the entry are nested eight deep, so that the margin over the machine's memory is larger.

--- a/review/standin/large_entry.rs
+++ b/review/standin/large_entry.rs
@@ -24,7 +24,7 @@
 
 /// An entry whose `Service` is a list, as long as an object may be.
 fn entry() -> String {
-    const RECORD: &str = "{\"a\":{\"b\":{\"c\":{\"d\":1}}}}";
+    const RECORD: &str = "{\"a\":{\"b\":{\"c\":{\"d\":{\"e\":{\"f\":{\"g\":{\"h\":1}}}}}}}}";
     let count = (VALUE_BYTES - METADATA_BYTES) / (RECORD.len() + 1);
     format!("{{\"Service\":[{}]}}", vec![RECORD; count].join(","))
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
@@ -14,6 +15,8 @@
 use crate::http::Message;
 use crate::json;
 
+/// Maximum size of the objects in one page of a list.
+const PAGE_BYTES: usize = 1024 * 1024;
 /// Time of one answer.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
 
@@ -126,7 +129,7 @@
         match (request.word(0), segments.as_slice()) {
             ("GET", [kind]) => match parameter(query, "Watch") {
                 Some(since) => self.watch(kind, since, parameter(query, "WaitMs").unwrap_or(0)),
-                None => self.list(kind),
+                None => self.list(kind, parameter(query, "SinceRevision")),
             },
             ("POST", [kind]) => self.create(kind, &body),
             ("PUT", [kind, name, rest @ ..]) => self.replace(kind, name, !rest.is_empty(), &body),
@@ -138,11 +141,22 @@
         }
     }
 
-    fn list(&self, kind: &str) -> Answer {
+    /// Lists a page of the objects whose names follow a name.
+    fn list(&self, kind: &str, after: Option<String>) -> Answer {
         let state = self.shared.state.lock().expect("not poisoned");
         let objects = state.objects.get(kind).into_iter().flat_map(BTreeMap::values);
-        let items: Vec<Vec<u8>> = objects.map(Object::encode).collect();
-        let at = format!("],\"HasMore\":false,\"At\":{}}}", state.revision);
+        let mut items: Vec<Vec<u8>> = Vec::new();
+        let (mut size, mut has_more) = (0, false);
+        for object in objects.filter(|object| Some(&object.name) > after.as_ref()) {
+            let item = object.encode();
+            size += item.len();
+            if !items.is_empty() && size > PAGE_BYTES {
+                has_more = true;
+                break;
+            }
+            items.push(item);
+        }
+        let at = format!("],\"HasMore\":{has_more},\"At\":{}}}", state.revision);
         Answer { status: 200, body: [b"{\"Items\":[", &*items.join(&b','), at.as_bytes()].concat() }
     }
 
@@ -219,7 +233,7 @@
     }
 }
 
-fn parameter(query: &str, name: &str) -> Option<u64> {
+fn parameter<T: FromStr>(query: &str, name: &str) -> Option<T> {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     pairs.filter(|(known, _)| *known == name).find_map(|(_, value)| value.parse().ok())
 }
