Follow: list again after a watch whose answer is of no use

Hosts learned of no change of a kind while the changes since their revision were too large for one answer (8 MiB) or for their link, or held an object whose brackets do not match: each next watch got the same answer. One writer could cause that with nine large objects in a row, or three on a link of 8 Mbit/s, until the store discarded its history.

Change: after such an answer the kind is listed, in pages of bounded size. An unusable answer does not count as an outage of the store.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -171,7 +171,7 @@
             () = core.store_restored.notified() => return,
             () = core.watches_doubtful.notified() => continue,
         };
-        if kind == ObjectKind::Configuration && matches!(answer, Err(StoreError::NoAnswer(_))) {
+        if kind == ObjectKind::Configuration && answer.as_ref().is_err_and(StoreError::is_silence) {
             // Other open connections to the store may have stopped responding, too.
             core.watches_doubtful.notify_waiters();
         }
@@ -202,7 +202,14 @@
             }
             // The store does not have the history since the revision: list again.
             Ok(None) => return,
-            Err(e) => health.failed(core, kind, &e, called.elapsed()).await,
+            Err(e) => {
+                health.failed(core, kind, &e, called.elapsed()).await;
+                if e.fails_again() {
+                    // A list comes in pages of bounded size.
+                    tokio::time::sleep(batch_delay(kind)).await;
+                    return;
+                }
+            }
         }
     }
 }
--- a/crates/relay/src/store_availability.rs
+++ b/crates/relay/src/store_availability.rs
@@ -24,8 +24,11 @@
 
 impl StoreAvailability {
     pub(crate) fn call_failed(&mut self, e: &StoreError, now: Instant) {
+        if e.is_unusable_answer() {
+            return;
+        }
         self.failing_since.get_or_insert(now);
-        self.was_silent |= matches!(e, StoreError::NoAnswer(_));
+        self.was_silent |= e.is_silence();
     }
 
     /// Records a successful call; returns whether calls got no answer before it.
--- a/tests/restores.rs
+++ b/tests/restores.rs
@@ -46,7 +46,8 @@
 const NEWS_LIMIT: Duration = Duration::from_millis(2_000);
 /// Maximum delay until the operator or a server writes again what a restored store lacks.
 const MAX_REWRITE_DELAY_MS: u64 = 1_800;
-const DOWN: StoreFaults = StoreFaults { down: true, slow: Duration::ZERO, silent: false };
+const DOWN: StoreFaults =
+    StoreFaults { down: true, slow: Duration::ZERO, silent: false, bytes_per_second: None };
 
 /// Objects that the operator and the servers want in the store; `None` for those that they deleted.
 type Wanted = Rc<RefCell<BTreeMap<(&'static str, String), Option<Value>>>>;
