--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -234,7 +234,7 @@
                 page.map_err(|e| StoreError::Unreadable(e.0))?
             }
             // No object of the kind has been created yet.
-            StatusCode::NOT_FOUND => {
+            StatusCode::NOT_FOUND if after.is_none() => {
                 Page { revision: StoreRevision { era: answer.era, number: 0 }, ..Page::default() }
             }
             status => return Err(StoreError::Status(status)),
@@ -246,6 +246,9 @@
         revision = Some(revision.map_or(page.revision, |revision| revision.min(page.revision)));
         records.extend(page.records);
         match page.next {
+            Some(next) if after.as_ref().is_some_and(|after| next <= *after) => {
+                return Err(StoreError::Unreadable("the list does not go on".to_owned()));
+            }
             Some(next) => after = Some(next),
             None => break,
         }
