Bound what a host keeps of objects of other writers

Hosts kept, and sent to each other whenever one connected, each text of a registration at any length and one record for each unreadable object, of which there may be any number: 1.2 MB for 20 entries of 60 kB, 272 kB for 3,000 small ones.

What a list drops is logged as `records_dropped`.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -24,6 +24,7 @@
 use crate::core::SuspectReport;
 use crate::log_event::LogEvent;
 use crate::mirror::Frame;
+use crate::mirror::MAX_OBJECTS;
 use crate::store::StoreClient;
 use crate::store::StoreError;
 use crate::store_availability::RELIST_WINDOW;
@@ -46,6 +47,8 @@
 const BATCH_DELAY: Duration = Duration::from_millis(300);
 /// Delay after a change of the configuration, of which only the newest version matters.
 const CONFIGURATION_BATCH_DELAY: Duration = Duration::from_millis(150);
+/// Maximum number of unreadable objects of which a list keeps the name and the reason.
+const MAX_UNREADABLE: usize = 256;
 /// Timeout of one call that lists objects.
 const LIST_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Backoff after the first failed call.
@@ -225,6 +228,7 @@
     let mut after: Option<String> = None;
     let mut revision: Option<StoreRevision> = None;
     let mut records = Vec::new();
+    let (mut unreadable, mut dropped) = (0, 0);
     loop {
         let request = core.wire.list(kind, after.as_deref());
         let answer = client.call(core, request, LIST_TIMEOUT).await?;
@@ -244,7 +248,15 @@
             return Err(StoreError::EarlierEra);
         }
         revision = Some(revision.map_or(page.revision, |revision| revision.min(page.revision)));
-        records.extend(page.records);
+        for record in page.records {
+            unreadable += usize::from(record.is_unreadable());
+            let is_excess = record.is_unreadable() && unreadable > MAX_UNREADABLE;
+            if is_excess || records.len() >= MAX_OBJECTS {
+                dropped += 1;
+            } else {
+                records.push(record);
+            }
+        }
         match page.next {
             Some(next) if after.as_ref().is_some_and(|after| next <= *after) => {
                 return Err(StoreError::Unreadable("the list does not go on".to_owned()));
@@ -253,6 +265,9 @@
             None => break,
         }
     }
+    if dropped > 0 {
+        core.log.write(&LogEvent::RecordsDropped { kind, records: dropped });
+    }
     let revision = revision.unwrap_or_default();
     if kind == ObjectKind::Suspects && core.mirror.is_behind(kind, revision.era) {
         put_back_suspects(core, &records);
--- a/crates/relay/src/log_event.rs
+++ b/crates/relay/src/log_event.rs
@@ -76,6 +76,11 @@
         records: usize,
         era: StoreEra,
     },
+    /// Objects of a list that are not kept, since there are too many, or too many unreadable ones.
+    RecordsDropped {
+        kind: ObjectKind,
+        records: usize,
+    },
     Unreadable {
         kind: ObjectKind,
         name: &'a str,
@@ -344,6 +349,9 @@
             LogEvent::RecordsIgnored { kind, records, era } => {
                 write!(f, "event=records_ignored kind={kind:?} records={records} era={era}")
             }
+            LogEvent::RecordsDropped { kind, records } => {
+                write!(f, "event=records_dropped kind={kind:?} records={records}")
+            }
             LogEvent::Unreadable { kind, name, reason } => {
                 write!(f, "event=object_unreadable kind={kind:?} name={name:?} reason={reason:?}")
             }
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -26,9 +26,11 @@
 use crate::wire::ObjectKind;
 use crate::wire::Record;
 
-/// Number of records of one kind, live and deleted, above which the oldest tombstone is evicted. A tombstone is the
-/// record of a deleted object; it keeps late updates from restoring the object.
+/// Number of records of one kind, of any content, above which the oldest tombstone is evicted. A tombstone is the record
+/// of a deleted or unreadable object; it keeps late updates from restoring the object.
 const TOMBSTONE_EVICTION_THRESHOLD: usize = 1_024;
+/// Maximum number of objects of one kind; further ones are ignored.
+pub(crate) const MAX_OBJECTS: usize = 16_384;
 /// Frames queued for a slow subscriber; one that falls further behind is disconnected and has to subscribe again.
 const MAX_QUEUED_FRAMES: usize = 256;
 
@@ -66,6 +68,7 @@
         let records = records.entry(kind).or_default();
         let record = match records.get(&record.name) {
             Some(known) => known.merge(record)?,
+            None if records.len() >= MAX_OBJECTS => return None,
             None => record,
         };
         records.insert(record.name.clone(), record.clone());
@@ -185,6 +188,10 @@
         matches!(self.content, Content::Deleted { .. })
     }
 
+    pub(crate) fn is_unreadable(&self) -> bool {
+        matches!(self.content, Content::Unreadable(_))
+    }
+
     pub(crate) fn configuration_version(&self) -> Option<u64> {
         match &self.content {
             Content::Configuration(table) => Some(table.version),
@@ -269,8 +276,9 @@
 }
 
 fn evict_oldest_tombstone(records: &mut BTreeMap<String, Record>) {
-    let deleted = records.iter().filter(|(_, record)| record.is_deleted());
-    let oldest = deleted.min_by_key(|(_, record)| record.revision).map(|(name, _)| name.clone());
+    let tombstones =
+        records.iter().filter(|(_, record)| record.is_deleted() || record.is_unreadable());
+    let oldest = tombstones.min_by_key(|(_, record)| record.revision).map(|(name, _)| name.clone());
     if let Some(name) = oldest {
         records.remove(&name);
     }
--- a/crates/relay/tests/logs.rs
+++ b/crates/relay/tests/logs.rs
@@ -132,6 +132,7 @@
         (LogEvent::CutOff { service: "s" }, "cut_off", "service"),
         (LogEvent::ReachedAgain { service: "s", away: Duration::ZERO }, "reached_again", "away_ms"),
         (LogEvent::StoreEra { known: 1, era: 2 }, "store_era", "known"),
+        (LogEvent::RecordsDropped { kind, records: 3 }, "records_dropped", "kind"),
         (LogEvent::RecordsIgnored { kind, records: 3, era: 1 }, "records_ignored", "era"),
         (LogEvent::Unreadable { kind, name: "n 1", reason: "r" }, "object_unreadable", "name"),
         (LogEvent::Configured { version: 3, routes: 4 }, "configured", "version"),
