Evidence: bound what a host keeps of other hosts' evidence

Whoever reaches a host's port for other hosts from the address of a registered one could fill its memory with evidence on a shift, in messages of 1 MB under ever new names of hosts, each kept until the shift ends and passed on.

Change: the evidence of all hosts on one shift takes 8 MiB at most; further evidence is ignored.

--- a/crates/rollout/src/shift/shared.rs
+++ b/crates/rollout/src/shift/shared.rs
@@ -16,6 +16,8 @@
 
 /// Rounds in which an update is passed on after it arrived.
 const ROUNDS_PER_UPDATE: u8 = 3;
+/// Maximum size of the evidence of all hosts; what exceeds it is ignored.
+const MAX_EVIDENCE_BYTES: usize = 8 * 1024 * 1024;
 /// Log likelihood ratios are sent in hundredths.
 const SCALE: f64 = 100.0;
 /// Largest log likelihood ratio accepted from a peer, in hundredths.
@@ -49,15 +51,31 @@
 #[derive(Debug, Default)]
 pub struct SharedEvidence {
     hosts: BTreeMap<EntryHostId, (HostEvidence, u8)>,
+    bytes: usize,
+}
+
+impl HostEvidence {
+    /// Approximate size in memory.
+    fn bytes(&self) -> usize {
+        let tests = self.failures.keys().chain(self.slowness.keys());
+        let bytes: usize = tests.map(|server| server.len() + size_of::<ScaledRatios>()).sum();
+        self.host.len() + size_of::<HostEvidence>() + bytes
+    }
 }
 
 impl SharedEvidence {
-    /// Adds evidence; returns whether it is newer than what is known of its host.
+    /// Adds evidence; returns whether it is newer than what is known of its host, and kept.
     pub fn merge(&mut self, evidence: HostEvidence) -> bool {
         let known = self.hosts.get(&evidence.host);
         if known.is_some_and(|(known, _)| known.updated_ms >= evidence.updated_ms) {
             return false;
         }
+        let known_bytes = known.map_or(0, |(known, _)| known.bytes());
+        let bytes = self.bytes - known_bytes + evidence.bytes();
+        if bytes > MAX_EVIDENCE_BYTES {
+            return false;
+        }
+        self.bytes = bytes;
         self.hosts.insert(evidence.host.clone(), (evidence, ROUNDS_PER_UPDATE));
         true
     }
--- a/crates/rollout/tests/shift_evidence.rs
+++ b/crates/rollout/tests/shift_evidence.rs
@@ -1,5 +1,6 @@
 //! Verdicts on a new version from failures and paces, by simulation of the answers that one or several hosts see.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,6 +13,8 @@
 use foxtailhoist_rollout::shift::baseline::Baseline;
 use foxtailhoist_rollout::shift::baseline::Finding;
 use foxtailhoist_rollout::shift::baseline::Observation;
+use foxtailhoist_rollout::shift::shared::HostEvidence;
+use foxtailhoist_rollout::shift::shared::SharedEvidence;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -303,3 +306,27 @@
     assert!(expected.0 < 0.0 && expected.1 < 0.0, "{expected:?}");
     assert_eq!(often.shift.evidence().log_evidence(), expected);
 }
+
+/// Guards against a host that keeps, and passes on, evidence of any number of hosts that do not exist.
+#[rstest]
+#[case::many_hosts(20_000, 20)]
+#[case::many_servers(40, 20_000)]
+fn the_evidence_that_a_host_keeps_is_bounded(#[case] hosts: usize, #[case] servers: usize) {
+    let mut shared = SharedEvidence::default();
+    let failures: BTreeMap<String, _> =
+        (0..servers).map(|number| (format!("server-{number:06}"), [0; 4])).collect();
+    for number in 0..hosts {
+        shared.merge(HostEvidence {
+            host: format!("host-{number}"),
+            updated_ms: 1,
+            failures: failures.clone(),
+            slowness: BTreeMap::new(),
+            floor: 0,
+        });
+    }
+    let news = shared.take_news();
+    let kept: usize = news.iter().map(|evidence| evidence.failures.len()).sum();
+    // A test of a server takes at least 16 bytes for its ratios, besides its name.
+    assert!(kept <= 8 * 1024 * 1024 / 29, "{kept} tests kept");
+    assert!(!news.is_empty());
+}
