--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the stand-ins of the second review with the Rust compiler alone, without a network.
+set -e
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+exec rustc --edition 2024 -O -o target/review-2/standins review/standins-2/main.rs
