Review: a model that callers name is replaced by the smallest one

A script case: on a route whose model the router chooses, requests that name a model are neither refused nor sent on as they are. An engine runs them with the smallest model, and the caller gets its answer. The stand-ins note the method, the target and the model of what they run.

--- a/review/standins-2/engine.rs
+++ b/review/standins-2/engine.rs
@@ -30,11 +30,22 @@
     pub body_bytes: usize,
 }
 
+/// A request that the engine began to work on.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub id: String,
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// The model that it was asked for; empty if none.
+    pub model: String,
+}
+
 #[derive(Default)]
 struct State {
     running: usize,
     waiting: usize,
-    runs: Vec<(Instant, String)>,
+    runs: Vec<Run>,
 }
 
 #[derive(Clone)]
@@ -98,8 +109,8 @@
         store.put("servers", id, &spec);
     }
 
-    /// Ids of the requests that it ran, with the time at which each began.
-    pub fn runs(&self) -> Vec<(Instant, String)> {
+    /// The requests that it ran, in order.
+    pub fn runs(&self) -> Vec<Run> {
         self.state.0.lock().expect("not poisoned").runs.clone()
     }
 
@@ -127,7 +138,13 @@
             let headers = format!("X-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\n");
             return conn.respond(503, &headers, b"");
         }
-        self.state.0.lock().expect("not poisoned").runs.push((Instant::now(), id.clone()));
+        let run = Run {
+            id: id.clone(),
+            method: head.word(0).to_owned(),
+            target: head.word(1).to_owned(),
+            model: head.get("X-Model").unwrap_or("").to_owned(),
+        };
+        self.state.0.lock().expect("not poisoned").runs.push(run);
         let answered = self.run(conn, &id, due);
         self.leave();
         answered
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,9 +6,11 @@
 mod fleet;
 mod http;
 mod memory;
+mod models;
 mod names;
 mod site;
 mod store;
+mod targets;
 
 use std::path::PathBuf;
 
@@ -27,6 +29,8 @@
     }));
     match name.as_str() {
         "crowd" => crowd::run(folder, trouble),
+        "targets" => targets::run(folder, trouble),
+        "models" => models::run(folder, trouble),
         "names" => names::run(folder, trouble),
         _ => {
             eprintln!("no case {name}");
