--- a/review/standins-3/common.rs
+++ b/review/standins-3/common.rs
@@ -495,6 +495,11 @@
     arrivals: Mutex<Vec<Arrival>>,
     running: AtomicU64,
     work: Duration,
+    /// One in so many requests gets an answer with status 500, if set.
+    fails_each: AtomicU64,
+    count: AtomicU64,
+    /// Times of the answers with status 500.
+    failed_at: Mutex<Vec<u64>>,
 }
 
 impl Engine {
@@ -528,6 +533,9 @@
                 arrivals: Mutex::default(),
                 running: AtomicU64::new(0),
                 work,
+                fails_each: AtomicU64::new(0),
+                count: AtomicU64::new(0),
+                failed_at: Mutex::default(),
             }),
         };
         let accepting = engine.clone();
@@ -563,6 +571,16 @@
         }
     }
 
+    /// Lets one in so many requests fail after it has run.
+    pub fn fail_each(&self, each: u64) {
+        self.inner.fails_each.store(each, Ordering::SeqCst);
+    }
+
+    /// Times of the failed answers so far.
+    pub fn failed_at(&self) -> Vec<u64> {
+        self.inner.failed_at.lock().expect("times").clone()
+    }
+
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.inner.arrivals.lock().expect("arrivals").clone()
     }
@@ -617,9 +635,15 @@
         if head.get("x-model").is_none() {
             thread::sleep(self.inner.work);
             let text = format!("answer to {request}");
+            let each = self.inner.fails_each.load(Ordering::SeqCst);
+            let fails = each > 0 && self.inner.count.fetch_add(1, Ordering::SeqCst) % each == 0;
+            if fails {
+                self.inner.failed_at.lock().expect("times").push(now_ms());
+            }
+            let status = if fails { "500 Internal Server Error" } else { "200 OK" };
             return write!(
                 writer,
-                "HTTP/1.1 200 OK\r\n{signed}Content-Length: {}\r\n\r\n{text}",
+                "HTTP/1.1 {status}\r\n{signed}Content-Length: {}\r\n\r\n{text}",
                 text.len()
             );
         }
