--- a/review/standins-3/build.sh
+++ b/review/standins-3/build.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")/../.."
 mkdir -p target/review-2
-for name in restored restarts leaving conflict; do
+for name in restored restarts leaving conflict ordered_back; do
     rustc --edition 2024 -O "review/standins-3/$name.rs" -o "target/review-2/$name"
 done
