--- a/review/standins-3/restarts.rs
+++ b/review/standins-3/restarts.rs
@@ -17,14 +17,14 @@
 /// Engines that crash at a time: 0.25 of all.
 const CRASHING: usize = 3;
 /// Milliseconds at which engines crash.
-const CRASHES_AT: [u64; 7] = [3_000, 9_000, 15_000, 21_000, 27_000, 33_000, 39_000];
+const CRASHES_AT: [u64; 8] = [3_000, 8_500, 14_000, 19_500, 25_000, 30_500, 36_000, 41_500];
 /// Milliseconds until a crashed engine is back, and until the entry of its earlier incarnation is removed (three heartbeats
 /// of 1,200 ms).
 const BACK_AFTER: u64 = 1_000;
 const ENTRY_REMOVED_AFTER: u64 = 3_600;
 /// Requests for streams: many until the lull, and after it.
-const LULL_FROM: u64 = 44_000;
-const LULL_UNTIL: u64 = 54_000;
+const LULL_FROM: u64 = 46_000;
+const LULL_UNTIL: u64 = 56_000;
 const END: u64 = 98_000;
 const STREAM_INTERVAL: u64 = 90;
 const LATE_STREAM_INTERVAL: u64 = 12;
