--- a/review/standins-3/common.rs
+++ b/review/standins-3/common.rs
@@ -381,7 +381,7 @@
         let mut words = head.first.split(' ');
         let (method, target) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
-        let segments: Vec<&str> = path.trim_start_matches("/api/objects/").split('/').collect();
+        let segments: Vec<&str> = path.trim_start_matches(include_str!("wire/objects.txt").trim()).split('/').collect();
         let parameter = |name: &str| {
             query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
         };
@@ -591,10 +591,14 @@
 
     /// The engine's entry in the store.
     pub fn entry(&self, zone: &str, phase: &str) -> String {
-        format!(
-            "{{\"Service\":\"{}\",\"Address\":\"{}\",\"Zone\":\"{zone}\",\"Version\":\"{}\",\"Capacity\":64,\"Phase\":\"{phase}\",\"WarmupLeftMs\":0,\"Sequence\":1,\"born\":{}}}",
-            self.service, self.address, self.version, self.born
-        )
+        include_str!("wire/registration.json")
+            .trim()
+            .replace("{SERVICE}", &self.service)
+            .replace("{ADDRESS}", &self.address.to_string())
+            .replace("{ZONE}", zone)
+            .replace("{VERSION}", &self.version)
+            .replace("{PHASE}", phase)
+            .replace("{BORN}", &self.born.to_string())
     }
 
     fn serve(&self, stream: TcpStream) {
@@ -609,7 +613,7 @@
 
     fn answer(&self, head: &Head, writer: &mut TcpStream) -> std::io::Result<()> {
         let request = head.get("x-attempt-id").unwrap_or_default().to_owned();
-        let is_own = head.get("x-target-instance").is_none_or(|target| target == self.id);
+        let is_own = head.get(include_str!("wire/target.txt").trim()).is_none_or(|target| target == self.id);
         self.inner.arrivals.lock().expect("arrivals").push(Arrival {
             at_ms: now_ms(),
             request: request.clone(),
@@ -801,8 +805,9 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let head = "GET /api/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-        exchange(self.readiness, head, b"", Duration::from_secs(1)).is_ok_and(|answer| answer.status == 200)
+        let path = include_str!("wire/ready.txt").trim();
+        let head = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        exchange(self.readiness, &head, b"", Duration::from_secs(1)).is_ok_and(|answer| answer.status == 200)
     }
 }
 
@@ -868,7 +873,7 @@
     let body = read_body(&mut reader, &head)?;
     Ok(Answer {
         status: head.status(),
-        is_signed: head.get("x-response-signature").is_some(),
+        is_signed: head.get(include_str!("wire/signature.txt").trim()).is_some(),
         request: head.get("x-attempt-id").unwrap_or_default().to_owned(),
         retry_after: head.get("retry-after").and_then(|value| value.parse().ok()),
         body: String::from_utf8_lossy(&body).into_owned(),
@@ -898,22 +903,5 @@
 
 /// Routes of a small deployment: streams, orders that must not be repeated, and lookups.
 pub fn configuration(version: u64) -> String {
-    let route = |name: &str, kind: &str, service: &str, timeout: u64, target: u64, attempts: u32, more: &str| {
-        format!(
-            "{{\"Name\":\"{name}\",\"Hostname\":\"{HOSTNAME}\",\"PathPrefix\":\"/{name}/\",\"RouteType\":\"{kind}\",\"Service\":\"{service}\",\
-             \"TimeoutMs\":{timeout},\"TargetLatencyMs\":{target},\"MaxAttempts\":{attempts},\"Priority\":2{more}}}"
-        )
-    };
-    let sizes = ",\"StreamResume\":true,\"SessionAffinity\":true,\"ItlTargetMs\":1200,\"Sizes\":[\"small\",\"large\"]";
-    let routes = [
-        route("tag", "streaming", "llm", 5_000, 5_000, 3, sizes),
-        route("renew", "non_idempotent", "app", 1_000, 200, 1, ""),
-        route("look", "idempotent", "app", 1_000, 200, 2, ""),
-    ];
-    format!(
-        "{{\"Version\":{version},\"Routes\":[{}],\"Services\":[{{\"Name\":\"llm\",\"MaxConnections\":360,\"Engine\":{{\"Capacity\":64,\"KvCapacity\":455714}}}},\
-         {{\"Name\":\"app\",\"MaxConnections\":96}}],\"Limits\":{{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}},\
-         \"Tenants\":[{{\"Name\":\"bakery\",\"ApiKeys\":[\"key-bakery-1\"]}}]}}",
-        routes.join(",")
-    )
+    include_str!("wire/configuration.json").replace("{VERSION}", &version.to_string()).replace("{HOST}", HOSTNAME)
 }
--- a/review/standins-3/leaving.rs
+++ b/review/standins-3/leaving.rs
@@ -40,9 +40,9 @@
     }
     let doors: Vec<SocketAddr> = (0..3).map(|_| store.door()).collect();
     let specs = [
-        HostSpec { name: "client_facing-nashua-1", zone: "nashua", store: doors[0] },
-        HostSpec { name: "client_facing-nashua-2", zone: "nashua", store: doors[1] },
-        HostSpec { name: "client_facing-lowell-1", zone: "lowell", store: doors[2] },
+        HostSpec { name: "nashua-1", zone: "nashua", store: doors[0] },
+        HostSpec { name: "nashua-2", zone: "nashua", store: doors[1] },
+        HostSpec { name: "lowell-1", zone: "lowell", store: doors[2] },
     ];
     let mut hosts = start_hosts(&specs, &folder);
     until_ready(&hosts);
--- a/review/standins-3/ordered_back.rs
+++ b/review/standins-3/ordered_back.rs
@@ -48,9 +48,9 @@
         store.put("servers", &engine.id, &engine.entry("nashua", "ready"));
     }
     let specs = [
-        HostSpec { name: "client_facing-nashua-1", zone: "nashua", store: store.address },
-        HostSpec { name: "client_facing-nashua-2", zone: "nashua", store: store.address },
-        HostSpec { name: "client_facing-lowell-1", zone: "lowell", store: store.address },
+        HostSpec { name: "nashua-1", zone: "nashua", store: store.address },
+        HostSpec { name: "nashua-2", zone: "nashua", store: store.address },
+        HostSpec { name: "lowell-1", zone: "lowell", store: store.address },
     ];
     let hosts = start_hosts(&specs, &folder);
     until_ready(&hosts);
--- a/review/standins-3/restored.rs
+++ b/review/standins-3/restored.rs
@@ -52,7 +52,7 @@
     for engine in llms.iter().chain(&old) {
         store.put("servers", &engine.id, &engine.entry("nashua", "ready"));
     }
-    let names = ["client_facing-nashua-1", "client_facing-nashua-2", "client_facing-lowell-1"];
+    let names = ["nashua-1", "nashua-2", "lowell-1"];
     let specs: Vec<HostSpec> = names
         .iter()
         .map(|name| HostSpec {
