--- a/review/standins-3/common.rs
+++ b/review/standins-3/common.rs
@@ -625,6 +625,13 @@
                 "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: {request}\r\nContent-Length: 0\r\n\r\n"
             );
         }
+        let is_unknown = |model| CHECKS_MODELS.load(Ordering::SeqCst) && !MODELS.contains(&model);
+        if head.get("x-model").is_some_and(is_unknown) {
+            return write!(
+                writer,
+                "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: {request}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            );
+        }
         self.inner.running.fetch_add(1, Ordering::SeqCst);
         let result = self.run(head, &request, writer);
         self.inner.running.fetch_sub(1, Ordering::SeqCst);
@@ -666,6 +673,10 @@
     }
 }
 
+/// Models that engines know, and whether they reject requests for others.
+const MODELS: [&str; 2] = ["small", "large"];
+pub static CHECKS_MODELS: AtomicBool = AtomicBool::new(false);
+
 /// Events of a stream, and the pause after each.
 pub const EVENTS: u64 = 5;
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
@@ -901,6 +912,11 @@
     )
 }
 
+/// The same on a route where the caller names the model.
+pub fn model_head(path: &str, id: &str, deadline_ms: u64, length: usize, model: &str) -> String {
+    stream_head(path, id, deadline_ms, length).replace("X-Model: *", &format!("X-Model: {model}"))
+}
+
 /// Routes of a small deployment: streams, orders that must not be repeated, and lookups.
 pub fn configuration(version: u64) -> String {
     include_str!("wire/configuration.json").replace("{VERSION}", &version.to_string()).replace("{HOST}", HOSTNAME)
